--- /dev/null
+++ b/cmd/lentilctl/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/model/location.go
@@ -0,0 +1,40 @@
+package model
+
+// Region names a group of availability zones, for example "serra".
+type Region string
+
+// AvailabilityZone names one availability zone, for example "caxias".
+// Names are unique across regions.
+type AvailabilityZone string
+
+// NodeID identifies the node beside one upstream VM. It stays the same when
+// the process restarts on the same VM.
+type NodeID string
+
+// Location says where a VM runs.
+type Location struct {
+	Region           Region           `json:"region"`
+	AvailabilityZone AvailabilityZone `json:"availability_zone"`
+}
+
+// Distance orders locations by the cost of a call between them.
+type Distance int
+
+// Distances, nearest first.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// DistanceTo returns how far o is from l.
+func (l Location) DistanceTo(o Location) Distance {
+	switch {
+	case l.Region != o.Region:
+		return OtherRegion
+	case l.AvailabilityZone != o.AvailabilityZone:
+		return SameRegion
+	default:
+		return SameZone
+	}
+}
--- /dev/null
+++ b/pkg/model/rule.go
@@ -0,0 +1,59 @@
+package model
+
+import "time"
+
+// Rank is the urgency of a call; 0 is the most urgent.
+type Rank uint8
+
+// MaxRank is the least urgent rank.
+const MaxRank Rank = 7
+
+// MaxDepth is the largest number of nested calls in one call chain.
+const MaxDepth = 7
+
+// Preference says how far from the caller's node an upstream may be chosen
+// before the next distance is considered.
+type Preference string
+
+// Preferences a rule can state.
+const (
+	PreferZone   Preference = "zone"
+	PreferRegion Preference = "region"
+	PreferAny    Preference = "any"
+)
+
+// Service is one "service" statement of the rules file.
+type Service struct {
+	Name        string `json:"name"`
+	Slots       int    `json:"slots"`       // calls that one upstream runs at a time
+	Connections int    `json:"connections"` // connections that one upstream accepts
+	AskedBy     string `json:"asked_by"`
+	Reason      string `json:"reason,omitempty"`
+	Line        int    `json:"line"`
+}
+
+// Match selects the calls that a rule decides.
+type Match struct {
+	Methods []string `json:"methods,omitempty"` // upper case, sorted; empty means every method
+	Host    string   `json:"host"`              // lower case without port; "*" means every host
+	Path    string   `json:"path"`              // prefix that ends at a segment border
+}
+
+// Rule is one "rule" statement of the rules file.
+type Rule struct {
+	Name        string        `json:"name"`
+	Match       Match         `json:"match"`
+	Service     string        `json:"service"`
+	Rank        Rank          `json:"rank"`
+	Target      time.Duration `json:"target"`   // latency target, 0 if none is stated
+	Floor       int           `json:"floor"`    // percent of an upstream's slots kept for the rank
+	Worth       int           `json:"worth"`    // relative weight in the capacity without floors
+	Deadline    time.Duration `json:"deadline"` // longest time from arrival to the whole answer
+	Idempotent  bool          `json:"idempotent"`
+	Retries     int           `json:"retries"`  // attempts after the first one
+	MaxInFlight int           `json:"inflight"` // calls in flight per node, 0 means no limit
+	Prefer      Preference    `json:"prefer"`
+	AskedBy     string        `json:"asked_by"`
+	Reason      string        `json:"reason,omitempty"`
+	Line        int           `json:"line"`
+}
--- /dev/null
+++ b/pkg/routing/doc.go
@@ -0,0 +1,3 @@
+// Package routing turns a checked rules file into an immutable snapshot that
+// matches calls to rules.
+package routing
--- /dev/null
+++ b/test/doc.go
@@ -0,0 +1,3 @@
+// Package test holds the integration tests and benchmarks that run the built
+// binaries as real processes.
+package test
