--- /dev/null
+++ b/pkg/retry/decide.go
@@ -0,0 +1,101 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	baseDelay = 2 * time.Millisecond
+	maxDelay  = 100 * time.Millisecond
+	// minAttemptTime is the time that an attempt needs at least; a retry that
+	// would leave less is not made.
+	minAttemptTime = time.Millisecond
+	// leavingResends is how often a call is sent elsewhere after a refusal
+	// "draining" even when its rule states fewer retries: a planned stop is no
+	// failure of the call.
+	leavingResends = 1
+)
+
+// Failure is an attempt that brought no answer of an upstream.
+type Failure struct {
+	Reason model.Reason
+	Run    model.RunState
+}
+
+// Call is what the decision needs to know about a call.
+type Call struct {
+	Idempotent bool
+	Retries    int           // of the rule
+	Made       int           // retries made so far
+	Remaining  time.Duration // until the deadline
+	Replayable bool          // the request body can be sent again from its start
+}
+
+// Verdict says whether to retry, and if not, why.
+type Verdict string
+
+// Verdicts. Every one has a counter.
+const (
+	Retry        Verdict = "retry"
+	NotRetryable Verdict = "not_retryable" // the reason will not go away elsewhere
+	PossibleRun  Verdict = "possible_run"
+	NoMore       Verdict = "retries_used"
+	NoTime       Verdict = "no_time"
+	NoBudget     Verdict = "no_budget"
+	BodyConsumed Verdict = "body_consumed"
+)
+
+// Verdicts returns every verdict.
+func Verdicts() []Verdict {
+	return []Verdict{Retry, NotRetryable, PossibleRun, NoMore, NoTime, NoBudget, BodyConsumed}
+}
+
+// elsewhere reports whether another upstream may take a call that failed for
+// this reason.
+func elsewhere(r model.Reason) bool {
+	switch r {
+	case model.Overloaded, model.DeadlineUnreachable, model.UpstreamUnreachable, model.UpstreamLost,
+		model.UpstreamShed, model.NodeDraining, model.NoConfiguration, model.NoUpstream:
+		return true
+	}
+	return false
+}
+
+// Decide returns the verdict on one failure and the delay before the next
+// attempt. The random number is in [0, 1). It takes a token from the budget
+// only for the verdict Retry.
+func Decide(f Failure, c Call, b *Budget, random float64) (Verdict, time.Duration) {
+	allowed := c.Retries
+	if f.Reason == model.NodeDraining && allowed < leavingResends {
+		allowed = leavingResends
+	}
+	delay := Delay(c.Made, random)
+	switch {
+	case f.Run != model.NotRun && !c.Idempotent:
+		return PossibleRun, 0
+	case f.Run == model.Ran || !elsewhere(f.Reason):
+		return NotRetryable, 0
+	case c.Made >= allowed:
+		return NoMore, 0
+	case !c.Replayable:
+		return BodyConsumed, 0
+	case c.Remaining < delay+minAttemptTime:
+		return NoTime, 0
+	case !b.Spend():
+		return NoBudget, 0
+	}
+	return Retry, delay
+}
+
+// Delay returns the full-jitter delay before retry number made+1: uniform
+// between 0 and an exponentially growing bound (AWS Architecture Blog,
+// "Exponential Backoff And Jitter", 2015).
+func Delay(made int, random float64) time.Duration {
+	bound := maxDelay
+	if made < 6 { // 2 ms doubled 6 times exceeds the cap
+		bound = min(baseDelay<<made, maxDelay)
+	}
+	return time.Duration(random * float64(bound))
+}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,115 @@
+package retry
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// TestMain fixes the seed of rapid unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20")
+	}
+	os.Exit(m.Run())
+}
+
+// steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
+func steps() int {
+	if n, err := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS")); err == nil {
+		return n
+	}
+	return 400
+}
+
+// decider is the function under test; the broken variants replace it.
+type decider func(Failure, Call, *Budget, float64) (Verdict, time.Duration)
+
+// checkHistory runs random calls and failures and returns the first property
+// that does not hold.
+func checkHistory(t *rapid.T, decide decider) string {
+	b := NewBudget()
+	calls, retries := 0, 0
+	for range steps() {
+		calls++
+		b.Earn()
+		f := Failure{
+			Reason: rapid.SampledFrom([]model.Reason{model.Overloaded, model.UpstreamLost, model.NodeDraining, model.KeyReused}).Draw(t, "reason"),
+			Run:    rapid.SampledFrom([]model.RunState{model.NotRun, model.Unknown, model.Ran}).Draw(t, "run"),
+		}
+		c := Call{
+			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Retries:    rapid.SampledFrom([]int{0, 5, 5, 5}).Draw(t, "retries"),
+			Made:       rapid.IntRange(0, 3).Draw(t, "made"),
+			Remaining:  time.Duration(rapid.SampledFrom([]int{-1, 1, 3, 50, 1000}).Draw(t, "ms")) * time.Millisecond,
+			Replayable: rapid.SampledFrom([]bool{false, true, true, true}).Draw(t, "replayable"),
+		}
+		v, d := decide(f, c, b, rapid.Float64Range(0, 0.999).Draw(t, "random"))
+		if v != Retry {
+			continue
+		}
+		retries++
+		switch {
+		case f.Run != model.NotRun && !c.Idempotent:
+			return "retried after a possible run"
+		case d >= c.Remaining || d < 0:
+			return "retried past the deadline"
+		case retries*tokenUnit > budgetReserve*tokenUnit+calls*callEarns:
+			return "retried above 10% of calls plus the reserve"
+		}
+	}
+	return ""
+}
+
+// Guards the budget, the deadline and the ban on retries after a possible run.
+func TestDecide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := checkHistory(t, Decide); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// Proves that checkHistory notices each broken variant.
+func TestCheckNoticesBrokenVariants(t *testing.T) {
+	broken := map[string]decider{
+		"retried after a possible run": func(f Failure, c Call, b *Budget, r float64) (Verdict, time.Duration) {
+			f.Run = model.NotRun
+			return Decide(f, c, b, r)
+		},
+		"retried past the deadline": func(f Failure, c Call, b *Budget, r float64) (Verdict, time.Duration) {
+			c.Remaining = time.Second
+			return Decide(f, c, b, r)
+		},
+		"retried above 10% of calls plus the reserve": func(f Failure, c Call, _ *Budget, r float64) (Verdict, time.Duration) {
+			return Decide(f, c, NewBudget(), r)
+		},
+	}
+	for want, decide := range broken {
+		seen := false
+		rapid.Check(t, func(t *rapid.T) { seen = seen || checkHistory(t, decide) == want })
+		if !seen {
+			t.Errorf("the broken variant %q was not noticed", want)
+		}
+	}
+}
+
+// Guards against a drain that turns into refusals for rules without retries.
+func TestDrainingIsSentElsewhereOnce(t *testing.T) {
+	f := Failure{Reason: model.NodeDraining, Run: model.NotRun}
+	c := Call{Remaining: time.Second, Replayable: true}
+	if v, _ := Decide(f, c, NewBudget(), 0); v != Retry {
+		t.Fatalf("first refusal: %s", v)
+	}
+	c.Made = 1
+	if v, _ := Decide(f, c, NewBudget(), 0); v != NoMore {
+		t.Fatalf("second refusal: %s", v)
+	}
+}
