Add the choice of an upstream by local evidence

Cause: reports about upstreams lag or mislead, and links between regions are paid by volume.

Change: pkg/balance keeps its own evidence for each upstream (calls in flight, latency, connection failures, refusals by rank, all decaying), prefers near upstreams, throttles what would be refused and falls back to suspected ones before it gives up a service.

Before: the package did not exist.

--- /dev/null
+++ b/pkg/balance/balance_test.go
@@ -0,0 +1,192 @@
+package balance
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// TestMain fixes the seed of rapid unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20")
+	}
+	os.Exit(m.Run())
+}
+
+// steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
+func steps() int {
+	if n, err := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS")); err == nil {
+		return n
+	}
+	return 200
+}
+
+var here = model.Location{Region: "serra", AvailabilityZone: "caxias"}
+
+func fleet() []model.Entry {
+	var all []model.Entry
+	for i, l := range []model.Location{here, {Region: "serra", AvailabilityZone: "bento"}, {Region: "oeste", AvailabilityZone: "toledo"}} {
+		for j := range 3 {
+			all = append(all, model.Entry{Node: model.NodeID(fmt.Sprint(i, "-", j)), Location: l})
+		}
+	}
+	return all
+}
+
+type pick func(*Picker, Request) (Choice, Result)
+
+// checkPicks drives random outcomes and returns the first property that does
+// not hold. Its oracle knows only which entries ever failed or refused.
+func checkPicks(t *rapid.T, pick pick) string {
+	p, entries, now := NewPicker(), fleet(), time.Duration(0)
+	touched := map[model.NodeID]bool{}
+	for range steps() {
+		now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+		for i := range entries {
+			entries[i].State = model.EntryState(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "state"))
+		}
+		var avoid []model.NodeID
+		if rapid.Bool().Draw(t, "avoid") {
+			avoid = append(avoid, entries[rapid.IntRange(0, len(entries)-1).Draw(t, "which")].Node)
+		}
+		c, res := pick(p, Request{Entries: entries, From: here, Prefer: model.PreferZone, Avoid: avoid, Now: now, Random: rapid.Uint64().Draw(t, "random")})
+		if fault := judge(entries, avoid, touched, c, res); fault != "" {
+			return fault
+		}
+		if res != Picked {
+			continue
+		}
+		c.Evidence.Begin(now)
+		o := rapid.SampledFrom([]Outcome{Accepted, Accepted, Refused, Failed, Neutral}).Draw(t, "outcome")
+		if o == Refused || o == Failed {
+			touched[entries[c.Index].Node] = true
+		}
+		c.Evidence.End(now, 0, o, time.Millisecond)
+	}
+	return ""
+}
+
+func judge(entries []model.Entry, avoid []model.NodeID, touched map[model.NodeID]bool, c Choice, res Result) string {
+	usable, cleanNear := 0, len(entries)
+	for i, e := range entries {
+		if e.State > model.Suspect || avoided(e.Node, avoid) {
+			continue
+		}
+		usable++
+		if e.State == model.Ready && !touched[e.Node] {
+			cleanNear = min(cleanNear, i/3)
+		}
+	}
+	switch {
+	case res == NoEntry && usable > 0:
+		return "gave up a service that has usable entries"
+	case res == Picked && (entries[c.Index].State > model.Suspect || avoided(entries[c.Index].Node, avoid)):
+		return "chose an entry that is leaving or was tried"
+	case res == Picked && len(touched) == 0 && c.Index/3 > cleanNear:
+		return "moved outward without evidence"
+	}
+	return ""
+}
+
+// Guards against calls to leaving nodes, needless inter-region calls, and
+// services given up on suspicion.
+func TestPick(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := checkPicks(t, (*Picker).Pick); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// Proves that checkPicks notices each broken variant.
+func TestCheckNoticesBrokenVariants(t *testing.T) {
+	broken := map[string]pick{
+		"gave up a service that has usable entries": func(p *Picker, r Request) (Choice, Result) {
+			c, res := p.Pick(r)
+			if res == Picked && r.Entries[c.Index].State == model.Suspect {
+				return c, NoEntry
+			}
+			return c, res
+		},
+		"chose an entry that is leaving or was tried": func(p *Picker, r Request) (Choice, Result) {
+			r.Avoid = nil
+			return p.Pick(r)
+		},
+		"moved outward without evidence": func(p *Picker, r Request) (Choice, Result) {
+			r.Prefer = model.PreferAny
+			return p.Pick(r)
+		},
+	}
+	for want, pick := range broken {
+		seen := false
+		rapid.Check(t, func(t *rapid.T) { seen = seen || checkPicks(t, pick) == want })
+		if !seen {
+			t.Errorf("the broken variant %q was not noticed", want)
+		}
+	}
+}
+
+// Guards against a sender that keeps sending what is refused, and against one
+// that never tries again: with every call refused, under a third are sent, but
+// some are; after load falls, calls are sent as before.
+func TestRefusalsAreRememberedAndProbed(t *testing.T) {
+	p, entries, now, sent := NewPicker(), fleet(), time.Duration(0), 0
+	run := func(n int, o Outcome) int {
+		sent = 0
+		for i := range n {
+			now += time.Millisecond
+			if c, res := p.Pick(Request{Entries: entries, From: here, Rank: 3, Now: now, Random: uint64(i)}); res == Picked {
+				sent++
+				c.Evidence.Begin(now)
+				c.Evidence.End(now, 3, o, time.Millisecond)
+			}
+		}
+		return sent
+	}
+	if n := run(2000, Refused); n < 20 || n > 666 {
+		t.Fatalf("%d of 2000 refused calls were sent", n)
+	}
+	run(2000, Accepted)
+	if n := run(1000, Accepted); n < 990 {
+		t.Fatalf("%d of 1000 calls were sent after the load fell", n)
+	}
+	if _, res := p.Pick(Request{Entries: entries, From: here, Rank: 0, Now: now}); res != Picked {
+		t.Fatal("refusals of rank 3 held back a call of rank 0")
+	}
+}
+
+// Guards against load that ignores calls in flight.
+func TestSlowUpstreamGetsFewerCalls(t *testing.T) {
+	p, entries := NewPicker(), fleet()[:2]
+	for range 10 {
+		p.Evidence(entries[0].Node, 0).Begin(0)
+	}
+	n := 0
+	for i := range 1000 {
+		if c, _ := p.Pick(Request{Entries: entries, From: here, Random: uint64(i)}); c.Index == 0 {
+			n++
+		}
+	}
+	if n > 300 { // two draws of the busy one: 1 in 4
+		t.Fatalf("the busy upstream got %d of 1000", n)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	p, entries := NewPicker(), fleet()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c, _ := p.Pick(Request{Entries: entries, From: here, Now: time.Duration(i), Random: uint64(i)})
+		c.Evidence.Begin(time.Duration(i))
+		c.Evidence.End(time.Duration(i), 0, Accepted, time.Millisecond)
+	}
+}
--- /dev/null
+++ b/pkg/balance/evidence.go
@@ -0,0 +1,133 @@
+package balance
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	// answerHalfLife is how fast the memory of accepted and refused calls
+	// fades. An upstream drains a full queue in well under a second.
+	answerHalfLife = time.Second
+	// failureHalfLife is how fast the memory of connection failures fades.
+	failureHalfLife = 2 * time.Second
+	// latencyHalfLife lets a slow upstream be tried again although it is
+	// chosen rarely.
+	latencyHalfLife = 5 * time.Second
+	// latencyWeight is the share of one sample in the moving average.
+	latencyWeight = 0.2
+	// failureCap bounds the memory of failures, so that a recovered upstream
+	// gets calls again within a few half-lives.
+	failureCap = 16
+	ranks      = int(model.MaxRank) + 1
+)
+
+// decayed is a value that halves in every half-life. It packs a float32 and
+// the time of its last change in milliseconds into one word, so that it can be
+// read and changed without a lock.
+type decayed struct{ word atomic.Uint64 }
+
+func pack(v float64, now time.Duration) uint64 {
+	return uint64(math.Float32bits(float32(v)))<<32 | uint64(uint32(now/time.Millisecond))
+}
+
+func unpack(w uint64, now, halfLife time.Duration) float64 {
+	v := float64(math.Float32frombits(uint32(w >> 32)))
+	if v == 0 {
+		return 0
+	}
+	age := int32(uint32(now/time.Millisecond) - uint32(w))
+	if age <= 0 {
+		return v
+	}
+	return v * math.Exp2(-float64(age)/float64(halfLife/time.Millisecond))
+}
+
+func (d *decayed) value(now, halfLife time.Duration) float64 {
+	return unpack(d.word.Load(), now, halfLife)
+}
+
+func (d *decayed) update(now, halfLife time.Duration, f func(float64) float64) {
+	for {
+		w := d.word.Load()
+		if d.word.CompareAndSwap(w, pack(f(unpack(w, now, halfLife)), now)) {
+			return
+		}
+	}
+}
+
+func (d *decayed) add(now, halfLife time.Duration, x, limit float64) {
+	d.update(now, halfLife, func(v float64) float64 { return min(v+x, limit) })
+}
+
+// Evidence is what this node has seen itself of one upstream. It is safe for
+// concurrent use.
+type Evidence struct {
+	inFlight atomic.Int64
+	lastUsed atomic.Int64 // nanoseconds of the picker's clock
+	latency  decayed      // milliseconds
+	failures decayed
+	sent     [ranks]decayed // calls with an answer or a refusal, by rank
+	accepted [ranks]decayed // of those, calls that were not refused
+}
+
+// Outcome is how one attempt at an upstream ended.
+type Outcome uint8
+
+// Outcomes of attempts.
+const (
+	Accepted Outcome = iota // the upstream answered
+	Refused                 // the node beside it, or the upstream, shed the call
+	Failed                  // no connection, or the connection was lost
+	Neutral                 // ended by the caller or for reasons outside the upstream
+)
+
+// Begin counts a call in flight.
+func (e *Evidence) Begin(now time.Duration) {
+	e.inFlight.Add(1)
+	e.lastUsed.Store(int64(now))
+}
+
+// End records the outcome of a call that Begin counted. The latency is used
+// for accepted calls only.
+func (e *Evidence) End(now time.Duration, rank model.Rank, o Outcome, latency time.Duration) {
+	e.inFlight.Add(-1)
+	rank = min(rank, model.MaxRank)
+	switch o {
+	case Accepted:
+		e.sent[rank].add(now, answerHalfLife, 1, math.MaxFloat32)
+		e.accepted[rank].add(now, answerHalfLife, 1, math.MaxFloat32)
+		e.failures.update(now, failureHalfLife, func(v float64) float64 { return v / 2 })
+		ms := float64(latency) / float64(time.Millisecond)
+		e.latency.update(now, latencyHalfLife, func(v float64) float64 {
+			if v == 0 {
+				return ms
+			}
+			return v + latencyWeight*(ms-v)
+		})
+	case Refused:
+		e.sent[rank].add(now, answerHalfLife, 1, math.MaxFloat32)
+	case Failed:
+		e.failures.add(now, failureHalfLife, 1, failureCap)
+	}
+}
+
+// InFlight returns the calls of this node that the upstream has in flight.
+func (e *Evidence) InFlight() int { return int(e.inFlight.Load()) }
+
+// load is the expected cost of one more call; lower is better.
+func (e *Evidence) load(now time.Duration) float64 {
+	const newcomer = 0.1 // ms; makes an upstream without samples cheap, not free
+	latency := max(e.latency.value(now, latencyHalfLife), newcomer)
+	return float64(e.inFlight.Load()+1) * latency * (1 + e.failures.value(now, failureHalfLife))
+}
+
+// down draws whether the upstream is left out because of recent connection
+// failures. The chance never reaches 1, so a recovered upstream is noticed.
+func (e *Evidence) down(now time.Duration, random float64) bool {
+	f := e.failures.value(now, failureHalfLife)
+	return f >= 0.5 && random < f/(f+1)
+}
--- /dev/null
+++ b/pkg/balance/picker.go
@@ -0,0 +1,223 @@
+package balance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	// acceptHeadroom is K of client-side throttling (Site Reliability
+	// Engineering, O'Reilly 2016, chapter 21): a rank may be offered K times
+	// as many calls as were accepted. The excess finds out that load has
+	// fallen; each such call costs a hop, hence less than the book's 2.
+	acceptHeadroom = 1.25
+	// evidenceIdle is how long evidence of an unused upstream is kept.
+	evidenceIdle = 10 * time.Minute
+	tiers        = 3
+)
+
+// Result says what Pick found.
+type Result uint8
+
+// Results of Pick.
+const (
+	Picked     Result = iota
+	NoEntry           // no upstream is left for the call
+	Overloaded        // every distance refuses calls of this rank now
+)
+
+// Request describes the choice to make.
+type Request struct {
+	Entries []model.Entry  // usable entries of the service
+	From    model.Location // of this node
+	Prefer  model.Preference
+	Rank    model.Rank
+	Avoid   []model.NodeID // upstreams that this call has tried
+	Now     time.Duration  // monotonic
+	Random  uint64         // seed of this choice
+}
+
+// Choice is the chosen entry, as an index into the request's entries.
+type Choice struct {
+	Index    int
+	Evidence *Evidence
+	Distance model.Distance
+}
+
+// Picker chooses upstreams by the evidence of this node. It is safe for
+// concurrent use; reads take no lock.
+type Picker struct {
+	known atomic.Pointer[map[model.NodeID]*Evidence]
+	grow  sync.Mutex
+}
+
+// NewPicker returns a Picker without evidence.
+func NewPicker() *Picker {
+	p := &Picker{}
+	p.known.Store(&map[model.NodeID]*Evidence{})
+	return p
+}
+
+// Evidence returns the evidence of one node, new if there is none yet.
+func (p *Picker) Evidence(id model.NodeID, now time.Duration) *Evidence {
+	if e, ok := (*p.known.Load())[id]; ok {
+		return e
+	}
+	p.grow.Lock()
+	defer p.grow.Unlock()
+	old := *p.known.Load()
+	if e, ok := old[id]; ok {
+		return e
+	}
+	next := make(map[model.NodeID]*Evidence, len(old)+1)
+	for k, e := range old {
+		if e.InFlight() > 0 || now-time.Duration(e.lastUsed.Load()) < evidenceIdle {
+			next[k] = e
+		}
+	}
+	e := &Evidence{}
+	e.lastUsed.Store(int64(now))
+	next[id] = e
+	p.known.Store(&next)
+	return e
+}
+
+// set is the candidates of one distance, as indexes into the entries.
+type set struct {
+	up, suspect, down []int32
+	sent, accepted    float64
+}
+
+// scratch is reused between choices.
+type scratch struct{ sets [tiers]set }
+
+var scratches = sync.Pool{New: func() any { return new(scratch) }}
+
+// Pick chooses an entry for one call.
+func (p *Picker) Pick(r Request) (Choice, Result) {
+	s := scratches.Get().(*scratch)
+	defer scratches.Put(s)
+	rnd := stream(r.Random)
+	found := p.collect(s, &r, &rnd)
+	if found == 0 {
+		return Choice{}, NoEntry
+	}
+	refused := false
+	for i := range s.sets {
+		c := &s.sets[i]
+		if len(c.up) == 0 {
+			continue
+		}
+		if rnd.float() < refusing(c.sent, c.accepted) {
+			refused = true
+			continue
+		}
+		return p.best(&r, c.up, &rnd), Picked
+	}
+	if refused {
+		return Choice{}, Overloaded
+	}
+	return p.lastResort(s, &r, &rnd)
+}
+
+// lastResort serves a service whose upstreams are all suspected or seem down:
+// suspicion alone never empties a service.
+func (p *Picker) lastResort(s *scratch, r *Request, rnd *stream) (Choice, Result) {
+	for i := range s.sets {
+		if c := s.sets[i].suspect; len(c) > 0 {
+			return p.best(r, c, rnd), Picked
+		}
+	}
+	for i := range s.sets {
+		if c := s.sets[i].down; len(c) > 0 {
+			return p.best(r, c, rnd), Picked
+		}
+	}
+	return Choice{}, NoEntry
+}
+
+// collect sorts the entries into distances and returns how many are usable.
+func (p *Picker) collect(s *scratch, r *Request, rnd *stream) int {
+	for i := range s.sets {
+		c := &s.sets[i]
+		c.up, c.suspect, c.down = c.up[:0], c.suspect[:0], c.down[:0]
+		c.sent, c.accepted = 0, 0
+	}
+	found := 0
+	for i := range r.Entries {
+		e := &r.Entries[i]
+		if e.State > model.Suspect || avoided(e.Node, r.Avoid) {
+			continue
+		}
+		found++
+		c := &s.sets[tier(r.From.DistanceTo(e.Location), r.Prefer)]
+		ev := p.Evidence(e.Node, r.Now)
+		c.sent += ev.sent[r.Rank].value(r.Now, answerHalfLife)
+		c.accepted += ev.accepted[r.Rank].value(r.Now, answerHalfLife)
+		switch {
+		case ev.down(r.Now, rnd.float()):
+			c.down = append(c.down, int32(i))
+		case e.State == model.Suspect:
+			c.suspect = append(c.suspect, int32(i))
+		default:
+			c.up = append(c.up, int32(i))
+		}
+	}
+	return found
+}
+
+func avoided(id model.NodeID, avoid []model.NodeID) bool {
+	for _, a := range avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+// tier merges the distances that the rule treats alike.
+func tier(d model.Distance, p model.Preference) int {
+	switch {
+	case p == model.PreferAny:
+		return 0
+	case p == model.PreferRegion && d == model.SameRegion:
+		return 0
+	}
+	return int(d)
+}
+
+// refusing is the chance that a call is kept back from a set of upstreams that
+// accepted only part of what they were sent.
+func refusing(sent, accepted float64) float64 {
+	return max(0, (sent-acceptHeadroom*accepted)/(sent+1))
+}
+
+// best compares two random candidates (Mitzenmacher, "The Power of Two Choices
+// in Randomized Load Balancing", 2001).
+func (p *Picker) best(r *Request, candidates []int32, rnd *stream) Choice {
+	a := p.choice(r, candidates[rnd.below(len(candidates))])
+	if len(candidates) == 1 {
+		return a
+	}
+	b := p.choice(r, candidates[rnd.below(len(candidates))])
+	if cost(b, r) < cost(a, r) {
+		return b
+	}
+	return a
+}
+
+func (p *Picker) choice(r *Request, i int32) Choice {
+	e := &r.Entries[i]
+	return Choice{Index: int(i), Evidence: p.Evidence(e.Node, r.Now), Distance: r.From.DistanceTo(e.Location)}
+}
+
+// cost is the load of an upstream, raised by its refusals of this rank.
+func cost(c Choice, r *Request) float64 {
+	e := c.Evidence
+	sent := e.sent[r.Rank].value(r.Now, answerHalfLife)
+	refused := sent - e.accepted[r.Rank].value(r.Now, answerHalfLife)
+	return e.load(r.Now) * (1 + max(0, refused))
+}
