Add the guard against requests that crash upstreams

Cause: one request that crashes each upstream that runs it, sent again by its caller or by retries, could take down a whole service.

Change: pkg/crashguard keeps crashes by request fingerprint and refuses a request after its second crash. A crash shared with other calls in flight is taken back when the request completes, and expires.

Before: the package did not exist. After: go test -race ./pkg/crashguard passes and notices a guard that allows a third crash.

--- /dev/null
+++ b/pkg/crashguard/crashguard_test.go
@@ -0,0 +1,206 @@
+package crashguard
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/platform"
+)
+
+// TestMain fixes the seed of rapid unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20")
+	}
+	os.Exit(m.Run())
+}
+
+// steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
+func steps() int {
+	if n, err := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS")); err == nil {
+		return n
+	}
+	return 200
+}
+
+// refusedBy is the decision under test; the broken variant replaces it.
+type refusedBy func(Notices, Fingerprint, time.Time) bool
+
+func refused(n Notices, f Fingerprint, now time.Time) bool {
+	r, ok := n.Lookup(f)
+	return ok && r.Refused(now)
+}
+
+// checkCrashes sends one fatal and some innocent requests to many upstreams.
+// It returns the first property that does not hold within the blame time.
+func checkCrashes(t *rapid.T, refused refusedBy) string {
+	now := time.Unix(1_000_000, 0)
+	n := NewMemory(func() time.Time { return now })
+	ctx, fatal := context.Background(), Fingerprint{1}
+	fallen, last := 0, now
+	for i := range steps() {
+		now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+		if now.Sub(last) > suspicionTime/2 {
+			fallen, last = 0, now
+			n.records.Store(&map[Fingerprint]Record{}) // a new episode
+		}
+		up := model.NodeID(strconv.Itoa(i % 20))
+		innocent := Fingerprint{byte(2 + rapid.IntRange(0, 3).Draw(t, "innocent"))}
+		if !refused(n, fatal, now) && rapid.Bool().Draw(t, "fatal") {
+			fallen++
+			_ = n.Report(ctx, fatal, "agenda", Crash{Upstream: up, At: now})
+			_ = n.Report(ctx, innocent, "agenda", Crash{Upstream: up, At: now})
+		} else if !refused(n, innocent, now) {
+			_ = n.Completed(ctx, innocent)
+			if r, ok := n.Lookup(innocent); ok && len(r.Crashes) > 0 {
+				return "an innocent request stays suspected after it completed"
+			}
+		}
+		if fallen > MaxCrashes {
+			return "more than two upstreams fell to one request"
+		}
+	}
+	return ""
+}
+
+// Guards against a request that crashes a third upstream, and against lasting
+// blame of innocent requests.
+func TestAtMostTwoUpstreamsFall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := checkCrashes(t, refused); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// Proves that checkCrashes notices a guard that lets the third crash happen.
+func TestCheckNoticesBrokenVariant(t *testing.T) {
+	seen := false
+	rapid.Check(t, func(t *rapid.T) {
+		seen = seen || checkCrashes(t, func(n Notices, f Fingerprint, _ time.Time) bool {
+			r, _ := n.Lookup(f)
+			return len(r.Crashes) > MaxCrashes
+		}) != ""
+	})
+	if !seen {
+		t.Error("the broken variant was not noticed")
+	}
+}
+
+// Guards against suspicion without end and against a crash counted twice.
+func TestRecordExpiresAndJoinsReports(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(1_000_000, 0)
+	r := Record{}.add("agenda", Crash{Upstream: "a", At: t0}).add("agenda", Crash{Upstream: "a", At: t0.Add(time.Second)})
+	is.Equal(len(r.Crashes), 1) // two reports of one crash
+	is.Equal(len(r.live(t0.Add(suspicionTime)).Crashes), 0)
+	r = r.add("agenda", Crash{Upstream: "b", At: t0.Add(time.Minute)})
+	is.True(r.Refused(t0.Add(blameTime)))
+	is.True(!r.Refused(t0.Add(time.Minute + blameTime)))
+}
+
+// table is a stand-in of the table service for one test.
+type table struct {
+	mu   sync.Mutex
+	rows map[string]platform.Row
+	down bool
+	puts int
+}
+
+func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	r, ok := t.rows[key]
+	if !ok {
+		return r, platform.ErrNotFound
+	}
+	return r, nil
+}
+
+func (t *table) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []platform.Row
+	for k, r := range t.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out[:min(len(out), limit)], nil
+}
+
+func (t *table) Commit(_ context.Context, tx platform.Transaction) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range tx.Checks {
+		if t.rows[c.Key].Revision != c.Revision {
+			return nil, platform.ErrConflict
+		}
+	}
+	for _, p := range tx.Puts {
+		t.puts++
+		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: t.rows[p.Key].Revision + 1}
+	}
+	for _, k := range tx.Deletes {
+		delete(t.rows, k)
+	}
+	return nil, nil
+}
+
+// Guards against crashes that other nodes do not learn of, rows written
+// without a crash, rows that stay, and a lost crash while the store is down.
+func TestTableSharesCrashes(t *testing.T) {
+	is := is.New(t)
+	ctx, now := context.Background(), time.Unix(1_000_000, 0)
+	clock := func() time.Time { return now }
+	store := &table{rows: map[string]platform.Row{}}
+	a, b := NewTable(store, clock), NewTable(store, clock)
+	f := Of(Request{Method: "GET", Rule: "status", Target: "/status?id=1"})
+	is.NoErr(a.Completed(ctx, f))
+	is.Equal(store.puts, 0) // nothing is written without a crash
+	is.NoErr(a.Report(ctx, f, "acompanha", Crash{Upstream: "x", At: now}))
+	is.NoErr(b.Report(ctx, f, "acompanha", Crash{Upstream: "y", At: now}))
+	is.NoErr(a.Refresh(ctx))
+	is.True(refused(a, f, now)) // the crash that b saw counts in a
+	now = now.Add(blameTime + time.Second)
+	is.NoErr(a.Refresh(ctx))
+	is.Equal(len(store.rows), 0) // an expired row is deleted
+	store.down = true
+	is.True(errors.Is(a.Report(ctx, f, "acompanha", Crash{Upstream: "z", At: now}), ErrNotShared))
+	store.down = false
+	is.NoErr(b.Report(ctx, f, "acompanha", Crash{Upstream: "y", At: now}))
+	is.NoErr(a.Refresh(ctx))
+	is.True(refused(a, f, now)) // the crash that could not be shared still counts in the node that saw it
+}
+
+// Guards against fingerprints that ignore a field or join two of them.
+func TestFingerprintCoversEveryField(t *testing.T) {
+	is := is.New(t)
+	base := Request{Method: "GET", Rule: "r", Target: "/a", Body: make([]byte, BodyPrefix)}
+	seen := map[Fingerprint]bool{Of(base): true}
+	for _, r := range []Request{
+		{"PUT", "r", "/a", base.Body}, {"GET", "q", "/a", base.Body}, {"GET", "r", "/a?b", base.Body},
+		{"GET", "r/a", "", base.Body}, {"GET", "r", "/a", base.Body[1:]},
+	} {
+		is.True(!seen[Of(r)])
+		seen[Of(r)] = true
+	}
+	is.Equal(Of(base), Of(Request{"GET", "r", "/a", append(base.Body, 1)})) // only the first 64 KiB count
+}
--- /dev/null
+++ b/pkg/crashguard/fingerprint.go
@@ -0,0 +1,38 @@
+package crashguard
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+)
+
+// BodyPrefix is how many bytes of a body count towards a fingerprint.
+const BodyPrefix = 64 << 10
+
+// Fingerprint identifies a request. It is a cryptographic digest, because a
+// caller that could forge a collision could have the request of another caller
+// refused.
+type Fingerprint [16]byte
+
+// String returns the hexadecimal form of f.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Request is what a fingerprint is taken of.
+type Request struct {
+	Method, Rule string
+	Target       string // path with query
+	Body         []byte // at least the first 64 KiB, or the whole body
+}
+
+// Of returns the fingerprint of r.
+func Of(r Request) Fingerprint {
+	h := sha256.New()
+	for _, s := range [...]string{r.Method, r.Rule, r.Target} {
+		_, _ = io.WriteString(h, s)
+		_, _ = h.Write([]byte{0}) // separates the fields; no field holds a zero byte
+	}
+	_, _ = h.Write(r.Body[:min(len(r.Body), BodyPrefix)])
+	var f Fingerprint
+	copy(f[:], h.Sum(nil))
+	return f
+}
--- /dev/null
+++ b/pkg/crashguard/notices.go
@@ -0,0 +1,110 @@
+package crashguard
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Notices shares crashes between nodes. Lookup and Empty are called on the
+// path of a call and must not block.
+type Notices interface {
+	// Empty reports whether there is no record at all, which spares the
+	// fingerprint of each call.
+	Empty() bool
+	// Lookup returns the record of f as far as this node knows it.
+	Lookup(f Fingerprint) (Record, bool)
+	// Report adds a crash. It returns once other nodes can learn of it, or
+	// with an error; the crash then still counts in this node.
+	Report(ctx context.Context, f Fingerprint, service string, c Crash) error
+	// Completed says that a request with a record ran to its end.
+	Completed(ctx context.Context, f Fingerprint) error
+}
+
+// maxRecords bounds the memory for records; the oldest are dropped first. One
+// crash adds at most one record for each call in flight on an upstream.
+const maxRecords = 4096
+
+// Memory keeps records in this process. Nodes of one process may share it.
+type Memory struct {
+	mu      sync.Mutex
+	now     func() time.Time
+	records atomic.Pointer[map[Fingerprint]Record]
+}
+
+// NewMemory returns an empty Memory that reads the time from now.
+func NewMemory(now func() time.Time) *Memory {
+	m := &Memory{now: now}
+	m.records.Store(&map[Fingerprint]Record{})
+	return m
+}
+
+// Empty implements Notices.
+func (m *Memory) Empty() bool { return len(*m.records.Load()) == 0 }
+
+// Lookup implements Notices.
+func (m *Memory) Lookup(f Fingerprint) (Record, bool) {
+	r, ok := (*m.records.Load())[f]
+	return r, ok
+}
+
+// Report implements Notices. It never fails.
+func (m *Memory) Report(_ context.Context, f Fingerprint, service string, c Crash) error {
+	m.change(f, func(r Record) Record { return r.add(service, c) })
+	return nil
+}
+
+// Completed implements Notices. It never fails.
+func (m *Memory) Completed(_ context.Context, f Fingerprint) error {
+	m.change(f, Record.completed)
+	return nil
+}
+
+// change replaces one record and drops those that no longer count.
+func (m *Memory) change(f Fingerprint, by func(Record) Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old, now := *m.records.Load(), m.now()
+	next := make(map[Fingerprint]Record, len(old)+1)
+	for k, r := range old {
+		if r = r.live(now); len(r.Crashes) > 0 && k != f {
+			next[k] = r
+		}
+	}
+	if r := by(old[f]); len(r.Crashes) > 0 {
+		for len(next) >= maxRecords {
+			dropOldest(next)
+		}
+		next[f] = r
+	}
+	m.records.Store(&next)
+}
+
+// dropOldest removes the record with the fewest crashes whose last one is
+// longest ago.
+func dropOldest(records map[Fingerprint]Record) {
+	var victim Fingerprint
+	worst := Record{}
+	for f, r := range records {
+		if len(worst.Crashes) == 0 || len(r.Crashes) < len(worst.Crashes) ||
+			len(r.Crashes) == len(worst.Crashes) && r.Crashes[0].At.Before(worst.Crashes[0].At) {
+			victim, worst = f, r
+		}
+	}
+	delete(records, victim)
+}
+
+// merge adds what another node wrote to what this node knows, which may include
+// crashes that could not be shared.
+func (m *Memory) merge(f Fingerprint, r Record) {
+	m.change(f, func(known Record) Record {
+		for _, c := range known.Crashes {
+			r = r.add(r.Service, c)
+		}
+		return r
+	})
+}
+
+// put replaces one record by what another node wrote; an empty one deletes it.
+func (m *Memory) put(f Fingerprint, r Record) { m.change(f, func(Record) Record { return r }) }
--- /dev/null
+++ b/pkg/crashguard/record.go
@@ -0,0 +1,88 @@
+package crashguard
+
+import (
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	// MaxCrashes is how many upstreams of a service may fall to one request.
+	MaxCrashes = 2
+	// suspicionTime is how long one crash counts. Innocent requests that were
+	// in flight on the crashed upstream share the suspicion for that long, or
+	// until one of them completes.
+	suspicionTime = 2 * time.Minute
+	// blameTime is how long a request is refused after its second crash.
+	blameTime = 10 * time.Minute
+	// sameCrash joins reports of one crash: duplicates of a request that were
+	// in flight together on one upstream.
+	sameCrash = 2 * time.Second
+)
+
+// Crash is one upstream that was lost while it ran a request.
+type Crash struct {
+	Upstream model.NodeID `json:"upstream"`
+	At       time.Time    `json:"at"`
+	// Alone says that no other call was in flight on the upstream.
+	Alone bool `json:"alone"`
+}
+
+// Record holds the crashes of one fingerprint. It is a value: its methods
+// return changed copies.
+type Record struct {
+	Service string  `json:"service"`
+	Crashes []Crash `json:"crashes"`
+}
+
+// add returns r with one more crash, without duplicates and expired crashes.
+func (r Record) add(service string, c Crash) Record {
+	next := r.live(c.At)
+	next.Service = service
+	for _, old := range next.Crashes {
+		if old.Upstream == c.Upstream && c.At.Sub(old.At).Abs() < sameCrash {
+			return next
+		}
+	}
+	next.Crashes = append(next.Crashes, c)
+	return next
+}
+
+// live returns r without crashes that no longer count.
+func (r Record) live(now time.Time) Record {
+	keep := suspicionTime
+	if len(r.Crashes) >= MaxCrashes {
+		keep = blameTime
+	}
+	next := Record{Service: r.Service}
+	newest := time.Time{}
+	for _, c := range r.Crashes {
+		if c.At.After(newest) {
+			newest = c.At
+		}
+	}
+	if now.Sub(newest) < keep {
+		next.Crashes = append(next.Crashes, r.Crashes...)
+	}
+	return next
+}
+
+// completed returns r after the request was seen to complete: a crash that it
+// shared with other calls in flight is taken back. A confirmed record and
+// crashes of the request alone stay, because a request may crash an upstream
+// only sometimes.
+func (r Record) completed() Record {
+	if len(r.Crashes) >= MaxCrashes {
+		return r
+	}
+	next := Record{Service: r.Service}
+	for _, c := range r.Crashes {
+		if c.Alone {
+			next.Crashes = append(next.Crashes, c)
+		}
+	}
+	return next
+}
+
+// Refused reports whether the request may no longer run.
+func (r Record) Refused(now time.Time) bool { return len(r.live(now).Crashes) >= MaxCrashes }
