Let crash notices be learned without a report

Cause: the node that took a call learns of a crash from the node beside the upstream, which reports it itself; a second report would write the row twice.

Change: Notices has Learn, which records a crash in this process only.

Measured: go test -race ./pkg/crashguard passes before and after.

--- a/pkg/crashguard/notices.go
+++ b/pkg/crashguard/notices.go
@@ -15,6 +15,9 @@
 	Empty() bool
 	// Lookup returns the record of f as far as this node knows it.
 	Lookup(f Fingerprint) (Record, bool)
+	// Learn records a crash in this process only: it is reported by another
+	// node, or will be by this one.
+	Learn(f Fingerprint, service string, c Crash)
 	// Report adds a crash. It returns once other nodes can learn of it, or
 	// with an error; the crash then still counts in this node.
 	Report(ctx context.Context, f Fingerprint, service string, c Crash) error
@@ -49,9 +52,14 @@
 	return r, ok
 }
 
+// Learn implements Notices.
+func (m *Memory) Learn(f Fingerprint, service string, c Crash) {
+	m.change(f, func(r Record) Record { return r.add(service, c) })
+}
+
 // Report implements Notices. It never fails.
 func (m *Memory) Report(_ context.Context, f Fingerprint, service string, c Crash) error {
-	m.change(f, func(r Record) Record { return r.add(service, c) })
+	m.Learn(f, service, c)
 	return nil
 }
 
--- a/pkg/crashguard/table.go
+++ b/pkg/crashguard/table.go
@@ -43,7 +43,7 @@
 
 // Report implements Notices.
 func (t *Table) Report(ctx context.Context, f Fingerprint, service string, c Crash) error {
-	_ = t.Memory.Report(ctx, f, service, c)
+	t.Learn(f, service, c)
 	return t.write(ctx, f, func(r Record) Record { return r.add(service, c) })
 }
 
