--- /dev/null
+++ b/pkg/delta/compress.go
@@ -0,0 +1,76 @@
+package delta
+
+import (
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/klauspost/compress/zstd"
+)
+
+// windowSize limits the memory of encoder and decoder. Rules lines repeat
+// within a few kilobytes, so a larger window saves little.
+const windowSize = 128 << 10
+
+// maxWindow bounds what a hostile frame can make the decoder allocate.
+const maxWindow = 2 * MaxText
+
+// unstatedSize is the content size in bytes below which the encoder leaves
+// the size out of the frame header.
+const unstatedSize = 256
+
+// Encoder and decoder are shared by all callers; EncodeAll and DecodeAll are
+// safe for concurrent use, and a concurrency of 1 keeps one set of buffers.
+var (
+	encoder = sync.OnceValues(func() (*zstd.Encoder, error) {
+		return zstd.NewWriter(nil,
+			zstd.WithEncoderLevel(zstd.SpeedDefault),
+			zstd.WithEncoderConcurrency(1),
+			zstd.WithLowerEncoderMem(true),
+			zstd.WithWindowSize(windowSize),
+			zstd.WithEncoderCRC(false), // versions carry a SHA-256 digest
+			zstd.WithZeroFrames(true))
+	})
+	decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil,
+			zstd.WithDecoderConcurrency(1),
+			zstd.WithDecoderLowmem(true),
+			zstd.WithDecoderMaxWindow(maxWindow),
+			zstd.WithDecodeAllCapLimit(true))
+	})
+)
+
+// Compress returns text as one zstd frame, which states its content size
+// from unstatedSize bytes on.
+func Compress(text []byte) ([]byte, error) {
+	e, err := encoder()
+	if err != nil {
+		return nil, merry.Prepend(err, "create zstd encoder")
+	}
+	return e.EncodeAll(text, nil), nil
+}
+
+// Decompress returns the content of a frame that Compress wrote. It returns
+// ErrMalformed if the frame is damaged or has more than limit bytes of
+// content.
+func Decompress(b []byte, limit int) ([]byte, error) {
+	var h zstd.Header
+	if err := h.Decode(b); err != nil {
+		return nil, malformed("zstd header: %v", err)
+	}
+	size := h.FrameContentSize
+	if !h.HasFCS {
+		size = uint64(min(limit, unstatedSize))
+	}
+	if h.Skippable || limit < 0 || size > uint64(limit) {
+		return nil, malformed("zstd content exceeds %d bytes", limit)
+	}
+	d, err := decoder()
+	if err != nil {
+		return nil, merry.Prepend(err, "create zstd decoder")
+	}
+	text, err := d.DecodeAll(b, make([]byte, 0, size))
+	if err != nil {
+		return nil, malformed("zstd: %v", err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/pkg/delta/lines.go
@@ -0,0 +1,72 @@
+package delta
+
+import "bytes"
+
+// Run is a run of lines that two texts share: Length lines from line Before
+// of the older text equal those from line After of the newer text. Lines
+// count from 0.
+type Run struct {
+	Before, After, Length int
+}
+
+// SplitLines cuts text into lines that keep their line feed. The lines share
+// the memory of text.
+func SplitLines(text []byte) [][]byte {
+	return bytes.SplitAfter(text, []byte{'\n'})
+}
+
+// CommonLines returns runs of equal lines in order of After, without overlap
+// in the newer text. A moved block is found too, so Before need not ascend.
+// Time and memory are linear in the number of lines: the common prefix and
+// suffix are cut off, and a line between them is matched where the previous
+// match goes on or else at its first occurrence.
+func CommonLines(before, after [][]byte) []Run {
+	prefix := 0
+	for prefix < len(before) && prefix < len(after) && bytes.Equal(before[prefix], after[prefix]) {
+		prefix++
+	}
+	suffix := 0
+	for suffix < len(before)-prefix && suffix < len(after)-prefix &&
+		bytes.Equal(before[len(before)-1-suffix], after[len(after)-1-suffix]) {
+		suffix++
+	}
+	var runs []Run
+	if prefix > 0 {
+		runs = append(runs, Run{Length: prefix})
+	}
+	runs = middle(runs, before, after, prefix, suffix)
+	if suffix > 0 {
+		runs = append(runs, Run{Before: len(before) - suffix, After: len(after) - suffix, Length: suffix})
+	}
+	return runs
+}
+
+// middle appends the runs between the common prefix and suffix.
+func middle(runs []Run, before, after [][]byte, prefix, suffix int) []Run {
+	endBefore, endAfter := len(before)-suffix, len(after)-suffix
+	if prefix == endBefore || prefix == endAfter {
+		return runs
+	}
+	first := make(map[string]int, endBefore-prefix)
+	for i := endBefore - 1; i >= prefix; i-- {
+		first[string(before[i])] = i
+	}
+	next := prefix // line of before that follows the last match
+	for j := prefix; j < endAfter; {
+		i, ok := next, next < endBefore && bytes.Equal(before[next], after[j])
+		if !ok {
+			i, ok = first[string(after[j])]
+		}
+		if !ok {
+			j++
+			continue
+		}
+		n := 1
+		for i+n < endBefore && j+n < endAfter && bytes.Equal(before[i+n], after[j+n]) {
+			n++
+		}
+		runs = append(runs, Run{Before: i, After: j, Length: n})
+		next, j = i+n, j+n
+	}
+	return runs
+}
--- /dev/null
+++ b/pkg/rules/check.go
@@ -0,0 +1,131 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// check reports the faults that involve more than one line.
+func (p *parser) check() {
+	if len(p.faults) == 0 && len(p.services) == 0 && len(p.rules) == 0 {
+		p.fault(1, "", "the file holds no statement", "service, rule")
+	}
+	p.checkServices()
+	p.checkRuleNames()
+	p.checkMatches()
+	p.checkFloors()
+	p.finish()
+}
+
+func (p *parser) checkServices() {
+	lines := make(map[string]int, len(p.services))
+	for _, s := range p.services {
+		p.unique(lines, "service", s.value.Name, s.value.Line)
+	}
+	for _, r := range p.rules {
+		name := r.value.Service
+		if _, ok := lines[name]; !ok && validName(name) {
+			p.fault(r.value.Line, "service", fmt.Sprintf("service %q is not declared in this file", name), p.declared())
+		}
+	}
+}
+
+// declared lists the declared services, shortened for files with many.
+func (p *parser) declared() string {
+	const limit = 10
+	var names []string
+	for _, s := range p.services {
+		if s.value.Name != "" {
+			names = append(names, s.value.Name)
+		}
+	}
+	switch {
+	case len(names) == 0:
+		return "none, because the file declares no service"
+	case len(names) > limit:
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:limit], ", "), len(names)-limit)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (p *parser) checkRuleNames() {
+	lines := make(map[string]int, len(p.rules))
+	for _, r := range p.rules {
+		p.unique(lines, "rule", r.value.Name, r.value.Line)
+	}
+}
+
+func (p *parser) unique(lines map[string]int, kind, name string, line int) {
+	if name == "" {
+		return
+	}
+	if first, ok := lines[name]; ok {
+		p.fault(line, "name", fmt.Sprintf("%s %q is already declared in line %d", kind, name, first), "a name that no other "+kind+" has")
+		return
+	}
+	lines[name] = line
+}
+
+// checkMatches refuses two rules with the same match, of which the second
+// could never decide a call.
+func (p *parser) checkMatches() {
+	lines := make(map[string]int, len(p.rules))
+	for _, r := range p.rules {
+		if !r.ok {
+			continue
+		}
+		m := r.value.Match
+		key := m.Host + " " + m.Path + " " + strings.Join(m.Methods, ",")
+		if first, ok := lines[key]; ok {
+			p.fault(r.value.Line, "path", fmt.Sprintf("method, host and path are the same as in line %d", first), "a match that no other rule has")
+			continue
+		}
+		lines[key] = r.value.Line
+	}
+}
+
+// ranked is the floor of one rank of a service and the line that states it.
+type ranked struct {
+	floor, line int
+}
+
+// checkFloors refuses different floors for one rank of a service, and floors
+// that add up to more than all slots.
+func (p *parser) checkFloors() {
+	floors := make(map[string]*[model.MaxRank + 1]ranked)
+	for _, r := range p.rules {
+		if !r.ok {
+			continue
+		}
+		byRank := floors[r.value.Service]
+		if byRank == nil {
+			byRank = new([model.MaxRank + 1]ranked)
+			floors[r.value.Service] = byRank
+		}
+		p.checkFloor(byRank, &r.value)
+	}
+}
+
+func (p *parser) checkFloor(byRank *[model.MaxRank + 1]ranked, r *model.Rule) {
+	at := &byRank[r.Rank]
+	if at.line != 0 {
+		if at.floor != r.Floor {
+			p.fault(r.Line, "floor",
+				fmt.Sprintf("floor %d%% differs from the floor of the same rank and service in line %d", r.Floor, at.line),
+				fmt.Sprintf("%d%%", at.floor))
+		}
+		return
+	}
+	rest := 100
+	for _, o := range byRank {
+		rest -= o.floor
+	}
+	at.line, at.floor = r.Line, r.Floor
+	if r.Floor > max(rest, 0) {
+		p.fault(r.Line, "floor",
+			fmt.Sprintf("with %d%% for rank %d the floors of service %s add up to %d%%", r.Floor, r.Rank, r.Service, 100-rest+r.Floor),
+			fmt.Sprintf("at most %d%%", max(rest, 0)))
+	}
+}
--- /dev/null
+++ b/pkg/rules/explain.go
@@ -0,0 +1,85 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Explanation says which rule decides a call and why.
+type Explanation struct {
+	// Winner is the rule that decides the call, nil if there is none.
+	Winner *model.Rule `json:"winner,omitempty"`
+	// Message says why there is no winner; it is empty if there is one.
+	Message string `json:"message,omitempty"`
+	// Others are the other rules that match, in file order.
+	Others []Loser `json:"others,omitempty"`
+}
+
+// Loser is a rule that matches a call without deciding it.
+type Loser struct {
+	Rule *model.Rule `json:"rule"`
+	// Reason says why the winner goes before this rule.
+	Reason string `json:"reason"`
+}
+
+// Explain returns the rule of f that decides a call, as routing does, and the
+// other rules that match. The host may have a port; the path is decoded. The
+// time is linear in the number of rules.
+func Explain(f *File, method, host, path string) Explanation {
+	if !ValidPath(path) {
+		return Explanation{Message: fmt.Sprintf("path %s matches no rule: it must start with /, must not be below %s/, and must have no empty or dot segment", quote(path), ReservedPath)}
+	}
+	host = strings.ToLower(CutPort(host))
+	var matching []*model.Rule
+	var winner *model.Rule
+	for i := range f.Rules {
+		r := &f.Rules[i]
+		if !covers(&r.Match, method, host, path) {
+			continue
+		}
+		matching = append(matching, r)
+		if winner == nil || precedence(r, winner) != "" {
+			winner = r
+		}
+	}
+	if winner == nil {
+		return Explanation{Message: fmt.Sprintf("no rule matches method %s, host %s and path %s", quote(method), quote(host), quote(path))}
+	}
+	return Explanation{Winner: winner, Others: losers(matching, winner)}
+}
+
+func losers(matching []*model.Rule, winner *model.Rule) []Loser {
+	var others []Loser
+	for _, r := range matching {
+		if r != winner {
+			others = append(others, Loser{Rule: r, Reason: precedence(winner, r)})
+		}
+	}
+	return others
+}
+
+// precedence says why a goes before b when both match a call, or "" if b goes
+// before a.
+func precedence(a, b *model.Rule) string {
+	anyHostA, anyHostB := a.Match.Host == AnyHost, b.Match.Host == AnyHost
+	listedA, listedB := len(a.Match.Methods) > 0, len(b.Match.Methods) > 0
+	switch {
+	case anyHostA != anyHostB:
+		return when(anyHostB, fmt.Sprintf("%s states the host, %s has host=*", a.Name, b.Name))
+	case len(a.Match.Path) != len(b.Match.Path):
+		return when(len(a.Match.Path) > len(b.Match.Path), fmt.Sprintf("the path of %s is longer", a.Name))
+	case listedA != listedB:
+		return when(listedA, fmt.Sprintf("%s lists the method, %s has method=*", a.Name, b.Name))
+	default:
+		return when(a.Line < b.Line, fmt.Sprintf("%s comes first in the file, in line %d", a.Name, a.Line))
+	}
+}
+
+func when(condition bool, s string) string {
+	if condition {
+		return s
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/rules/match.go
@@ -0,0 +1,67 @@
+package rules
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// AnyHost is the host of a rule that matches every host.
+const AnyHost = "*"
+
+// ReservedPath is the path of messages between nodes. No rule matches it or
+// a path below it, so a caller cannot reach the peer listeners of other nodes.
+const ReservedPath = "/.lentilflow"
+
+// maxHost is the longest host name in bytes (RFC 1035).
+const maxHost = 253
+
+// Methods lists the methods that a rule can name, sorted.
+var Methods = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+
+// ValidPath reports whether the decoded path of a call can match a rule. It
+// must be absolute, must not be ReservedPath or below it, and must have no
+// empty, "." or ".." segment; a trailing slash is accepted. An upstream may
+// normalise other paths, so that a call would run under the wrong rule.
+func ValidPath(path string) bool {
+	if path == "" || path[0] != '/' || pathCovers(ReservedPath, path) {
+		return false
+	}
+	for start := 1; start < len(path); {
+		end := start
+		for end < len(path) && path[end] != '/' {
+			end++
+		}
+		if s := path[start:end]; s == "" || s == "." || s == ".." {
+			return false
+		}
+		start = end + 1
+	}
+	return true
+}
+
+// CutPort returns the value of a Host header without port and without the
+// trailing dot of an absolute name.
+func CutPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && strings.IndexByte(host[i:], ']') < 0 {
+		host = host[:i]
+	}
+	return strings.TrimSuffix(host, ".")
+}
+
+// pathCovers reports whether prefix matches path on segment boundaries.
+func pathCovers(prefix, path string) bool {
+	if prefix == "/" {
+		return strings.HasPrefix(path, "/")
+	}
+	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
+}
+
+// covers reports whether m matches a call with a valid path and a lower-case
+// host without port.
+func covers(m *model.Match, method, host, path string) bool {
+	return (m.Host == AnyHost || m.Host == host) &&
+		pathCovers(m.Path, path) &&
+		(len(m.Methods) == 0 || slices.Contains(m.Methods, method))
+}
--- /dev/null
+++ b/pkg/rules/parse.go
@@ -0,0 +1,149 @@
+package rules
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Limits of a rules file.
+const (
+	// MaxLine is the longest accepted line in bytes, without its line feed.
+	MaxLine = 4 << 10
+	// MaxFaults is the largest number of faults that Parse returns.
+	MaxFaults = 100
+)
+
+// parser collects the statements and the faults of one file.
+type parser struct {
+	name     string
+	faults   []Fault
+	services []parsed[model.Service]
+	rules    []parsed[model.Rule]
+}
+
+// parsed is a statement and whether its own line is free of faults.
+type parsed[T any] struct {
+	value T
+	ok    bool
+}
+
+// Parse reads and checks the rules file text. It reports up to MaxFaults
+// faults in line order under the given file name; the file is nil if there is
+// any fault.
+func Parse(name string, text []byte) (*File, []Fault) {
+	p := &parser{name: name}
+	if len(text) > MaxSize {
+		p.fault(1, "", fmt.Sprintf("the file has %d bytes", len(text)), fmt.Sprintf("at most %d bytes", MaxSize))
+		return nil, p.faults
+	}
+	p.lines(text)
+	p.check()
+	if len(p.faults) > 0 {
+		return nil, p.faults
+	}
+	return p.file(), nil
+}
+
+// lines parses every line. It stops early at MaxFaults, which bounds the
+// memory that a file of garbage can take.
+func (p *parser) lines(text []byte) {
+	line := 0
+	for len(text) > 0 && len(p.faults) < MaxFaults {
+		var raw []byte
+		raw, text, _ = bytes.Cut(text, []byte{'\n'})
+		line++
+		if msg, accepted := lineFault(raw); msg != "" {
+			p.fault(line, "", msg, accepted)
+			continue
+		}
+		p.line(line, string(raw))
+	}
+}
+
+// lineFault says what is wrong with the bytes of a line, whatever it states.
+func lineFault(raw []byte) (message, accepted string) {
+	if len(raw) > MaxLine {
+		return fmt.Sprintf("the line has %d bytes", len(raw)), fmt.Sprintf("at most %d bytes", MaxLine)
+	}
+	if !utf8.Valid(raw) {
+		return "the line is not valid UTF-8", "UTF-8 text"
+	}
+	for i, r := range string(raw) {
+		if r != '\t' && invisible(r) {
+			return fmt.Sprintf("character %U at byte %d is a control or format character", r, i+1),
+				"printable characters, space and tab; lines end with a line feed only"
+		}
+	}
+	return "", ""
+}
+
+// invisible reports control, format and separator characters. Format
+// characters include bidirectional overrides, which can make a line read
+// differently from what it states.
+func invisible(r rune) bool {
+	if r >= ' ' && r <= '~' {
+		return false
+	}
+	return unicode.In(r, unicode.Cc, unicode.Cf, unicode.Zl, unicode.Zp)
+}
+
+// line parses one line that holds a statement, a comment only, or nothing.
+func (p *parser) line(n int, text string) {
+	body, comment, _ := strings.Cut(text, "#")
+	words := strings.FieldsFunc(body, isBlank)
+	if len(words) == 0 {
+		return
+	}
+	s := statement{parser: p, line: n, words: words}
+	switch words[0] {
+	case "service":
+		s.service(comment)
+	case "rule":
+		s.rule(comment)
+	default:
+		p.fault(n, "", fmt.Sprintf("unknown statement %s", quote(words[0])), "service, rule")
+	}
+}
+
+func isBlank(r rune) bool { return r == ' ' || r == '\t' }
+
+func (p *parser) fault(line int, field, message, accepted string) {
+	p.faults = append(p.faults, Fault{Name: p.name, Line: line, Field: field, Message: message, Accepted: accepted})
+}
+
+// finish puts the faults in line order and bounds their number.
+func (p *parser) finish() {
+	sort.SliceStable(p.faults, func(i, j int) bool { return p.faults[i].Line < p.faults[j].Line })
+	if len(p.faults) > MaxFaults {
+		p.faults = p.faults[:MaxFaults:MaxFaults]
+	}
+}
+
+func (p *parser) file() *File {
+	f := &File{
+		Services: make([]model.Service, len(p.services)),
+		Rules:    make([]model.Rule, len(p.rules)),
+	}
+	for i, s := range p.services {
+		f.Services[i] = s.value
+	}
+	for i, r := range p.rules {
+		f.Rules[i] = r.value
+	}
+	return f
+}
+
+// quote formats a value for a message, shortened to 60 bytes.
+func quote(s string) string {
+	const limit = 60
+	if len(s) <= limit {
+		return fmt.Sprintf("%q", s)
+	}
+	return fmt.Sprintf("%q...", strings.ToValidUTF8(s[:limit], ""))
+}
--- /dev/null
+++ b/pkg/rules/parse_test.go
@@ -0,0 +1,163 @@
+package rules
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/delta"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	okService = "service a slots=4 connections=9 # Ana\n"
+	okRule    = "rule r path=/p service=a rank=1 deadline=1s idempotent=yes # Ana: why\n"
+)
+
+// Guards against a field that is stored in the wrong place or has another
+// default than the documentation says.
+func TestParseValuesAndDefaults(t *testing.T) {
+	is := is.New(t)
+	f, faults := Parse("f", []byte("\n# heading\n"+okService+"\trule r2 method=PUT,GET host=h.example path=/p/q service=a rank=0 target=50ms floor=30% worth=3 deadline=1.5s idempotent=no retries=2 inflight=7 prefer=any # asked by  Jo  Silva : late: bad\n"+okRule))
+	is.Equal(faults, nil)
+	is.Equal(f.Services, []model.Service{{Name: "a", Slots: 4, Connections: 9, AskedBy: "Ana", Line: 3}})
+	is.Equal(f.Rules, []model.Rule{{
+		Name: "r2", Match: model.Match{Methods: []string{"GET", "PUT"}, Host: "h.example", Path: "/p/q"}, Service: "a",
+		Target: 50 * time.Millisecond, Floor: 30, Worth: 3, Deadline: 1500 * time.Millisecond, Retries: 2, MaxInFlight: 7,
+		Prefer: model.PreferAny, AskedBy: "Jo Silva", Reason: "late: bad", Line: 4,
+	}, {
+		Name: "r", Match: model.Match{Host: "*", Path: "/p"}, Service: "a", Rank: 1, Worth: 1, Deadline: time.Second,
+		Idempotent: true, Prefer: model.PreferZone, AskedBy: "Ana", Reason: "why", Line: 5,
+	}})
+}
+
+// Guards against a bad value that is accepted, or reported at another line or
+// field.
+func TestParseRefusals(t *testing.T) {
+	rule := func(changes ...string) string { return strings.NewReplacer(changes...).Replace(okRule) }
+	more := func(name, fields string) string {
+		return "rule " + name + " service=a deadline=1s idempotent=yes " + fields + " # B\n"
+	}
+	for _, c := range []struct {
+		name, text, field, want string
+		line                    int
+	}{
+		{"empty file", "# only a comment\n", "", "no statement", 1},
+		{"unknown statement", okService + "route r # B\n", "", "unknown statement", 2},
+		{"unknown field", okService + rule("rank=1", "rank=1 speed=9"), "", "unknown field", 2},
+		{"field twice", okService + rule("rank=1", "rank=1 rank=1"), "rank", "stated twice", 2},
+		{"no field form", okService + rule("rank=1", "rank=1 urgent"), "", "form field=value", 2},
+		{"missing field", okService + rule("rank=1", ""), "rank", "does not state", 2},
+		{"missing slots", "service a connections=9 # Ana\n", "slots", "does not state", 1},
+		{"no name", okService + rule("rule r", "rule"), "name", "no name", 2},
+		{"upper-case name", okService + rule("rule r", "rule R"), "name", "not accepted", 2},
+		{"long name", okService + rule("rule r", "rule "+strings.Repeat("x", 64)), "name", "not accepted", 2},
+		{"duplicate rule", okService + okRule + rule("/p", "/q"), "name", "already declared in line 2", 3},
+		{"duplicate service", okService + okService, "name", "already declared in line 1", 2},
+		{"undeclared service", okService + rule("service=a", "service=b"), "service", "not declared", 2},
+		{"same match", okService + okRule + rule("rule r", "rule r2"), "path", "same as in line 2", 3},
+		{"same method list", okService + more("x", "rank=1 path=/ method=GET,PUT") + more("y", "rank=1 path=/ method=PUT,GET"), "path", "same as in line 2", 3},
+		{"floors above 100", okService + more("x", "rank=1 path=/x floor=60%") + more("y", "rank=2 path=/y floor=41%"), "floor", "101%", 3},
+		{"floors differ", okService + more("x", "rank=1 path=/x floor=10%") + more("y", "rank=1 path=/y"), "floor", "differs", 3},
+		{"target above deadline", okService + rule("rank=1", "rank=1 target=2s"), "target", "longer than the deadline", 2},
+		{"relative path", okService + rule("/p", "p"), "path", "not accepted", 2},
+		{"reserved path", okService + rule("/p", "/.lentilflow/v1"), "path", "not accepted", 2},
+		{"reserved prefix", okService + rule("/p", "/.lentilflow"), "path", "not accepted", 2},
+		{"dot segment", okService + rule("/p", "/a/../p"), "path", "not accepted", 2},
+		{"trailing slash", okService + rule("/p", "/p/"), "path", "not accepted", 2},
+		{"escaped path", okService + rule("/p", "/%70"), "path", "not accepted", 2},
+		{"host with port", okService + rule("rank=1", "rank=1 host=h:80"), "host", "not accepted", 2},
+		{"upper-case host", okService + rule("rank=1", "rank=1 host=H"), "host", "not accepted", 2},
+		{"unknown method", okService + rule("rank=1", "rank=1 method=GET,BREW"), "method", "not accepted", 2},
+		{"method twice", okService + rule("rank=1", "rank=1 method=GET,GET"), "method", "not accepted", 2},
+		{"rank 8", okService + rule("rank=1", "rank=8"), "rank", "not accepted", 2},
+		{"signed rank", okService + rule("rank=1", "rank=+1"), "rank", "not accepted", 2},
+		{"no unit", okService + rule("1s", "100"), "deadline", "not accepted", 2},
+		{"zero deadline", okService + rule("1s", "0s"), "deadline", "not accepted", 2},
+		{"no percent sign", okService + rule("rank=1", "rank=1 floor=10"), "floor", "not accepted", 2},
+		{"idempotent maybe", okService + rule("=yes", "=maybe"), "idempotent", "not accepted", 2},
+		{"six retries", okService + rule("rank=1", "rank=1 retries=6"), "retries", "not accepted", 2},
+		{"unknown preference", okService + rule("rank=1", "rank=1 prefer=near"), "prefer", "not accepted", 2},
+		{"no comment", okService + rule("# Ana: why", ""), "comment", "no person", 2},
+		{"reason only", okService + rule("Ana", ""), "comment", "no person", 2},
+		{"nobody", okService + rule("Ana", "asked by"), "comment", "no person", 2},
+		{"ticket number", okService + rule("Ana", "4711"), "comment", "no person", 2},
+		{"not UTF-8", okService + rule("why", "\xff"), "", "UTF-8", 2},
+		{"carriage return", okService + rule("why", "why\r"), "", "control", 2},
+		{"hidden override", okService + rule("why", "\u202ewhy"), "", "control", 2},
+		{"long line", okService + rule("why", strings.Repeat("w", MaxLine)), "", "bytes", 2},
+		{"large file", strings.Repeat("\n", MaxSize+1), "", "bytes", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, faults := Parse("f.rules", []byte(c.text))
+			is.True(f == nil)
+			is.Equal(len(faults), 1) // one cause gives one fault
+			got := faults[0]
+			is.Equal([]any{got.Name, got.Line, got.Field}, []any{"f.rules", c.line, c.field})
+			is.True(strings.Contains(got.Message, c.want)) // message
+			is.True(got.Accepted != "")
+		})
+	}
+}
+
+// Guards against a check that stops at the first fault, loses line order or
+// grows without bound.
+func TestParseReportsAllFaults(t *testing.T) {
+	is := is.New(t)
+	_, faults := Parse("f", []byte("rule X path=p rank=9 # 1\n"+okRule+"bad\n"))
+	got := ""
+	for _, f := range faults {
+		got += fmt.Sprintf("%d%s ", f.Line, f.Field)
+	}
+	is.Equal(got, "1name 1path 1rank 1service 1deadline 1idempotent 1comment 2service 3 ")
+
+	_, faults = Parse("f", []byte(strings.Repeat("bad\n", 1000)))
+	is.Equal(len(faults), MaxFaults)
+}
+
+// Guards against example files that the documented grammar refuses.
+func TestParseExamples(t *testing.T) {
+	for _, name := range []string{"bertolucci", "haneul"} {
+		is := is.New(t)
+		text, err := os.ReadFile("../../examples/" + name + ".rules")
+		is.NoErr(err)
+		f, faults := Parse(name, text)
+		is.Equal(faults, nil)
+		is.Equal(len(f.Services), 3)
+		is.True(len(f.Rules) >= 9)
+	}
+}
+
+// Guards against panics, missing results and missing accepted values on
+// arbitrary input made of pieces of the grammar.
+func TestParseNeverPanics(t *testing.T) {
+	pieces := rapid.OneOf(rapid.SampledFrom([]string{
+		"rule ", "service ", "r ", "a ", "path=/ ", "path=", "service=a ", "rank=1 ", "floor=50% ", "floor=%", "deadline=1s ",
+		"idempotent=no ", "method=GET,", "host=[", "host=[::1] ", "# Ana: x\n", "#", "\n", "=", " ", "slots=1 ", "connections=1 ",
+		"rule r service=a ", "service a slots=1 connections=1 # Ana\n", okService + okRule,
+	}), rapid.String())
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Join(rapid.SliceOfN(pieces, 0, 60).Draw(t, "pieces"), "")
+		f, faults := Parse("f", []byte(text))
+		if (f == nil) != (len(faults) > 0) || len(faults) > MaxFaults {
+			t.Fatalf("file %v with %d faults", f, len(faults))
+		}
+		for _, x := range faults {
+			if x.Line < 1 || x.Message == "" || x.Accepted == "" {
+				t.Fatalf("incomplete fault %+v", x)
+			}
+		}
+	})
+}
+
+// Guards against accepted files whose changes cannot be sent as a delta.
+func TestSizeLimitsAgree(t *testing.T) {
+	is := is.New(t)
+	is.Equal(MaxSize, delta.MaxText)
+}
