--- a/pkg/delta/delta.go
+++ b/pkg/delta/delta.go
@@ -135,11 +135,11 @@
 func (r *reader) copy(length int64) error {
 	skip, n := binary.Varint(r.ops)
 	size := int64(len(r.before))
-	if n <= 0 || skip < -size || skip > size {
-		return malformed("start of a copy is missing or out of range")
+	if n <= 0 {
+		return malformed("start of a copy is missing")
 	}
 	r.ops = r.ops[n:]
-	start := r.position + skip
+	start := r.position + skip // negative if the sum overflows
 	if start < 0 || length > size-start {
 		return malformed("copy of %d bytes from byte %d of %d", length, start, size)
 	}
--- a/pkg/delta/writer.go
+++ b/pkg/delta/writer.go
@@ -1,6 +1,13 @@
 package delta
 
-import "encoding/binary"
+import (
+	"bytes"
+	"encoding/binary"
+)
+
+// maxLines bounds the memory for line indexes to a few megabytes. A text with
+// more lines is encoded as one line.
+const maxLines = 1 << 15
 
 // writer produces the operations of one delta. A copy is held back so that
 // adjacent copies become one operation.
@@ -15,11 +22,16 @@
 }
 
 func newWriter(before, after []byte) *writer {
-	w := &writer{before: SplitLines(before), after: SplitLines(after), text: after}
+	w := &writer{before: [][]byte{before}, after: [][]byte{after}, text: after}
+	if lineFeeds(before) < maxLines && lineFeeds(after) < maxLines {
+		w.before, w.after = SplitLines(before), SplitLines(after)
+	}
 	w.startBefore, w.startAfter = offsets(w.before), offsets(w.after)
 	return w
 }
 
+func lineFeeds(text []byte) int { return bytes.Count(text, []byte{'\n'}) }
+
 func offsets(lines [][]byte) []int {
 	starts := make([]int, len(lines)+1)
 	for i, l := range lines {
