--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -66,6 +66,9 @@
 func (c *Core) SetLimits(l Limits) {
 	l.Slots = max(l.Slots, 1)
 	c.limits = l
+	if !c.limiter.measured() {
+		c.limiter = limiter{} // begins anew from the first real capacity
+	}
 	c.limiter.setCeiling(l.Slots)
 }
 
@@ -218,6 +221,7 @@
 const (
 	Answered End = iota
 	Shed         // the upstream refused or lost the call: it has too much work
+	TimedOut     // given up at its deadline, so the upstream takes at least as long
 	Other        // cancelled, or no measure of the upstream
 )
 
@@ -226,12 +230,12 @@
 	full := c.running >= c.Limit()
 	c.running--
 	c.ranks[w.Rank].running--
-	switch e {
-	case Answered:
-		took := now - w.started
+	took := now - w.started
+	switch {
+	case e == Answered, e == TimedOut && took > c.service.mean(now):
 		c.service.add(now, w.Rank, took)
 		c.limiter.answered(w.Rank, took, w.Target, full)
-	case Shed:
+	case e == Shed:
 		c.limiter.shed()
 	}
 }
--- a/pkg/admission/core_test.go
+++ b/pkg/admission/core_test.go
@@ -97,7 +97,7 @@
 			if len(o.running) > 0 {
 				w := o.running[0]
 				o.running = o.running[1:]
-				c.Done(now, w, rapid.SampledFrom([]End{Answered, Answered, Answered, Shed, Other}).Draw(t, "end"))
+				c.Done(now, w, rapid.SampledFrom([]End{Answered, Answered, Answered, Shed, TimedOut, Other}).Draw(t, "end"))
 			}
 		case "expire":
 			for w := c.Expire(now); w != nil; w = c.Expire(now) {
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -46,6 +46,9 @@
 	l.limit = l.clamp(l.limit)
 }
 
+// measured reports whether any answer has been seen.
+func (l *limiter) measured() bool { return l.base != [Ranks]float64{} }
+
 func (l *limiter) clamp(x float64) float64 {
 	return min(max(x, l.ceiling*minShare, 1), l.ceiling)
 }
--- /dev/null
+++ b/pkg/proxy/run_test.go
@@ -0,0 +1,241 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/problem"
+)
+
+// refusalOf reads the problem details of an answer.
+func refusalOf(t testing.TB, resp *http.Response) problem.Details {
+	t.Helper()
+	d, err := problem.Read(resp.Body)
+	if err != nil {
+		t.Fatalf("status %d: %v", resp.StatusCode, err)
+	}
+	return d
+}
+
+// Guards the path of an ordinary call, with a local and with a remote
+// upstream: the whole answer, the headers on both sides, and the body.
+func TestCallThroughOneAndTwoNodes(t *testing.T) {
+	for _, hops := range []string{"one", "two"} {
+		t.Run(hops, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t)
+			seen := make(chan *http.Request, 1)
+			n := m.add("a", upstream(t, func(w http.ResponseWriter, r *http.Request) {
+				b, _ := io.ReadAll(r.Body)
+				seen <- r
+				w.Header().Set("Lentilflow-Rank", "9")
+				w.Header().Set("X-Own", "yes")
+				_, _ = w.Write(append([]byte("got "), b...))
+			}))
+			if hops == "two" {
+				n = m.add("b", "")
+			}
+			resp := send(t, "PUT", n.url+"/x?q=1", "hello", "Lentilflow-Rank", "0", "Connection", "X-Drop", "X-Drop", "1",
+				"Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+			b, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(string(b), "got hello")
+			is.Equal(resp.Header.Get(HeaderRule), "put")
+			is.Equal(resp.Header.Get(HeaderRank), "3") // neither the caller's nor the upstream's
+			is.Equal(resp.Header.Get(HeaderVersion), "7")
+			is.Equal(resp.Header.Get(HeaderAskedBy), "Ana Prado")
+			is.Equal(resp.Header.Get(HeaderUpstream), "a")
+			is.Equal(resp.Header.Get(HeaderAttempts), "1")
+			is.Equal(resp.Header.Get("X-Own"), "yes")
+			is.Equal(resp.Header.Get(HeaderBusy), "") // for nodes only
+			r := <-seen
+			is.Equal(r.RequestURI, "/x?q=1")
+			is.Equal(r.ContentLength, int64(5))
+			is.Equal(r.Header.Get(HeaderRank), "3")
+			is.True(r.Header.Get(HeaderCall) != "")
+			is.True(r.Header.Get("Traceparent") != "")
+			is.Equal(r.Header.Get("X-Drop"), "")
+			is.Equal(r.Header.Get(HeaderOrigin), "") // for nodes only
+			is.Equal(n.value("proxy_events_total", eventForgedHeader), 1.0)
+		})
+	}
+}
+
+// Guards run-state truth: an upstream that cannot be reached did not run the
+// call, one that was cut off after it read the request may have.
+func TestRunState(t *testing.T) {
+	for _, hops := range []string{"one", "two"} {
+		t.Run(hops, func(t *testing.T) {
+			is := is.New(t)
+			node := func(address string) *node {
+				m := newMesh(t)
+				n := m.add("a", address)
+				if hops == "two" {
+					n = m.add("b", "")
+				}
+				return n
+			}
+			d := refusalOf(t, send(t, "GET", node(deadAddress(t)).url+"/once", ""))
+			is.Equal(d.Reason, model.UpstreamUnreachable)
+			is.Equal(d.Run, model.NotRun)
+			lost, _ := rawUpstream(t, func(_ int, c net.Conn) {
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_ = c.Close()
+			})
+			d = refusalOf(t, send(t, "GET", node(lost).url+"/once", ""))
+			is.Equal(d.Reason, model.UpstreamLost)
+			is.Equal(d.Run, model.Unknown)
+			shed := upstream(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderNotRun, "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			d = refusalOf(t, send(t, "GET", node(shed).url+"/once", ""))
+			is.Equal(d.Reason, model.UpstreamShed)
+			is.Equal(d.Run, model.NotRun)
+			own := upstream(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderRefusal, "overloaded not_run") // only nodes may say so
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			resp := send(t, "GET", node(own).url+"/once", "")
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(resp.Header.Get("Content-Type"), "") // the upstream's own answer
+			slow := upstream(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			start := time.Now()
+			d = refusalOf(t, send(t, "GET", node(slow).url+"/short", ""))
+			is.Equal(d.Reason, model.DeadlineExceeded)
+			is.Equal(d.Run, model.Unknown)
+			is.True(time.Since(start) < time.Second) // refused at its deadline
+		})
+	}
+}
+
+// Guards against idempotent calls that are given up after one lost connection,
+// and against run states that are not those of all attempts.
+func TestIdempotentCallIsRetried(t *testing.T) {
+	is := is.New(t)
+	var lost atomic.Int32
+	m := newMesh(t)
+	up, l := rawUpstream(t, func(_ int, c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			lost.Add(1)
+		}
+		_ = c.Close()
+	})
+	n := m.add("a", up, func(c *Config) { c.UpstreamState = func(bool) {} })
+	d := refusalOf(t, send(t, "GET", n.url+"/read", ""))
+	is.True(lost.Load() >= 2) // an idempotent call is tried again
+	is.Equal(d.Run, model.Unknown)
+	_ = l.Close()
+	is.Equal(refusalOf(t, send(t, "GET", n.url+"/once", "")).Run, model.NotRun) // nothing listens any more
+}
+
+// Guards against an earlier possible run that a later refusal hides.
+func TestLaterRefusalKeepsPossibleRun(t *testing.T) {
+	is := is.New(t)
+	c := &call{p: New(Config{}), w: httptest.NewRecorder(), r: httptest.NewRequest("GET", "/", nil), ran: true}
+	c.body = newBody(c.r, 1, nil)
+	c.refuse(refuse(model.Overloaded, model.NotRun, ""))
+	is.Equal(c.run, model.Unknown)
+}
+
+// Guards against the Transport's silent repetition of requests on reused
+// connections, which would run work twice without a trace.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	for _, c := range []struct{ name, method, path string }{{"get", "GET", "/once"}, {"key", "POST", "/order"}, {"head", "HEAD", "/read"}} {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int32
+			up, _ := rawUpstream(t, func(_ int, conn net.Conn) {
+				in := bufio.NewReader(conn)
+				for i := 0; ; i++ {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					if i == 1 { // the second request on a connection is read and then dropped
+						runs.Add(1)
+						_ = conn.Close()
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			m := newMesh(t)
+			n := m.add("a", up, func(c *Config) { c.Claims = newFakeClaims() })
+			for n.budget.Spend() { // no retries of ours: the count below is the Transport's
+			}
+			send(t, c.method, n.url+c.path, "", HeaderKey, "k1")
+			resp := send(t, c.method, n.url+c.path, "", HeaderKey, "k2")
+			if got := runs.Load(); got != 1 || resp.StatusCode != http.StatusBadGateway {
+				t.Fatalf("the dropped request arrived %d times, status %d", got, resp.StatusCode)
+			}
+		})
+	}
+}
+
+// Guards against retries of a non-idempotent call that may have run, and
+// against keys that stay claimed after a definite not_run.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	lost, _ := rawUpstream(t, func(_ int, c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil { // a probe sends nothing
+			runs.Add(1)
+		}
+		_ = c.Close()
+	})
+	claims := newFakeClaims()
+	withClaims := func(c *Config) { c.Claims = claims }
+	m := newMesh(t)
+	n := m.add("a", lost, withClaims)
+	m.add("b", lost, withClaims)
+	is.Equal(refusalOf(t, send(t, "POST", n.url+"/order", "x")).Reason, model.KeyMissing)
+	d := refusalOf(t, send(t, "POST", n.url+"/order", "x", HeaderKey, "k"))
+	is.Equal(d.Reason, model.UpstreamLost)
+	is.Equal(d.Run, model.Unknown)
+	is.Equal(runs.Load(), int32(1))
+	is.Equal(refusalOf(t, send(t, "POST", n.url+"/order", "x", HeaderKey, "k")).Reason, model.KeyInProgress)
+	is.Equal(refusalOf(t, send(t, "POST", n.url+"/order", "y", HeaderKey, "k")).Reason, model.KeyReused)
+	is.Equal(runs.Load(), int32(1))
+	claims.down = true
+	is.Equal(refusalOf(t, send(t, "POST", n.url+"/order", "x", HeaderKey, "l")).Reason, model.ClaimUnavailable)
+	claims.down = false
+	m2 := newMesh(t)
+	dead := m2.add("a", deadAddress(t), withClaims)
+	d = refusalOf(t, send(t, "POST", dead.url+"/order", "x", HeaderKey, "z"))
+	is.Equal(d.Run, model.NotRun)
+	is.Equal(claims.released, 1)
+}
+
+// Guards against a stored answer that differs from the first one.
+func TestReplay(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	claims := newFakeClaims()
+	n := newMesh(t).add("a", upstream(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Location", "/orders/1")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = w.Write([]byte("order 1"))
+	}), func(c *Config) { c.Claims = claims })
+	is.Equal(send(t, "POST", n.url+"/order", "x", HeaderKey, "k").StatusCode, http.StatusCreated)
+	eventually(t, "the answer is stored", func() bool {
+		claims.mu.Lock()
+		defer claims.mu.Unlock()
+		return claims.rows["k"] != nil
+	})
+	resp := send(t, "POST", n.url+"/order", "x", HeaderKey, "k")
+	b, _ := io.ReadAll(resp.Body)
+	is.Equal(resp.StatusCode, http.StatusCreated)
+	is.Equal(string(b), "order 1")
+	is.Equal(resp.Header.Get("Location"), "/orders/1")
+	is.Equal(resp.Header.Get(HeaderReplayed), "true")
+	is.Equal(runs.Load(), int32(1))
+}
