--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -39,7 +39,7 @@
 	err     error
 	done    bool        // src was read to its end
 	started atomic.Bool // a reader was given out
-	onEnd   func()      // called once src has ended or failed
+	onEnd   func()      // called when src was read to its end
 }
 
 func newBody(r *http.Request, limit int64, onEnd func()) *body {
@@ -138,9 +138,8 @@
 	if b.done = errors.Is(err, io.EOF); !b.done {
 		b.err = err
 	}
-	if b.onEnd != nil {
+	if b.done && b.onEnd != nil {
 		b.onEnd()
-		b.onEnd = nil
 	}
 	return err
 }
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -239,7 +239,7 @@
 	}
 	h := c.w.Header()
 	c.decorate(h)
-	closeIfUnread(h, c.r, c.body)
+	answerEarly(c.w, c.r, c.body)
 	rule := ""
 	if c.route != nil {
 		rule = c.route.Rule.Name
--- a/pkg/proxy/peer.go
+++ b/pkg/proxy/peer.go
@@ -73,16 +73,21 @@
 	ref.mark(h)
 	h[HeaderVersion] = []string{formatVersion(s)}
 	if j.body != nil {
-		closeIfUnread(h, j.in, j.body)
+		answerEarly(w, j.in, j.body)
 	}
 	_ = ref.details(versionOf(s), j.rule).Write(w)
 }
 
-// closeIfUnread ends the connection after an answer that is sent before a long
-// request body has arrived. net/http would wait for the body first.
-func closeIfUnread(h http.Header, r *http.Request, b *body) {
-	if n, chunked := b.length(); r.ProtoMajor == 1 && !b.ended() && (chunked || n > holdLimit) {
-		h["Connection"] = []string{"close"}
+// answerEarly lets an answer go out before the request body has arrived, for
+// which net/http would wait. It ends the connection when the rest of the body
+// is long, unknown or broken.
+func answerEarly(w http.ResponseWriter, r *http.Request, b *body) {
+	if r.ProtoMajor != 1 || b.ended() {
+		return
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if n, chunked := b.length(); chunked || n > holdLimit || b.fault() != nil {
+		w.Header()["Connection"] = []string{"close"}
 	}
 }
 
