Keep streamed request bodies intact over failed attempts

Cause: the Transport may still read a request body after an attempt has failed, so a second reader of the same source could have sent a part of it; and calls with a streamed body could not be sent elsewhere although nothing was read.

Change: only the newest reader of a streamed body may read, and the body counts as consumed from its first read. Header values share one allocation. HTTP/2 connections are bounded to 250 calls in flight.

--- /dev/null
+++ b/pkg/admission/gate_test.go
@@ -0,0 +1,77 @@
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Guards against slots that leak or are given twice when callers leave, time
+// out and finish at the same moment.
+func TestGateUnderConcurrency(t *testing.T) {
+	const slots = 6
+	g := NewGate(Limits{Slots: slots, Floors: [Ranks]int{0: 30, 5: 20}})
+	var running, most, admitted atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rnd := rand.New(rand.NewPCG(20, uint64(i)))
+			for range 50 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rnd.IntN(4000))*time.Microsecond)
+				s, refused := g.Acquire(ctx, Call{Rank: model.Rank(rnd.IntN(8)), Rule: "r", Worth: 1}, time.Now().Add(3*time.Millisecond))
+				if refused == nil {
+					admitted.Add(1)
+					now := running.Add(1)
+					for m := most.Load(); now > m && !most.CompareAndSwap(m, now); m = most.Load() {
+					}
+					time.Sleep(time.Duration(rnd.IntN(500)) * time.Microsecond)
+					running.Add(-1)
+					s.Release(End(rnd.IntN(4)))
+				}
+				cancel()
+			}
+		}()
+	}
+	wg.Wait()
+	s := g.State()
+	if s.Running != 0 || s.Waiting != 0 || most.Load() > slots || admitted.Load() == 0 {
+		t.Fatalf("state %+v, at most %d ran, %d admitted", s, most.Load(), admitted.Load())
+	}
+}
+
+// Guards the reasons of refusals and the time that callers are told to wait.
+func TestGateRefusals(t *testing.T) {
+	g := NewGate(Limits{Slots: 1})
+	far := time.Now().Add(time.Hour)
+	s, _ := g.Acquire(context.Background(), Call{}, far)
+	if _, r := g.Acquire(context.Background(), Call{}, time.Now().Add(10*time.Millisecond)); r == nil || r.Reason != model.DeadlineExceeded {
+		t.Fatalf("waited past its deadline: %v", r)
+	}
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, r := g.Acquire(gone, Call{}, far); r == nil || r.Reason != model.CallerGone {
+		t.Fatalf("the caller had left: %v", r)
+	}
+	waiting, stop := context.WithCancel(context.Background())
+	for range g.core.QueueLimit() {
+		go func() { _, _ = g.Acquire(waiting, Call{Rank: 3}, far) }()
+	}
+	for g.State().Waiting < g.core.QueueLimit() {
+		time.Sleep(time.Millisecond)
+	}
+	if _, r := g.Acquire(context.Background(), Call{Rank: 3}, far); r == nil || r.Reason != model.Overloaded || r.RetryAfter <= 0 {
+		t.Fatalf("the queue was full: %v", r)
+	}
+	stop()
+	for g.State().Waiting > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Release(Answered)
+}
--- a/pkg/proxy/accesslog.go
+++ b/pkg/proxy/accesslog.go
@@ -12,11 +12,12 @@
 // finish counts the call and writes its line of the access log. It also runs
 // when the answer is aborted by a panic.
 func (c *call) finish() {
-	rule, askedBy := "", ""
+	rule, askedBy, rank := "", "", "none"
 	if c.route != nil {
+		rank = strconv.Itoa(int(c.rank))
 		rule, askedBy = c.route.Rule.Name, c.route.Rule.AskedBy
 	}
-	c.p.metrics.calls.WithLabelValues(strconv.Itoa(int(c.rank)), rule, c.outcome).Inc()
+	c.p.metrics.calls.WithLabelValues(rank, rule, c.outcome).Inc()
 	if e := c.p.access.Check(zap.InfoLevel, "call"); e != nil {
 		e.Write(
 			zap.String("method", c.r.Method), zap.String("host", c.r.Host), zap.String("path", c.r.URL.Path),
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -18,6 +18,7 @@
 	errBodyTooLarge = merry.Sentinel("request body exceeds the limit")
 	errBodySlow     = merry.Sentinel("request body did not arrive in time")
 	errBodyBroken   = merry.Sentinel("request body ended early")
+	errConsumed     = merry.Sentinel("request body was read by an earlier attempt")
 	errNoMemory     = merry.Sentinel("too many request bodies are held in memory")
 )
 
@@ -33,13 +34,14 @@
 	limit    int64
 	held     bool
 
-	mu      sync.Mutex
-	prefix  []byte
-	count   int64
-	err     error
-	done    bool        // src was read to its end
-	started atomic.Bool // a reader was given out
-	onEnd   func()      // called when src was read to its end
+	mu       sync.Mutex
+	prefix   []byte
+	count    int64
+	err      error
+	done     bool   // src was read to its end
+	consumed bool   // a reader has taken more than the prefix
+	readers  int    // readers given out; only the newest may read
+	onEnd    func() // called when src was read to its end
 }
 
 func newBody(r *http.Request, limit int64, onEnd func()) *body {
@@ -91,7 +93,11 @@
 }
 
 // replayable reports whether a new reader delivers the body from its start.
-func (b *body) replayable() bool { return b.held || !b.started.Load() }
+func (b *body) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held || !b.consumed
+}
 
 // ended reports whether nothing of the body is left on the caller's connection.
 func (b *body) ended() bool {
@@ -114,14 +120,18 @@
 	return b.prefix[:min(len(b.prefix), holdLimit)]
 }
 
-// reader returns the body from its start. A body that is not held has one
-// reader only. The reader is never one that http.Request replays.
+// reader returns the body from its start; earlier readers of a body that is
+// not held fail from then on, because the Transport may still read from them
+// after an attempt has failed. The reader is never one that http.Request
+// replays.
 func (b *body) reader() io.ReadCloser {
-	b.started.Store(true)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.held {
 		return io.NopCloser(bytes.NewReader(b.prefix))
 	}
-	return io.NopCloser(io.MultiReader(bytes.NewReader(b.prefix), teeReader{b}))
+	b.readers++
+	return io.NopCloser(io.MultiReader(bytes.NewReader(b.prefix), &teeReader{b: b, number: b.readers, fresh: !b.consumed}))
 }
 
 // absorb records the result of one read from the source. The lock is held.
@@ -165,13 +175,31 @@
 }
 
 // teeReader streams the rest of the body and keeps its first 64 KiB.
-type teeReader struct{ b *body }
+type teeReader struct {
+	b      *body
+	number int
+	fresh  bool // nothing was consumed before this reader
+}
+
+// begin reports whether t may read from the source.
+func (t *teeReader) begin() error {
+	t.b.mu.Lock()
+	defer t.b.mu.Unlock()
+	if t.b.err != nil {
+		return t.b.err
+	}
+	if t.number != t.b.readers || !t.fresh {
+		return errConsumed
+	}
+	t.b.consumed = true
+	return nil
+}
 
 // Read implements io.Reader. It reads without the lock, because a read may
 // block for as long as the caller sends nothing.
-func (t teeReader) Read(p []byte) (int, error) {
+func (t *teeReader) Read(p []byte) (int, error) {
 	b := t.b
-	if err := b.fault(); err != nil {
+	if err := t.begin(); err != nil {
 		return 0, err
 	}
 	n, err := b.src.Read(p)
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -193,9 +193,7 @@
 	observe(c.p.metrics.added[c.rank], time.Since(c.start)-c.busy-c.waited)
 	stripHop(a.resp.Header)
 	stripOwn(a.resp.Header)
-	h := c.w.Header()
-	c.decorate(h)
-	h[HeaderUpstream] = []string{string(c.upstream)}
+	c.decorate(c.w.Header())
 	if err := stream(c.w, a.resp, c.deadline, keep); err != nil {
 		c.outcome = outcomeBroken
 		if errors.Is(err, errCallerBroke) || c.r.Context().Err() != nil {
@@ -212,16 +210,20 @@
 
 // decorate sets the headers by which a caller can trace a decision.
 func (c *call) decorate(h http.Header) {
-	h[HeaderVersion] = []string{formatVersion(c.snap)}
+	s := newSetter(h, 7)
+	s.set(HeaderVersion, formatVersion(c.snap))
 	if c.route != nil {
-		h[HeaderRule] = []string{c.route.Rule.Name}
-		h[HeaderAskedBy] = []string{c.route.Rule.AskedBy}
-		h[HeaderRank] = []string{strconv.Itoa(int(c.rank))}
-		h[HeaderAttempts] = []string{strconv.Itoa(c.attempts)}
+		s.set(HeaderRule, c.route.Rule.Name)
+		s.set(HeaderAskedBy, c.route.Rule.AskedBy)
+		s.set(HeaderRank, strconv.Itoa(int(c.rank)))
+		if c.upstream != "" {
+			s.set(HeaderUpstream, string(c.upstream))
+		}
+		s.set(HeaderAttempts, strconv.Itoa(c.attempts))
 	}
 	if c.p.cfg.ConfigAge != nil {
 		if age := c.p.cfg.ConfigAge(); age > staleConfig {
-			h[HeaderConfigAge] = []string{strconv.Itoa(int(age.Seconds()))}
+			s.set(HeaderConfigAge, strconv.Itoa(int(age.Seconds())))
 		}
 	}
 }
@@ -237,8 +239,7 @@
 	if ref.reason == model.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
-	h := c.w.Header()
-	c.decorate(h)
+	c.decorate(c.w.Header())
 	answerEarly(c.w, c.r, c.body)
 	rule := ""
 	if c.route != nil {
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -168,15 +168,15 @@
 
 // peerHeader returns the fields for the hop to the node beside the upstream.
 func (c *call) peerHeader(j *job, now time.Time) http.Header {
-	h := maps.Clone(j.header)
-	h[HeaderRule] = []string{j.rule}
-	h[HeaderVersion] = []string{formatVersion(c.snap)}
-	h[HeaderRank] = []string{strconv.Itoa(int(j.rank))}
-	h[HeaderDeadline] = []string{millis(j.deadline.Sub(now))}
-	h[HeaderAttempt] = []string{strconv.Itoa(c.attempts)}
-	h[HeaderDepth] = []string{strconv.Itoa(j.depth)}
-	h[HeaderOrigin] = []string{string(c.p.cfg.Self)}
-	h[HeaderWorth] = []string{strconv.Itoa(max(j.worth, 1))}
-	h[HeaderTarget] = []string{strconv.FormatInt(j.target.Microseconds(), 10)}
-	return h
+	s := newSetter(maps.Clone(j.header), 9)
+	s.set(HeaderRule, j.rule)
+	s.set(HeaderVersion, formatVersion(c.snap))
+	s.set(HeaderRank, strconv.Itoa(int(j.rank)))
+	s.set(HeaderDeadline, millis(j.deadline.Sub(now)))
+	s.set(HeaderAttempt, strconv.Itoa(c.attempts))
+	s.set(HeaderDepth, strconv.Itoa(j.depth))
+	s.set(HeaderOrigin, string(c.p.cfg.Self))
+	s.set(HeaderWorth, strconv.Itoa(max(j.worth, 1)))
+	s.set(HeaderTarget, strconv.FormatInt(j.target.Microseconds(), 10))
+	return s.h
 }
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -52,16 +52,23 @@
 
 func newMesh(t testing.TB) *mesh {
 	m := &mesh{t: t, notices: crashguard.NewMemory(time.Now)}
+	m.snap.Store(compile(t, 7))
+	return m
+}
+
+// raise puts version 8 in force.
+func raise(t testing.TB, m *mesh) { m.snap.Store(compile(t, 8)) }
+
+func compile(t testing.TB, v model.Version) *routing.Snapshot {
 	f, faults := rules.Parse("test", []byte(testRules))
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	s, err := routing.Compile(model.VersionInfo{Number: 7}, f)
+	s, err := routing.Compile(model.VersionInfo{Number: v}, f)
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.snap.Store(s)
-	return m
+	return s
 }
 
 // node is one Proxy with its listeners.
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -46,6 +46,20 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// setter sets single values whose slices share one allocation.
+type setter struct {
+	h      http.Header
+	values []string
+}
+
+func newSetter(h http.Header, n int) setter { return setter{h: h, values: make([]string, 0, n)} }
+
+func (s *setter) set(name, value string) {
+	n := len(s.values)
+	s.values = append(s.values, value)
+	s.h[name] = s.values[n : n+1 : n+1]
+}
+
 // stripHop removes hop-by-hop fields, also those that Connection names.
 func stripHop(h http.Header) {
 	for _, line := range h["Connection"] {
--- a/pkg/proxy/peer.go
+++ b/pkg/proxy/peer.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	j.body = newBody(r, p.cfg.Limits.Body, nil)
-	if n, chunked := j.body.length(); chunked || n > holdLimit {
+	if r.ContentLength != 0 {
 		// Without it net/http reads the whole request before the answer.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -17,6 +17,8 @@
 	// rawHeaderFactor lets requests with too large headers reach the handler,
 	// which answers them with a reason and counts them.
 	rawHeaderFactor = 4
+	// maxStreams bounds the calls in flight of one HTTP/2 connection.
+	maxStreams = 250
 	// peerHeaderSpace is what a node adds to the headers of a call.
 	peerHeaderSpace = 8 << 10
 )
@@ -26,6 +28,7 @@
 func (p *Proxy) CallServer() *http.Server {
 	s := p.server(p.CallHandler(), rawHeaderFactor*p.cfg.Limits.HeaderBytes)
 	s.Protocols.SetUnencryptedHTTP2(true)
+	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
 	return s
 }
 
--- a/pkg/proxy/upstream.go
+++ b/pkg/proxy/upstream.go
@@ -102,11 +102,11 @@
 
 // upstreamHeader returns the fields that the upstream receives.
 func (j *job) upstreamHeader(token string, now time.Time) http.Header {
-	h := maps.Clone(j.header)
-	h[HeaderDeadline] = []string{millis(j.deadline.Sub(now))}
-	h[HeaderRank] = []string{strconv.Itoa(int(j.rank))}
-	h[HeaderCall] = []string{token}
-	return h
+	s := newSetter(maps.Clone(j.header), 3)
+	s.set(HeaderDeadline, millis(j.deadline.Sub(now)))
+	s.set(HeaderRank, strconv.Itoa(int(j.rank)))
+	s.set(HeaderCall, token)
+	return s.h
 }
 
 // millis formats a remaining time, rounded down and never negative.
