React faster to refusing zones and bound the calls of a node

Cause: after a long time without refusals a sender kept offering calls to a zone that refused all of them; refusals without an estimate all named the same time to come back; HTTP/2 callers could have any number of calls in flight.

Change: the memory of answers halves in 500 ms instead of 1 s, failures weigh more in the choice of two, Retry-After is spread over 1 to 3 s where no drain time is known, and a node takes at most 4,096 calls of callers at a time.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -164,6 +164,39 @@
 	}
 }
 
+// Guards against calls that stay with a zone that refuses them, and against
+// calls that leave it although it accepts them.
+func TestRefusingZoneIsLeft(t *testing.T) {
+	p, entries, now := NewPicker(), fleet(), time.Duration(0)
+	count := func(near Outcome) (far int) {
+		for i := range 3000 {
+			now += time.Millisecond
+			c, res := p.Pick(Request{Entries: entries, From: here, Now: now, Random: uint64(i)})
+			if res != Picked {
+				t.Fatal("a service with accepting upstreams was given up")
+			}
+			o := Accepted
+			if c.Distance == model.SameZone {
+				o = near
+			} else if i >= 2000 { // two seconds after the change
+				far++
+			}
+			c.Evidence.Begin(now)
+			c.Evidence.End(now, 0, o, time.Millisecond)
+			if c.Distance == model.OtherRegion {
+				t.Fatal("a call left the region although a zone of it accepts calls")
+			}
+		}
+		return far
+	}
+	if far := count(Accepted); far != 0 {
+		t.Fatalf("%d calls left an accepting zone", far)
+	}
+	if far := count(Refused); far < 900 {
+		t.Fatalf("only %d of 1000 calls left a zone that has refused for two seconds", far)
+	}
+}
+
 // Guards against load that ignores calls in flight.
 func TestSlowUpstreamGetsFewerCalls(t *testing.T) {
 	p, entries := NewPicker(), fleet()[:2]
--- a/pkg/balance/evidence.go
+++ b/pkg/balance/evidence.go
@@ -10,8 +10,9 @@
 
 const (
 	// answerHalfLife is how fast the memory of accepted and refused calls
-	// fades. An upstream drains a full queue in well under a second.
-	answerHalfLife = time.Second
+	// fades. An upstream drains a full queue in well under a second; with 1 s
+	// a sender kept offering calls to a refusing zone for over 1.5 s.
+	answerHalfLife = 500 * time.Millisecond
 	// failureHalfLife is how fast the memory of connection failures fades.
 	failureHalfLife = 2 * time.Second
 	// latencyHalfLife lets a slow upstream be tried again although it is
@@ -22,7 +23,10 @@
 	// failureCap bounds the memory of failures, so that a recovered upstream
 	// gets calls again within a few half-lives.
 	failureCap = 16
-	ranks      = int(model.MaxRank) + 1
+	// failureWeight makes an upstream with a recent failure lose against one
+	// with a few more calls in flight.
+	failureWeight = 8
+	ranks         = int(model.MaxRank) + 1
 )
 
 // decayed is a value that halves in every half-life. It packs a float32 and
@@ -122,7 +126,7 @@
 func (e *Evidence) load(now time.Duration) float64 {
 	const newcomer = 0.1 // ms; makes an upstream without samples cheap, not free
 	latency := max(e.latency.value(now, latencyHalfLife), newcomer)
-	return float64(e.inFlight.Load()+1) * latency * (1 + e.failures.value(now, failureHalfLife))
+	return float64(e.inFlight.Load()+1) * latency * (1 + failureWeight*e.failures.value(now, failureHalfLife))
 }
 
 // down draws whether the upstream is left out because of recent connection
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -90,6 +90,8 @@
 	switch {
 	case c.p.refusing.Load():
 		return refuse(model.NodeDraining, model.NotRun, "")
+	case c.p.inFlight.Load() > int64(c.p.cfg.Limits.InFlight):
+		return refuse(model.Overloaded, model.NotRun, "the node has too many calls in flight")
 	case c.snap == nil:
 		return refuse(model.NoConfiguration, model.NotRun, "")
 	}
--- a/pkg/proxy/config.go
+++ b/pkg/proxy/config.go
@@ -77,6 +77,7 @@
 	HeaderTime   time.Duration // until the header of a request has arrived
 	BodyTime     time.Duration // until a held request body has arrived
 	Connections  int           // of callers at a time
+	InFlight     int           // calls of callers in this node at a time
 	HeldBodies   int64         // bytes of all request bodies held for claims
 	DrainGrace   time.Duration // arriving calls are still served while draining
 }
@@ -89,6 +90,7 @@
 	setDefault(&l.HeaderTime, 5*time.Second)
 	setDefault(&l.BodyTime, 10*time.Second)
 	setDefault(&l.Connections, 4096)
+	setDefault(&l.InFlight, 4096)
 	setDefault(&l.HeldBodies, 64<<20)
 	setDefault(&l.DrainGrace, 3*time.Second)
 	return l
--- a/pkg/proxy/limits_test.go
+++ b/pkg/proxy/limits_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -130,6 +131,8 @@
 	is := is.New(t)
 	hold := make(chan bool)
 	up := upstream(t, func(http.ResponseWriter, *http.Request) { <-hold })
+	free := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(free)
 	n := newMesh(t).add("a", up, func(c *Config) { c.Limits.Connections = 2 })
 	done := make(chan bool)
 	go func() {
@@ -143,7 +146,7 @@
 	_, err = raw(t, n, "GET /once HTTP/1.1\r\nHost: h\r\n\r\n")
 	is.True(err != nil) // the third connection
 	is.Equal(n.value("proxy_events_total", eventConnLimit), 1.0)
-	close(hold)
+	free()
 	<-done
 }
 
--- a/pkg/proxy/refusal.go
+++ b/pkg/proxy/refusal.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,13 @@
 	"github.com/lentilflow/lentilflow/pkg/problem"
 )
 
+// Callers that are refused without a better estimate are asked to come back
+// after a time in this range, spread so that they do not come back together.
+const (
+	minPause    = time.Second
+	pauseSpread = 2 * time.Second
+)
+
 // refusal is an attempt or a call that brought no answer of an upstream.
 type refusal struct {
 	reason     model.Reason
@@ -39,7 +47,7 @@
 	d := problem.New(r.reason, r.run)
 	d.Detail, d.Version, d.Rule, d.RetryAfter = r.detail, version, rule, r.retryAfter
 	if d.RetryAfter == 0 && (d.Status == http.StatusServiceUnavailable || d.Status == http.StatusTooManyRequests) {
-		d.RetryAfter = time.Second
+		d.RetryAfter = minPause + rand.N(pauseSpread)
 	}
 	return d
 }
--- a/pkg/proxy/stream_test.go
+++ b/pkg/proxy/stream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -103,12 +104,14 @@
 	})
 	hops(t, up, func(t *testing.T, n *node) {
 		is := is.New(t)
+		next := sync.OnceFunc(func() { goOn <- true })
 		resp := send(t, "GET", n.url+"/read", "")
+		defer next()
 		b := make([]byte, 5)
 		_, err := io.ReadFull(resp.Body, b)
 		is.NoErr(err)
 		is.Equal(string(b), "first")
-		goOn <- true
+		next()
 		rest, err := io.ReadAll(resp.Body)
 		is.NoErr(err)
 		is.Equal(string(rest), "second")
@@ -166,12 +169,14 @@
 func TestDrain(t *testing.T) {
 	is := is.New(t)
 	release := make(chan bool)
+	free := sync.OnceFunc(func() { close(release) })
 	slow := upstream(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/read/slow" {
 			<-release
 		}
 		_, _ = io.WriteString(w, "done")
 	})
+	t.Cleanup(free)
 	m := newMesh(t)
 	grace := func(c *Config) { c.Limits.DrainGrace = 100 * time.Millisecond }
 	a := m.add("a", slow, grace)
@@ -203,7 +208,7 @@
 		t.Fatal("the drain ended before the call in flight")
 	default:
 	}
-	close(release)
+	free()
 	is.NoErr(<-drained)
 	is.Equal(<-inFlight, 200)
 }
