--- a/pkg/standin/platform/schedule.go
+++ b/pkg/standin/platform/schedule.go
@@ -120,3 +120,6 @@
 func (o actorObjects) Put(ctx context.Context, key string, body []byte, ifMatch string) (string, error) {
 	return ask(o.Actor, true, func() (string, error) { return o.schedule.Blobs.Put(ctx, key, body, ifMatch) })
 }
+
+// Late returns the writes that have not taken effect yet.
+func (s *Schedule) Late() []func() { return s.late }
