--- a/pkg/publisher/machine_test.go
+++ b/pkg/publisher/machine_test.go
@@ -54,6 +54,7 @@
 	broken   variant
 	all      []*process
 	seen     []model.VersionInfo
+	wrong    string // a wrong call of a hook
 }
 
 func newWorld(t *rapid.T, broken variant) *world {
@@ -74,7 +75,7 @@
 		Check:     checkFile,
 		Accept: func(v model.VersionedText) error {
 			if v.Info.Number <= p.handed || digestOf(v.Text) != v.Info.Digest {
-				panic(fmt.Sprintf("version %d handed over after %d", v.Info.Number, p.handed))
+				w.wrong = fmt.Sprintf("version %d handed over after %d", v.Info.Number, p.handed)
 			}
 			p.handed = v.Info.Number
 			return nil
@@ -139,6 +140,9 @@
 
 // verify compares the rows with everything seen before.
 func (w *world) verify() {
+	if w.wrong != "" {
+		w.t.Fatal(w.wrong)
+	}
 	ctx := context.Background()
 	infos, err := NewQueries(w.schedule.Rows, w.schedule.Blobs).Versions(ctx, 0, MaxVersionsPage)
 	if err != nil || len(infos) < len(w.seen) {
@@ -243,9 +247,9 @@
 
 // find returns the message of the first violation, "" if there is none.
 func find(t *testing.T, prop func(*rapid.T)) string {
-	if err := flag.Set("rapid.checks", "4000"); err != nil {
-		t.Fatal(err)
-	}
+	checks := flag.Lookup("rapid.checks").Value
+	defer func(before string) { _ = checks.Set(before) }(checks.String())
+	_ = checks.Set("4000")
 	r := &recorder{TB: t}
 	done := make(chan struct{})
 	go func() {
