Add the fault-injecting TCP proxy

Cause: integration tests need slow, silent and cut links between processes. Change: pkg/faultproxy forwards TCP with latency, bandwidth, blackhole, cuts after n bytes, refusal and reset for each direction; directions can be shared by several proxies and changed while they run. A reset on one side is passed on as a reset, an orderly end as an orderly end.

--- /dev/null
+++ b/pkg/faultproxy/direction.go
@@ -0,0 +1,87 @@
+package faultproxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Conditions describe one direction of a link.
+type Conditions struct {
+	Latency   time.Duration // one way
+	Bandwidth int           // bytes per second, 0 means no limit
+	// Blackhole keeps bytes back without closing; they are delivered when it
+	// is switched off.
+	Blackhole bool
+	// CutAfter closes both sides of a connection after it has carried this
+	// many bytes in this direction, 0 means never.
+	CutAfter int64
+}
+
+// Direction is one direction of a link. Several proxies may share it, and
+// with it the bandwidth.
+type Direction struct {
+	mu      sync.Mutex
+	current Conditions
+	changed chan struct{} // closed when the conditions change
+	limiter *rate.Limiter
+	carried int64
+}
+
+// NewDirection returns a direction without faults.
+func NewDirection() *Direction {
+	return &Direction{changed: make(chan struct{}), limiter: rate.NewLimiter(rate.Inf, chunkSize)}
+}
+
+// Set changes the conditions, also for open connections.
+func (d *Direction) Set(c Conditions) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.current = c
+	limit := rate.Inf
+	if c.Bandwidth > 0 {
+		limit = rate.Limit(c.Bandwidth)
+	}
+	d.limiter.SetLimit(limit)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Bytes returns the number of bytes delivered in this direction.
+func (d *Direction) Bytes() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.carried
+}
+
+func (d *Direction) conditions() (Conditions, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.current, d.changed
+}
+
+func (d *Direction) count(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.carried += int64(n)
+}
+
+// admit waits for the bandwidth that n bytes need.
+func (d *Direction) admit(ctx context.Context, n int) error { return d.limiter.WaitN(ctx, n) }
+
+// open waits until the direction is no blackhole.
+func (d *Direction) open(ctx context.Context) (Conditions, error) {
+	for {
+		c, changed := d.conditions()
+		if !c.Blackhole {
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return c, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/faultproxy/proxy.go
@@ -0,0 +1,278 @@
+package faultproxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	chunkSize = 16 << 10
+	// chunksInFlight bounds what one connection holds in one direction: 4 MiB
+	// carry 4 Gbit/s at 8 ms of latency.
+	chunksInFlight = 256
+	dialTimeout    = 5 * time.Second
+)
+
+// Config configures a proxy.
+type Config struct {
+	Listen string // address to listen on; the default is "127.0.0.1:0"
+	Target string // address to connect to
+	// Forward carries bytes to the target and Backward from it. Nil gives the
+	// proxy directions of its own.
+	Forward, Backward *Direction
+}
+
+// Proxy forwards TCP connections to one target.
+type Proxy struct {
+	Forward, Backward *Direction
+
+	target   string
+	listener net.Listener
+	done     sync.WaitGroup
+
+	mu      sync.Mutex
+	refuse  bool
+	closed  bool
+	connect map[*connection]struct{}
+}
+
+type connection struct {
+	client, server *net.TCPConn
+	cancel         context.CancelFunc
+}
+
+// New returns a running proxy.
+func New(cfg Config) (*Proxy, error) {
+	if cfg.Listen == "" {
+		cfg.Listen = "127.0.0.1:0"
+	}
+	if cfg.Forward == nil {
+		cfg.Forward = NewDirection()
+	}
+	if cfg.Backward == nil {
+		cfg.Backward = NewDirection()
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{
+		Forward:  cfg.Forward,
+		Backward: cfg.Backward,
+		target:   cfg.Target,
+		listener: listener,
+		connect:  map[*connection]struct{}{},
+	}
+	p.done.Go(p.accept)
+	return p, nil
+}
+
+// Addr returns the address that the proxy listens on.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Cut refuses new connections (they are reset after the handshake) and resets
+// the open ones, until it is called with false.
+func (p *Proxy) Cut(on bool) {
+	p.mu.Lock()
+	p.refuse = on
+	p.mu.Unlock()
+	if on {
+		p.Reset()
+	}
+}
+
+// Reset resets the open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.connect {
+		c.reset()
+	}
+}
+
+// Close stops the proxy and waits for its goroutines.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	_ = p.listener.Close()
+	p.Reset()
+	p.done.Wait()
+}
+
+func (p *Proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.done.Go(func() { p.serve(client.(*net.TCPConn)) })
+	}
+}
+
+func (p *Proxy) serve(client *net.TCPConn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &connection{client: client, cancel: cancel}
+	ordered := false
+	defer func() { c.end(ordered) }()
+	if !p.add(c) {
+		return
+	}
+	defer p.remove(c)
+	p.handshake(ctx)
+	if _, err := p.Forward.open(ctx); err != nil {
+		return
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	server, err := dialer.DialContext(ctx, "tcp", p.target)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	c.server = server.(*net.TCPConn)
+	p.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	var there, back bool
+	var both sync.WaitGroup
+	both.Go(func() { there = c.carry(ctx, p.Forward, client, c.server) })
+	both.Go(func() { back = c.carry(ctx, p.Backward, c.server, client) })
+	both.Wait()
+	ordered = there && back
+}
+
+// handshake waits for the round trip that a new connection costs.
+func (p *Proxy) handshake(ctx context.Context) {
+	there, _ := p.Forward.conditions()
+	back, _ := p.Backward.conditions()
+	wait(ctx, there.Latency+back.Latency)
+}
+
+func (p *Proxy) add(c *connection) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse || p.closed {
+		return false
+	}
+	p.connect[c] = struct{}{}
+	return true
+}
+
+func (p *Proxy) remove(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.connect, c)
+}
+
+// end closes both sides. After an orderly end the kernel still delivers what
+// it holds.
+func (c *connection) end(ordered bool) {
+	if !ordered {
+		c.reset()
+		return
+	}
+	c.cancel()
+	_ = c.client.Close()
+	_ = c.server.Close()
+}
+
+// reset closes both sides; linger 0 makes the kernel send RST and drop what it
+// has not sent.
+func (c *connection) reset() {
+	c.cancel()
+	for _, side := range []*net.TCPConn{c.client, c.server} {
+		if side != nil {
+			_ = side.SetLinger(0)
+			_ = side.Close()
+		}
+	}
+}
+
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// carry moves bytes from one side to the other and reports whether the stream
+// ended in order. The reader stamps each chunk with the time at which it is
+// due, so latency does not limit throughput.
+func (c *connection) carry(ctx context.Context, d *Direction, from, to *net.TCPConn) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	chunks := make(chan chunk, chunksInFlight)
+	var readErr error
+	var reader sync.WaitGroup
+	reader.Go(func() {
+		defer close(chunks)
+		readErr = read(ctx, d, from, chunks)
+	})
+	defer reader.Wait()
+	defer cancel()
+	if !deliver(ctx, d, to, chunks) || !errors.Is(readErr, io.EOF) {
+		c.reset()
+		return false
+	}
+	_ = to.CloseWrite() // an orderly end is passed on as such
+	return true
+}
+
+// read returns io.EOF at an orderly end of the stream.
+func read(ctx context.Context, d *Direction, from *net.TCPConn, chunks chan<- chunk) error {
+	for {
+		buffer := make([]byte, chunkSize)
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if err := d.admit(ctx, n); err != nil {
+				return err
+			}
+			c, _ := d.conditions()
+			select {
+			case chunks <- chunk{data: buffer[:n], due: time.Now().Add(c.Latency)}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// deliver reports whether the stream ended in order.
+func deliver(ctx context.Context, d *Direction, to *net.TCPConn, chunks <-chan chunk) bool {
+	var carried int64
+	for next := range chunks {
+		wait(ctx, time.Until(next.due))
+		c, err := d.open(ctx)
+		if err != nil {
+			return false
+		}
+		data, cut := next.data, false
+		if rest := c.CutAfter - carried; c.CutAfter > 0 && int64(len(data)) >= rest {
+			data, cut = data[:max(0, rest)], true
+		}
+		n, err := to.Write(data)
+		carried += int64(n)
+		d.count(n)
+		if err != nil || cut {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
