--- a/pkg/claim/claims.go
+++ b/pkg/claim/claims.go
@@ -52,7 +52,7 @@
 	cfg       Config
 	settler   *settler
 	submit    func(*operation) // settles the operation at some time
-	abandoned *abandoned
+	leftovers leftovers
 	now       func() time.Time
 	decide    func(record, string, func(model.NodeID, uint64) bool) Outcome
 }
@@ -80,12 +80,11 @@
 		g.limit = 1
 	}
 	return &Claims{
-		cfg:       cfg,
-		settler:   s,
-		submit:    g.submit,
-		abandoned: newAbandoned(),
-		now:       time.Now,
-		decide:    decide,
+		cfg:     cfg,
+		settler: s,
+		submit:  g.submit,
+		now:     time.Now,
+		decide:  decide,
 	}
 }
 
@@ -95,7 +94,7 @@
 func (c *Claims) Begin(ctx context.Context, k Key) (Outcome, error) {
 	o, id := c.insertion(k)
 	if err := c.await(ctx, o); err != nil {
-		c.abandoned.add(o.row, o.claim, c.now())
+		c.leftovers.add(id, nil, c.now())
 		return refusal(model.ClaimUnavailable, model.NotRun), merry.Wrap(ErrUnavailable, merry.WithCause(err))
 	}
 	return c.outcome(k, o, id)
@@ -128,23 +127,28 @@
 		return c.decide(o.found, k.Digest, c.cfg.Alive), nil
 	default:
 		if o.doubtful {
-			c.abandoned.add(o.row, o.claim, c.now())
+			c.leftovers.add(id, nil, c.now())
 		}
 		return refusal(model.ClaimUnavailable, model.NotRun), merry.Wrap(ErrUnavailable, merry.WithCause(o.err))
 	}
 }
 
 // Finish stores the complete answer of a granted call. It returns ErrLost if
-// the row is gone or ErrUnavailable if the store did not take the answer
-// before ctx ended; the key then stays in progress. A body above MaxBody is
-// not stored.
+// the row is gone. If the store does not take the answer before ctx ends it
+// returns ErrUnavailable and Run continues to try for a while; until then the
+// key stays in progress. A body above MaxBody is not stored.
 func (c *Claims) Finish(ctx context.Context, id ID, a Answer) error {
 	if len(a.Body) > MaxBody || a.Truncated {
 		a.Body, a.Truncated = nil, true
 	}
 	r := c.record(id, done)
 	r.Answer = &a
-	return c.conclude(ctx, id, finish, r.encode())
+	value := r.encode()
+	err := c.conclude(ctx, id, finish, value)
+	if errors.Is(err, ErrUnavailable) {
+		c.leftovers.add(id, value, c.now())
+	}
+	return err
 }
 
 // Release deletes the claim after a definite not_run, so that the caller may
@@ -153,7 +157,7 @@
 func (c *Claims) Release(ctx context.Context, id ID) error {
 	err := c.conclude(ctx, id, release, nil)
 	if id.doubtful || errors.Is(err, ErrUnavailable) {
-		c.abandoned.add(id.Row, id.Claim, c.now())
+		c.leftovers.add(id, nil, c.now())
 	}
 	return err
 }
--- a/pkg/claim/claims_test.go
+++ b/pkg/claim/claims_test.go
@@ -81,21 +81,32 @@
 	wg.Wait()
 	_, err = service.Rows.Get(ctx, key("leaves").row())
 	is.NoErr(err) // the insert took effect
-	c.releaseAbandoned(ctx)
+	c.workOff(ctx)
 	_, err = service.Rows.Get(ctx, key("leaves").row())
 	is.True(errors.Is(err, platform.ErrNotFound))
 }
 
-// Guards against orders that hang or run while the store is down.
+// Guards against orders that hang or run while the store is down, and against
+// a key that stays in progress after an outage although its call has ended.
 func TestStoreDown(t *testing.T) {
-	is := is.New(t)
+	is, ctx := is.New(t), context.Background()
 	service, table := start(t)
-	service.SetFaults(standin.Faults{Down: true})
 	c := NewClaims(Config{Table: table, Timeout: 100 * time.Millisecond})
-	out, err := c.Begin(context.Background(), key("a"))
+	before, err := c.Begin(ctx, key("before"))
+	is.NoErr(err)
+	service.SetFaults(standin.Faults{Down: true})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	is.True(errors.Is(c.Finish(short, before.ID, Answer{Status: 201}), ErrUnavailable))
+	out, err := c.Begin(ctx, key("a"))
 	is.True(errors.Is(err, ErrUnavailable))
 	is.Equal(out.Refusal, model.ClaimUnavailable)
 	is.Equal(out.Run, model.NotRun)
+	service.SetFaults(standin.Faults{})
+	c.workOff(ctx)
+	out, err = c.Begin(ctx, key("before"))
+	is.NoErr(err)
+	is.Equal(out.Replay.Status, 201)
 }
 
 // Guards against rows that stay for ever or go before their retention ends,
--- a/pkg/claim/machine_test.go
+++ b/pkg/claim/machine_test.go
@@ -178,7 +178,7 @@
 	ctx := context.Background()
 	switch choice := rapid.IntRange(0, 5).Draw(t, "choice"); {
 	case choice == 0:
-		p.actor.Start(func() { p.claims.releaseAbandoned(ctx) })
+		p.actor.Start(func() { p.claims.workOff(ctx) })
 	case choice == 1:
 		p.actor.Start(func() { _, _, _ = p.claims.sweepPage(ctx, "") })
 	case choice < 4 && len(p.calls) > 0:
--- a/pkg/claim/settle.go
+++ b/pkg/claim/settle.go
@@ -31,11 +31,10 @@
 	// it may take effect later.
 	doubtful bool
 
-	settled  chan struct{} // closed when result is set
-	result   verdict
-	found    record // the row that decided, if result is lost and there is one
-	hasFound bool
-	err      error // result is not known
+	settled chan struct{} // closed when result is set
+	result  verdict
+	found   record // the row that decided, if result is lost
+	err     error  // result is not known
 }
 
 // finishWith records the result of o and wakes its submitter.
@@ -167,7 +166,7 @@
 		return false
 	}
 	if current != nil {
-		o.found, o.hasFound = *current, true
+		o.found = *current
 	}
 	o.finishWith(v, nil)
 	return true
--- a/pkg/claim/sweep.go
+++ b/pkg/claim/sweep.go
@@ -18,69 +18,66 @@
 	sweepInterval = 100 * time.Millisecond
 	sweepRest     = time.Minute // between two passes, and after an error
 
-	abandonedInterval = time.Second
-	abandonedDelay    = 2 * time.Second // doubles with each attempt
-	abandonedKeep     = 10 * time.Minute
-	abandonedMax      = 1024
-	abandonedPerRound = 32
+	leftoverInterval = time.Second
+	leftoverDelay    = 2 * time.Second // doubles with each attempt
+	leftoverKeep     = 10 * time.Minute
+	leftoverMax      = 1024
+	leftoverMaxBytes = 1 << 20 // of answers, to stay within the 32 MB of a node
+	leftoverPerRound = 32
 )
 
-// abandoned lists claims that were never dispatched, or were released, but
-// whose row may be or come into being.
-type abandoned struct {
-	mu   sync.Mutex
-	open []abandonedClaim
-}
-
-type abandonedClaim struct {
-	row, claim string
+// leftover is work on a claim row that the store did not take in time: an
+// answer to store or, without one, a release. Releases cover claims that were
+// never dispatched, or did not run, but whose row may be or come into being.
+type leftover struct {
+	id         ID
+	answer     []byte // encoded record, nil for a release
 	since, due time.Time
 	delay      time.Duration
 }
 
-func newAbandoned() *abandoned { return &abandoned{} }
+// leftovers is a bounded list. Work that finds no place is dropped; the row
+// then stays as it is until its retention ends.
+type leftovers struct {
+	mu    sync.Mutex
+	open  []leftover
+	bytes int
+}
+
+func (l *leftovers) add(id ID, answer []byte, now time.Time) {
+	l.put(leftover{id: id, answer: answer, since: now, due: now, delay: leftoverDelay})
+}
 
-// add forgets the oldest claim when the list is full; its row then stays
-// until its retention ends.
-func (a *abandoned) add(row, claim string, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.open) >= abandonedMax {
-		a.open = a.open[1:]
+func (l *leftovers) put(work leftover) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.open) < leftoverMax && l.bytes+len(work.answer) <= leftoverMaxBytes {
+		l.open = append(l.open, work)
+		l.bytes += len(work.answer)
 	}
-	a.open = append(a.open, abandonedClaim{row: row, claim: claim, since: now, due: now, delay: abandonedDelay})
 }
 
-// take removes and returns up to n claims that are due, oldest first.
-func (a *abandoned) take(n int, now time.Time) []abandonedClaim {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var taken []abandonedClaim
-	a.open = slices.DeleteFunc(a.open, func(c abandonedClaim) bool {
-		if len(taken) == n || c.due.After(now) {
+// take removes and returns up to n entries that are due, oldest first.
+func (l *leftovers) take(n int, now time.Time) []leftover {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var taken []leftover
+	l.open = slices.DeleteFunc(l.open, func(work leftover) bool {
+		if len(taken) == n || work.due.After(now) {
 			return false
 		}
-		taken = append(taken, c)
+		taken = append(taken, work)
+		l.bytes -= len(work.answer)
 		return true
 	})
 	return taken
 }
 
-// put returns a claim to the list for a later attempt.
-func (a *abandoned) put(c abandonedClaim, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.open) < abandonedMax {
-		c.due, c.delay = now.Add(c.delay), 2*c.delay
-		a.open = append(a.open, c)
-	}
-}
-
-// Run releases abandoned claims and, where Config.Sweep says so, deletes rows
+// Run repeats what the store did not take in time and, where Config.Sweep says so, deletes rows
 // past their retention. It returns when ctx ends.
 func (c *Claims) Run(ctx context.Context) error {
-	abandonedTick := time.NewTicker(abandonedInterval)
-	defer abandonedTick.Stop()
+	tick := time.NewTicker(leftoverInterval)
+	defer tick.Stop()
 	sweep := time.NewTimer(sweepRest)
 	defer sweep.Stop()
 	after := ""
@@ -88,8 +85,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-abandonedTick.C:
-			c.releaseAbandoned(ctx)
+		case <-tick.C:
+			c.workOff(ctx)
 		case <-sweep.C:
 			after = c.sweepOnce(ctx, after)
 			delay := sweepInterval
@@ -144,32 +141,43 @@
 	return rows[len(rows)-1].Key, len(t.Deletes), nil
 }
 
-// releaseAbandoned deletes the rows of some abandoned claims. Each claim stays
-// listed for a while, because a late insert may still take effect.
-func (c *Claims) releaseAbandoned(ctx context.Context) {
+// workOff tries some leftovers again. A release stays listed for a while even
+// after it took effect, because a late insert may still arrive.
+func (c *Claims) workOff(ctx context.Context) {
 	now := c.now()
-	for _, a := range c.abandoned.take(abandonedPerRound, now) {
-		c.releaseRow(ctx, a)
-		if now.Sub(a.since) < abandonedKeep {
-			c.abandoned.put(a, now)
+	for _, work := range c.leftovers.take(leftoverPerRound, now) {
+		if work.answer == nil {
+			c.releaseRow(ctx, work.id)
+		} else if c.apply(ctx, work.id, finish, work.answer) {
+			continue
+		}
+		if now.Sub(work.since) < leftoverKeep {
+			work.due, work.delay = now.Add(work.delay), 2*work.delay
+			c.leftovers.put(work)
 		}
 	}
 }
 
-func (c *Claims) releaseRow(ctx context.Context, a abandonedClaim) {
-	row, err := c.cfg.Table.Get(ctx, a.row)
+// apply submits one operation and reports whether the store decided it.
+func (c *Claims) apply(ctx context.Context, id ID, k kind, value []byte) bool {
+	o := &operation{kind: k, row: id.Row, claim: id.Claim, revision: id.Revision, value: value, settled: make(chan struct{})}
+	return c.await(ctx, o) == nil && o.err == nil
+}
+
+func (c *Claims) releaseRow(ctx context.Context, id ID) {
+	row, err := c.cfg.Table.Get(ctx, id.Row)
 	if err != nil {
 		return
 	}
 	r, err := decode(row.Value)
-	if err != nil || r.Claim != a.claim || r.State == done {
+	if err != nil || r.Claim != id.Claim || r.State == done {
 		return
 	}
 	_, err = c.cfg.Table.Commit(ctx, platform.Transaction{
-		Checks:  []platform.Check{{Key: a.row, Revision: row.Revision}},
-		Deletes: []string{a.row},
+		Checks:  []platform.Check{{Key: id.Row, Revision: row.Revision}},
+		Deletes: []string{id.Row},
 	})
 	if err != nil {
-		c.cfg.Log.Debug("cannot release an abandoned claim yet", zap.String("row", a.row), zap.Error(err))
+		c.cfg.Log.Debug("cannot release a claim yet", zap.String("row", id.Row), zap.Error(err))
 	}
 }
