--- /dev/null
+++ b/pkg/membership/bench_test.go
@@ -0,0 +1,65 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+var sizes = []int{280, 1400, 2800}
+
+func filled(n int) (*Core, *View, []model.Entry) {
+	entries := fleet(n, 7)
+	c := NewCore(entries[0])
+	for _, e := range entries[1:] {
+		c.Merge(e, t0)
+	}
+	return c, c.View(nil), entries
+}
+
+// BenchmarkMerge measures one changed entry.
+func BenchmarkMerge(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, _, entries := filled(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				e := &entries[1+i%(n-1)]
+				e.Sequence++
+				c.Merge(*e, t0)
+			}
+		})
+	}
+}
+
+// BenchmarkView measures a rebuild after ten changed entries.
+func BenchmarkView(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, v, entries := filled(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				for k := range 10 {
+					e := &entries[1+(i*10+k)%(n-1)]
+					e.Sequence++
+					c.Merge(*e, t0)
+				}
+				v = c.View(v)
+			}
+		})
+	}
+}
+
+// BenchmarkTree measures the positions of one view.
+func BenchmarkTree(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, v, _ := filled(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewTree(v.All())
+			}
+		})
+	}
+}
