--- /dev/null
+++ b/pkg/distribution/antientropy.go
@@ -0,0 +1,90 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/distribution/wire"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// seedRounds is the number of rounds after which a seed is asked as well, so
+// that two groups that started apart find each other.
+const seedRounds = 6
+
+// runSync compares rosters and versions with other nodes.
+func (r *Relay) runSync(ctx context.Context) {
+	next := time.Now().Add(around(r.cfg.Timing.Sync))
+	for round := 1; ; round++ {
+		if !pauseOr(ctx, time.Until(next), r.syncNow) {
+			return
+		}
+		if p := r.attached(); p.open && time.Now().Before(next) {
+			r.syncWith(ctx, r.targetOf(&p.entry)) // asked for by the heartbeats
+			if !pause(ctx, 5*r.cfg.Timing.Batch) {
+				return
+			}
+			continue
+		}
+		next = time.Now().Add(around(r.cfg.Timing.Sync))
+		for _, e := range r.syncPeers() {
+			r.syncWith(ctx, r.targetOf(&e))
+		}
+		if len(r.cfg.Seeds) > 0 && round%seedRounds == 0 {
+			r.syncWith(ctx, target{address: r.cfg.Seeds[rand.IntN(len(r.cfg.Seeds))]})
+		}
+	}
+}
+
+// syncPeers returns a random node of the own region and, for a region root, a
+// random root of another region.
+func (r *Relay) syncPeers() []model.Entry {
+	var near, far []model.Entry
+	for _, e := range r.cfg.Roster.View().All() {
+		if e.Node != r.self.Node && e.Location.Region == r.self.Location.Region && e.State < model.Draining {
+			near = append(near, e)
+		}
+	}
+	if t := r.tree(); t.IsRegionRoot(r.self.Node) {
+		for _, e := range t.ZoneRoots() {
+			if e.Location.Region != r.self.Location.Region {
+				far = append(far, e)
+			}
+		}
+	}
+	var out []model.Entry
+	for _, list := range [][]model.Entry{near, far} {
+		if len(list) > 0 {
+			out = append(out, list[rand.IntN(len(list))])
+		}
+	}
+	return out
+}
+
+// syncWith compares rosters with one node: digests first, then the entries of
+// the buckets that differ, both ways.
+func (r *Relay) syncWith(ctx context.Context, t target) {
+	view := r.cfg.Roster.View()
+	in := wire.SyncRequest{Node: r.self.Node, Digest: view.Digest(), Version: r.held().Number}
+	var out wire.SyncAnswer
+	if err := r.post(ctx, t, wire.Sync, in, &out); err != nil {
+		return // another node is asked in the next round
+	}
+	r.VersionSeen(out.Version)
+	theirs, ok := wire.DecodeDigests(out.Buckets)
+	if !ok {
+		return // equal
+	}
+	differing := view.Digests().Differing(theirs)
+	if len(differing) == 0 {
+		return
+	}
+	r.metrics.sync.Inc()
+	in.Buckets, in.Entries = differing, r.cfg.Roster.Entries(differing)
+	out = wire.SyncAnswer{}
+	if err := r.post(ctx, t, wire.Sync, in, &out); err != nil {
+		return
+	}
+	r.mergeValid(t.node, out.Entries, time.Now())
+}
--- a/pkg/membership/lease.go
+++ b/pkg/membership/lease.go
@@ -70,3 +70,6 @@
 func (e Exemption) Exempt() bool {
 	return e.OtherLive == 0 || e.Root && !e.RootReachable
 }
+
+// Lapse ends the own lease at once. A node that is told to stop calls it.
+func (r *Roster) Lapse() { r.lease.until.Store(1) }
