Bound the repetition of refused claim groups

Cause: a group was committed up to 8 times against a store that refused it, which multiplies the load of an overloaded store. Change: 3 attempts after refusals; lost answers and conflicts still get 8 rounds. The benchmark covers 1, 8 and 64 orders in flight.

--- a/pkg/claim/claims_test.go
+++ b/pkg/claim/claims_test.go
@@ -137,32 +137,36 @@
 	is.Equal(again.Refusal, model.KeyOutcomeUnknown)
 }
 
-// BenchmarkOrder measures platform writes per order (claim and finish) at 64
-// orders in flight.
+// BenchmarkOrder measures platform writes per order (claim and finish) for
+// several numbers of orders in flight.
 func BenchmarkOrder(b *testing.B) {
-	for name, window := range map[string]time.Duration{"alone": -1, "grouped": DefaultWindow} {
-		b.Run(name, func(b *testing.B) {
-			service, table := start(b)
-			c := NewClaims(Config{Table: table, Window: window})
-			ctx := context.Background()
-			work := make(chan int)
-			var wg sync.WaitGroup
-			for range 64 {
-				wg.Go(func() {
-					for i := range work {
-						out, err := c.Begin(ctx, key(fmt.Sprint(i)))
-						if err != nil || !out.Granted || c.Finish(ctx, out.ID, Answer{Status: 200}) != nil {
-							b.Error("order failed", err)
-						}
-					}
-				})
-			}
-			for i := 0; b.Loop(); i++ {
-				work <- i
+	for _, inFlight := range []int{1, 8, 64} {
+		for name, window := range map[string]time.Duration{"alone": -1, "grouped": DefaultWindow} {
+			b.Run(fmt.Sprintf("%s/%d", name, inFlight), func(b *testing.B) { benchmarkOrders(b, window, inFlight) })
+		}
+	}
+}
+
+func benchmarkOrders(b *testing.B, window time.Duration, inFlight int) {
+	service, table := start(b)
+	c := NewClaims(Config{Table: table, Window: window})
+	ctx := context.Background()
+	work := make(chan int)
+	var wg sync.WaitGroup
+	for range inFlight {
+		wg.Go(func() {
+			for i := range work {
+				out, err := c.Begin(ctx, key(fmt.Sprint(i)))
+				if err != nil || !out.Granted || c.Finish(ctx, out.ID, Answer{Status: 200}) != nil {
+					b.Error("order failed", err)
+				}
 			}
-			close(work)
-			wg.Wait()
-			b.ReportMetric(float64(service.Counters().Writes)/float64(b.N), "writes/order")
 		})
 	}
+	for i := 0; b.Loop(); i++ {
+		work <- i
+	}
+	close(work)
+	wg.Wait()
+	b.ReportMetric(float64(service.Counters().Writes)/float64(b.N), "writes/order")
 }
--- a/pkg/claim/settle.go
+++ b/pkg/claim/settle.go
@@ -12,7 +12,10 @@
 )
 
 const (
-	maxRounds      = 8
+	maxRounds = 8
+	// maxRefusals bounds the load that repeated commits add to a store that
+	// refuses them because it is overloaded.
+	maxRefusals    = 3
 	retryDelayBase = 20 * time.Millisecond
 	retryDelayCap  = 200 * time.Millisecond
 	// parallelReads keeps the inspection of a full group within 4 round
@@ -54,9 +57,9 @@
 // transactions but not their fate: an operation that fails its check is taken
 // out and the others are committed again.
 func (s *settler) settle(ctx context.Context, ops []*operation) {
-	open := ops
+	open, refusals := ops, 0
 	var err error
-	for round := 0; len(open) > 0 && round < maxRounds && ctx.Err() == nil; round++ {
+	for round := 0; len(open) > 0 && round < maxRounds && refusals < maxRefusals && ctx.Err() == nil; round++ {
 		batch, later := distinct(open)
 		var rows []platform.Row
 		rows, err = s.table.Commit(ctx, transaction(batch))
@@ -65,7 +68,8 @@
 			s.succeed(batch, rows)
 			open = s.inspect(ctx, later, false)
 		case errors.Is(err, platform.ErrUnavailable):
-			s.pause(ctx, retryDelay(round))
+			refusals++
+			s.pause(ctx, retryDelay(refusals))
 		default:
 			doubtful := !errors.Is(err, platform.ErrConflict)
 			open = append(s.inspect(ctx, batch, doubtful), s.inspect(ctx, later, false)...)
