Add strict start-up settings

A node that starts with a misread address or limit fails later and far from the cause, so every fault is refused before the node starts.

Settings are decoded from the YAML syntax tree by the struct tags, which also give defaults, bounds and the accepted values named in errors.

--- /dev/null
+++ b/pkg/settings/assign.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"errors"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+var errRange = errors.New("out of range")
+
+// assign converts text to the type of v, checks it against the tags of the
+// field and stores it.
+func assign(v reflect.Value, text string, tag reflect.StructTag) error {
+	switch v.Interface().(type) {
+	case Address:
+		a, err := parseAddress(text)
+		v.SetString(string(a))
+		return err
+	case URL:
+		u, err := parseURL(text)
+		v.SetString(string(u))
+		return err
+	case string:
+		v.SetString(text)
+		return checkWord(text, tag)
+	}
+	n, err := number(v, text)
+	if err != nil {
+		return err
+	}
+	v.SetInt(n)
+	return checkBounds(v, n, tag)
+}
+
+// number returns text in the base unit of v's type: nanoseconds, bytes or a
+// plain count.
+func number(v reflect.Value, text string) (int64, error) {
+	switch v.Interface().(type) {
+	case Duration:
+		d, err := parseDuration(text)
+		return int64(d), err
+	case Size:
+		s, err := parseSize(text)
+		return int64(s), err
+	default:
+		n, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return 0, errors.New("not a whole number")
+		}
+		return n, nil
+	}
+}
+
+func checkBounds(v reflect.Value, n int64, tag reflect.StructTag) error {
+	for _, bound := range []struct {
+		tag   string
+		wrong func(limit int64) bool
+	}{
+		{"min", func(limit int64) bool { return n < limit }},
+		{"max", func(limit int64) bool { return n > limit }},
+	} {
+		text := tag.Get(bound.tag)
+		if text == "" {
+			continue
+		}
+		limit, err := number(v, text)
+		if err != nil {
+			return err
+		}
+		if bound.wrong(limit) {
+			return errRange
+		}
+	}
+	return nil
+}
+
+func checkWord(text string, tag reflect.StructTag) error {
+	if words := tag.Get("enum"); words != "" {
+		if !slices.Contains(strings.Split(words, ","), text) {
+			return errors.New("unknown word")
+		}
+		return nil
+	}
+	if tag.Get("unit") == "path" {
+		if !strings.HasPrefix(text, "/") || strings.ContainsAny(text, " ?#") {
+			return errors.New("malformed path")
+		}
+		return nil
+	}
+	if !namePattern.MatchString(text) {
+		return errors.New("malformed name")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/settings/decode.go
@@ -0,0 +1,190 @@
+package settings
+
+import (
+	"errors"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// decoder fills a Settings value from the syntax tree of one file.
+type decoder struct {
+	file string
+	// lines holds the line of each stated field by its path, for checks that
+	// run after decoding.
+	lines map[string]int
+}
+
+func (d *decoder) fault(line int, field, message, accepted string) *Fault {
+	return &Fault{File: d.file, Line: line, Field: field, Message: message, Accepted: accepted}
+}
+
+// parse returns the top mapping of the file.
+func (d *decoder) parse(text []byte) (ast.Node, *Fault) {
+	f, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		line, message := 1, err.Error()
+		var y yaml.Error
+		if errors.As(err, &y) {
+			message = y.GetMessage()
+			if y.GetToken() != nil {
+				line = y.GetToken().Position.Line
+			}
+		}
+		return nil, d.fault(line, "", "not valid YAML: "+message, "")
+	}
+	if len(f.Docs) != 1 || f.Docs[0].Body == nil {
+		return nil, d.fault(1, "", "file must hold exactly one YAML document", acceptedKind(reflect.TypeFor[Settings](), ""))
+	}
+	return f.Docs[0].Body, nil
+}
+
+// value decodes n into v according to the type of v and the tags of its field.
+func (d *decoder) value(n ast.Node, path string, v reflect.Value, tag reflect.StructTag) *Fault {
+	d.lines[path] = lineOf(n)
+	switch v.Kind() {
+	case reflect.Struct:
+		return d.mapping(n, path, v)
+	case reflect.Slice:
+		return d.list(n, path, v, tag)
+	case reflect.Map:
+		return d.byRegion(n, path, v)
+	default:
+		return d.scalar(n, path, v, tag)
+	}
+}
+
+func (d *decoder) mapping(n ast.Node, path string, v reflect.Value) *Fault {
+	entries, ok := entriesOf(n)
+	if !ok {
+		return d.fault(lineOf(n), path, "wrong type", accepted(v.Type(), ""))
+	}
+	names := fieldNames(v.Type())
+	stated := make(map[string]bool, len(names))
+	for _, e := range entries {
+		key := e.Key.String()
+		i := slices.Index(names, key)
+		if i < 0 {
+			return d.fault(lineOf(e.Key), join(path, key), "unknown field", strings.Join(names, ", "))
+		}
+		stated[key] = true
+		if f := d.value(e.Value, join(path, key), v.Field(i), v.Type().Field(i).Tag); f != nil {
+			return f
+		}
+	}
+	return d.absent(lineOf(n), path, v, stated)
+}
+
+// absent sets the defaults of fields that are not stated and refuses a file
+// that lacks a required one.
+func (d *decoder) absent(line int, path string, v reflect.Value, stated map[string]bool) *Fault {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		name := field.Tag.Get("yaml")
+		if stated[name] {
+			continue
+		}
+		if field.Tag.Get("required") == "yes" {
+			return d.fault(line, join(path, name), "missing", accepted(field.Type, field.Tag))
+		}
+		if f := d.setDefault(line, join(path, name), v.Field(i), field.Tag); f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
+func (d *decoder) setDefault(line int, path string, v reflect.Value, tag reflect.StructTag) *Fault {
+	if v.Kind() == reflect.Struct {
+		return d.absent(line, path, v, nil)
+	}
+	text, ok := tag.Lookup("default")
+	if !ok {
+		return nil
+	}
+	if err := assign(v, text, tag); err != nil {
+		return d.fault(line, path, err.Error(), accepted(v.Type(), tag))
+	}
+	return nil
+}
+
+func (d *decoder) list(n ast.Node, path string, v reflect.Value, tag reflect.StructTag) *Fault {
+	s, ok := n.(*ast.SequenceNode)
+	if !ok {
+		return d.fault(lineOf(n), path, "wrong type", accepted(v.Type(), tag))
+	}
+	for i, item := range s.Values {
+		e := reflect.New(v.Type().Elem()).Elem()
+		if f := d.value(item, path+"["+strconv.Itoa(i)+"]", e, tag); f != nil {
+			return f
+		}
+		v.Set(reflect.Append(v, e))
+	}
+	return nil
+}
+
+func (d *decoder) byRegion(n ast.Node, path string, v reflect.Value) *Fault {
+	entries, ok := entriesOf(n)
+	if !ok {
+		return d.fault(lineOf(n), path, "wrong type", accepted(v.Type(), ""))
+	}
+	v.Set(reflect.MakeMap(v.Type()))
+	for _, e := range entries {
+		item := reflect.New(v.Type().Elem()).Elem()
+		key := e.Key.String()
+		if f := d.value(e.Value, join(path, key), item, ""); f != nil {
+			return f
+		}
+		v.SetMapIndex(reflect.ValueOf(key), item)
+	}
+	return nil
+}
+
+func (d *decoder) scalar(n ast.Node, path string, v reflect.Value, tag reflect.StructTag) *Fault {
+	s, ok := n.(ast.ScalarNode)
+	if !ok || n.Type() == ast.NullType || n.Type() == ast.BoolType {
+		return d.fault(lineOf(n), path, "wrong type", accepted(v.Type(), tag))
+	}
+	text := s.GetToken().Value
+	if literal, ok := n.(*ast.StringNode); ok {
+		text = literal.Value
+	}
+	if err := assign(v, text, tag); err != nil {
+		return d.fault(lineOf(n), path, err.Error()+" "+strconv.Quote(text), accepted(v.Type(), tag))
+	}
+	return nil
+}
+
+func entriesOf(n ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}, true
+	default:
+		return nil, false
+	}
+}
+
+// lineOf returns the line of n's first token.
+func lineOf(n ast.Node) int {
+	if m, ok := n.(*ast.MappingNode); ok && len(m.Values) > 0 {
+		n = m.Values[0]
+	}
+	if m, ok := n.(*ast.MappingValueNode); ok {
+		return m.Key.GetToken().Position.Line
+	}
+	return n.GetToken().Position.Line
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/pkg/settings/fault.go
@@ -0,0 +1,25 @@
+package settings
+
+import "fmt"
+
+// Fault is the reason why a settings file is refused.
+type Fault struct {
+	File     string
+	Line     int
+	Field    string // dotted path, for example "listeners.peer"; empty for the whole file
+	Message  string
+	Accepted string // accepted values
+}
+
+// Error formats f as "file:line: field: message (accepted: values)".
+func (f *Fault) Error() string {
+	s := fmt.Sprintf("%s:%d: ", f.File, f.Line)
+	if f.Field != "" {
+		s += f.Field + ": "
+	}
+	s += f.Message
+	if f.Accepted != "" {
+		s += " (accepted: " + f.Accepted + ")"
+	}
+	return s
+}
