Let the settings bound header time, body time and connections

The call path bounds what one caller can use; operators need the same bounds in the settings. Adds limits.header_time, limits.body_time and limits.connections, and settings.Default for processes that build their settings in code.

--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -113,6 +113,17 @@
 	return nil
 }
 
+// defaults sets the defaults of v and of the structs in it.
+func (d *decoder) defaults(v reflect.Value) {
+	for i := range v.NumField() {
+		if v.Field(i).Kind() == reflect.Struct {
+			d.defaults(v.Field(i))
+		} else if f := d.setDefault(0, "", v.Field(i), v.Type().Field(i).Tag); f != nil {
+			panic("default in a struct tag of Settings: " + f.Error())
+		}
+	}
+}
+
 func (d *decoder) list(n ast.Node, path string, v reflect.Value, tag reflect.StructTag) *Fault {
 	s, ok := n.(*ast.SequenceNode)
 	if !ok {
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -102,3 +102,11 @@
 	}
 	return nil
 }
+
+// Default returns settings that hold the defaults only. Required fields are
+// empty.
+func Default() Settings {
+	var s Settings
+	(&decoder{}).defaults(reflect.ValueOf(&s).Elem())
+	return s
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -55,7 +55,10 @@
 // Limits bound what the node takes from callers and operators.
 type Limits struct {
 	Body         Size     `yaml:"body" default:"8MiB" min:"1KiB" max:"1GiB" unit:"size"`
-	Headers      Size     `yaml:"headers" default:"64KiB" min:"1KiB" max:"1MiB" unit:"size"`
+	Headers      Size     `yaml:"headers" default:"32KiB" min:"1KiB" max:"1MiB" unit:"size"`
+	HeaderTime   Duration `yaml:"header_time" default:"5s" min:"100ms" max:"1m" unit:"duration"`
+	BodyTime     Duration `yaml:"body_time" default:"10s" min:"100ms" max:"10m" unit:"duration"`
+	Connections  int      `yaml:"connections" default:"4096" min:"1" max:"100000" unit:"connections"`
 	AdminTimeout Duration `yaml:"admin_timeout" default:"10s" min:"100ms" max:"1m" unit:"duration"`
 }
 
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -43,7 +43,7 @@
 	is.Equal(time.Duration(s.Platform.Timeout), 1500*time.Millisecond)
 	is.Equal(s.Platform.Objects, URL("http://127.0.0.1:7301"))
 	is.Equal(s.Limits.Body, Size(4<<20))
-	is.Equal(s.Limits.Headers, Size(64<<10))
+	is.Equal(s.Limits.Headers, Size(32<<10))
 	is.Equal(s.Drain.Finish, Duration(30*time.Second))
 	is.Equal(s.Log.Format, "json")
 	e := s.Entry(7)
