--- a/cmd/lentilflow/main.go
+++ b/cmd/lentilflow/main.go
@@ -1,3 +1,61 @@
+// Lentilflow is the node: one process beside each upstream.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/lentilflow/lentilflow/cmd/lentilflow/checksettings"
+	"github.com/lentilflow/lentilflow/cmd/lentilflow/run"
+)
+
+const description = `Runs the node of a lentilflow deployment that stands beside one upstream.
+
+The settings file says where the node runs; the rules file that operators edit says how calls are routed. SIGTERM and
+SIGINT stop the node gracefully. The exit status is 0 only if the command did what it was asked to do.`
+
+type commands struct {
+	Run           run.Command           `cmd:"" help:"Run the node until SIGTERM."`
+	CheckSettings checksettings.Command `cmd:"" help:"Check a settings file without starting the node."`
+	Version       versionCommand        `cmd:"" help:"Print the version of the program."`
+}
+
+type versionCommand struct{}
+
+// Run prints the module version and the revision that the program was built
+// from.
+func (versionCommand) Run(out io.Writer) error {
+	version, revision := "(devel)", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(out, "lentilflow %s, revision %s\n", version, revision)
+	return err
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	var c commands
+	command := kong.Parse(&c,
+		kong.Name("lentilflow"),
+		kong.Description(description),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.BindTo(os.Stdout, (*io.Writer)(nil)),
+	)
+	command.FatalIfErrorf(command.Run())
+}
