Add lentilctl and the development deployment

Operators could edit rules only through raw requests, and nobody could try the whole path in one process.

An edit that is not stored stays in a local file that the error names. lentilctl dev runs the platform's stand-in, 18 upstreams and 18 nodes on loopback.

--- /dev/null
+++ b/cmd/lentilctl/cli/cli.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/admin/client"
+)
+
+// Globals are the flags that every command takes.
+type Globals struct {
+	Admin   string        `help:"Administration listener of any node, as host:port." env:"LENTILCTL_ADMIN" default:"127.0.0.1:7402" placeholder:"ADDRESS"`
+	Output  string        `help:"Form of the output: ${enum}." enum:"text,json" default:"text" short:"o"`
+	Timeout time.Duration `help:"Longest time for one request." default:"10s"`
+}
+
+// Env is what a command runs with.
+type Env struct {
+	Globals
+	Context context.Context
+	Stdin   io.Reader
+	Stdout  io.Writer
+	Stderr  io.Writer
+	Getenv  func(string) string
+}
+
+// Client returns a client of the chosen node.
+func (e *Env) Client() *client.Client {
+	return client.NewClient(e.Admin)
+}
+
+// Request returns the context for one request.
+func (e *Env) Request() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(e.Context, e.Timeout)
+}
+
+// Print writes v as indented JSON, or calls text with a writer that aligns
+// tab-separated columns.
+func (e *Env) Print(v any, text func(w io.Writer)) error {
+	if e.Output == "json" {
+		enc := json.NewEncoder(e.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(e.Stdout, 0, 0, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+// Say writes one line about the progress of a command to standard error, so
+// that standard output holds the result only.
+func (e *Env) Say(format string, args ...any) {
+	fmt.Fprintf(e.Stderr, format+"\n", args...)
+}
--- /dev/null
+++ b/cmd/lentilctl/dev/dev.go
@@ -0,0 +1,87 @@
+// Package dev is the command "lentilctl dev".
+package dev
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
+	"github.com/lentilflow/lentilflow/pkg/devcluster"
+)
+
+// startTimeout bounds the time until version 1 is in force on every node.
+const startTimeout = 30 * time.Second
+
+// Command runs a deployment on loopback until SIGINT or SIGTERM.
+type Command struct {
+	Deployment      string `help:"Deployment to run: ${enum}." enum:"bertolucci,haneul" default:"bertolucci"`
+	NodesPerService int    `help:"Upstreams of each service, 1 to 6, with a node each. Three are one in each region, six one in each availability zone." default:"6"`
+	FirstPort       int    `help:"First of the ports of the nodes; each node takes ten." default:"7400"`
+	PlatformPort    int    `help:"Port of the platform's stand-in." default:"7390"`
+	LogLevel        string `help:"Least severe level that is logged: ${enum}." enum:"debug,info,warn,error" default:"error"`
+}
+
+// Run starts the deployment, prints its addresses and waits.
+func (c *Command) Run(env *cli.Env) error {
+	deployment, err := devcluster.Find(c.Deployment)
+	if err != nil {
+		return err
+	}
+	log, err := c.logger()
+	if err != nil {
+		return err
+	}
+	cluster, err := devcluster.Start(devcluster.Config{
+		Deployment:      deployment,
+		NodesPerService: c.NodesPerService,
+		FirstPort:       c.FirstPort,
+		PlatformPort:    c.PlatformPort,
+		Log:             log,
+	})
+	if err != nil {
+		return err
+	}
+	defer cluster.Stop()
+	if err := cluster.AwaitVersion(env.Context, 1, startTimeout); err != nil {
+		return err
+	}
+	if err := env.Print(cluster.Nodes(), func(w io.Writer) { write(w, cluster) }); err != nil {
+		return err
+	}
+	select {
+	case <-env.Context.Done():
+		env.Say("stopping")
+		return nil
+	case err := <-cluster.Failed():
+		return merry.Prepend(err, "deployment stopped")
+	}
+}
+
+func (c *Command) logger() (*zap.Logger, error) {
+	cfg := zap.NewDevelopmentConfig()
+	level, err := zap.ParseAtomicLevel(c.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Level = level
+	cfg.DisableStacktrace = true
+	return cfg.Build()
+}
+
+func write(w io.Writer, cluster *devcluster.Cluster) {
+	d := cluster.Deployment()
+	fmt.Fprintf(w, "deployment %s: version 1 in force on %d nodes\n\n", d.Name, len(cluster.Nodes()))
+	fmt.Fprintln(w, "NODE\tREGION\tZONE\tCALLS\tADMIN")
+	for _, n := range cluster.Nodes() {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Node, n.Location.Region, n.Location.AvailabilityZone, n.Calls, n.Admin)
+	}
+	first := cluster.Nodes()[0]
+	fmt.Fprintf(w, "\nplatform %s\n\ntry in another terminal:\n", cluster.PlatformURL())
+	fmt.Fprintf(w, "  curl -i -H 'Host: %s' http://%s%s\n", d.Try.Host, first.Calls, d.Try.Path)
+	fmt.Fprintf(w, "  EDITOR='sed -i s/%s/%s/' ./bin/lentilctl rules edit --admin %s\n", d.Try.Before, d.Try.After, first.Admin)
+	fmt.Fprintf(w, "  ./bin/lentilctl status --admin %s\n\nCtrl-C stops the deployment.\n", first.Admin)
+}
--- /dev/null
+++ b/cmd/lentilctl/execute.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/dev"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/explain"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/rules"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/status"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/upstreams"
+)
+
+const description = `Operates a lentilflow deployment through the administration API of one of its nodes.
+
+What changes routing is the rules file and nothing else: "rules edit" and "rules put" replace it, every other command
+only reads. The exit status is 0 if the command did all that it was asked to do.`
+
+type commands struct {
+	cli.Globals
+
+	Dev       dev.Command       `cmd:"" help:"Run a whole deployment on loopback in this process, to try things out."`
+	Rules     rules.Command     `cmd:"" help:"Check, compare, replace and trace the rules file."`
+	Status    status.Command    `cmd:"" help:"Show versions, ages and faults by region, availability zone and node."`
+	Upstreams upstreams.Command `cmd:"" help:"List the upstreams that nodes have announced."`
+	Explain   explain.Command   `cmd:"" help:"Show which rule decides a call, who asked for it, and where the call would go."`
+}
+
+// exit carries the status that kong chooses, for example after --help.
+type exit int
+
+// execute runs the command in args and returns the exit status.
+func execute(args []string, env *cli.Env) (code int) {
+	defer func() {
+		if r := recover(); r != nil {
+			status, ok := r.(exit)
+			if !ok {
+				panic(r)
+			}
+			code = int(status)
+		}
+	}()
+	var c commands
+	parser, err := kong.New(&c,
+		kong.Name("lentilctl"),
+		kong.Description(description),
+		kong.Writers(env.Stdout, env.Stderr),
+		kong.Exit(func(status int) { panic(exit(status)) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
+	)
+	if err != nil {
+		fmt.Fprintf(env.Stderr, "lentilctl: error: %s\n", err)
+		return 1
+	}
+	command, err := parser.Parse(args)
+	if err == nil {
+		env.Globals = c.Globals
+		err = command.Run(env)
+	}
+	if err != nil {
+		fmt.Fprintf(env.Stderr, "lentilctl: error: %s\n", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/lentilctl/rules/edit.go
@@ -0,0 +1,98 @@
+package rules
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
+	"github.com/lentilflow/lentilflow/pkg/admin"
+	"github.com/lentilflow/lentilflow/pkg/rules"
+)
+
+// Edit opens the deployment's rules file in the operator's editor.
+type Edit struct {
+	Wait
+}
+
+// Run reads the file, runs the editor, and puts the result if it has changed.
+// Whenever the edited text is not put, it stays in the local file that the
+// error names.
+func (c *Edit) Run(env *cli.Env) error {
+	ctx, cancel := env.Request()
+	defer cancel()
+	current, err := env.Client().Rules(ctx)
+	if err != nil {
+		return err
+	}
+	path, err := writeDraft(current.Text)
+	if err != nil {
+		return err
+	}
+	if err := runEditor(env, path); err != nil {
+		return kept(err, path)
+	}
+	text, err := readFile(path)
+	if err != nil {
+		return kept(err, path)
+	}
+	if bytes.Equal(text, []byte(current.Text)) {
+		env.Say("no change")
+		return os.Remove(path)
+	}
+	etag, err := c.replace(env, path, text, current)
+	if err != nil {
+		return kept(err, path)
+	}
+	if err := os.Remove(path); err != nil {
+		return merry.Prepend(err, "remove the draft")
+	}
+	return c.follow(env, etag)
+}
+
+func (c *Edit) replace(env *cli.Env, path string, text []byte, current admin.RulesFile) (string, error) {
+	after, faults := rules.Parse(path, text)
+	if len(faults) > 0 {
+		writeFaults(env.Stderr, faults)
+		return "", faultsError(path, faults)
+	}
+	if before, faults := rules.Parse("rules", []byte(current.Text)); len(faults) == 0 {
+		for _, change := range rules.Diff(before, after) {
+			env.Say("%s", change)
+		}
+	}
+	return put(env, text, current.ETag)
+}
+
+func kept(err error, path string) error {
+	return merry.Errorf("%w; your text is kept in %s", err, path)
+}
+
+func writeDraft(text string) (string, error) {
+	f, err := os.CreateTemp("", "lentilflow-*.rules")
+	if err != nil {
+		return "", merry.Prepend(err, "create a draft")
+	}
+	if _, err := f.WriteString(text); err != nil {
+		f.Close()
+		return "", merry.Prepend(err, "write the draft")
+	}
+	return f.Name(), f.Close()
+}
+
+// runEditor runs $EDITOR, which may hold arguments separated by blanks.
+func runEditor(env *cli.Env, path string) error {
+	words := strings.Fields(env.Getenv("EDITOR"))
+	if len(words) == 0 {
+		return merry.New("the environment variable EDITOR is not set")
+	}
+	editor := exec.CommandContext(env.Context, words[0], append(words[1:], path)...)
+	editor.Stdin, editor.Stdout, editor.Stderr = env.Stdin, env.Stdout, env.Stderr
+	if err := editor.Run(); err != nil {
+		return merry.Prependf(err, "editor %s", words[0])
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/devcluster/deployment.go
@@ -0,0 +1,95 @@
+package devcluster
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/lentilflow/lentilflow/examples"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// NodesPerService is the number of upstreams of each service in both
+// deployments.
+const NodesPerService = 6
+
+// Deployment describes one user of the product (docs/design.md, section 1).
+type Deployment struct {
+	Name        string
+	Zones       []model.Location // one of each region first
+	Services    []string
+	Slots       int // of one upstream
+	Connections int // that one upstream accepts
+	Rules       []byte
+	// Try is a request that the example rules decide.
+	Try Try
+}
+
+// Try is a call for a first attempt, and an edit that changes its rule.
+type Try struct {
+	Host   string
+	Path   string
+	Before string // text in the rules file
+	After  string // text that replaces it
+}
+
+var deployments = []Deployment{
+	{
+		Name:        "bertolucci",
+		Zones:       locations("serra/caxias", "litoral/joinville", "oeste/cascavel", "serra/bento", "litoral/itajai", "oeste/toledo"),
+		Services:    []string{"acompanha", "agenda", "pecas"},
+		Slots:       15,
+		Connections: 130,
+		Rules:       examples.Bertolucci,
+		Try:         Try{Host: "api.bertolucci.example", Path: "/status/42", Before: "target=50ms", After: "target=40ms"},
+	},
+	{
+		Name:        "haneul",
+		Zones:       locations("seoul/seoul-a", "busan/busan-a", "daejeon/daejeon-a", "seoul/seoul-b", "busan/busan-b", "daejeon/daejeon-b"),
+		Services:    []string{"catalog", "ordering", "engraving"},
+		Slots:       12,
+		Connections: 120,
+		Rules:       examples.Haneul,
+		Try:         Try{Host: "engraving.haneul.example", Path: "/designs/7", Before: "target=250ms", After: "target=240ms"},
+	},
+}
+
+// Find returns the deployment with the given name.
+func Find(name string) (Deployment, error) {
+	for _, d := range deployments {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, merry.Errorf("deployment %q does not exist (accepted: %s)", name, strings.Join(Names(), ", "))
+}
+
+// Names returns the names of the deployments.
+func Names() []string {
+	names := make([]string, len(deployments))
+	for i, d := range deployments {
+		names[i] = d.Name
+	}
+	return names
+}
+
+// Regions returns the regions in the order of the zones.
+func (d *Deployment) Regions() []string {
+	var regions []string
+	for _, z := range d.Zones {
+		if !slices.Contains(regions, string(z.Region)) {
+			regions = append(regions, string(z.Region))
+		}
+	}
+	return regions
+}
+
+func locations(names ...string) []model.Location {
+	all := make([]model.Location, len(names))
+	for i, name := range names {
+		region, zone, _ := strings.Cut(name, "/")
+		all[i] = model.Location{Region: model.Region(region), AvailabilityZone: model.AvailabilityZone(zone)}
+	}
+	return all
+}
