Show unreachable nodes as such and bound admin answers

The status showed version 0 and age 0s for a node that did not answer, and repeated its URL in the remark. A client that reads slowly could hold a connection of the admin listener without limit.

The status now says whether a node answered, and the admin server limits the time for an answer to twice limits.admin_timeout.

--- a/cmd/lentilctl/status/status.go
+++ b/cmd/lentilctl/status/status.go
@@ -40,8 +40,12 @@
 		fmt.Fprintln(w, "  ZONE\tNODE\tSERVICE\tSTATE\tVERSION\tAS OF\tPARENT\tREMARK")
 		for _, z := range r.Zones {
 			for _, n := range z.Nodes {
-				fmt.Fprintf(w, "  %s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", z.AvailabilityZone, n.Node, n.Service, n.State,
-					n.Version, age(n.AsOfAgeMS), orNone(string(n.Parent)), n.Why)
+				version, asOf := "-", "-"
+				if n.Answered {
+					version, asOf = fmt.Sprint(n.Version), age(n.AsOfAgeMS)
+				}
+				fmt.Fprintf(w, "  %s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", z.AvailabilityZone, n.Node, n.Service, n.State,
+					version, asOf, orNone(string(n.Parent)), n.Why)
 			}
 		}
 	}
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -163,6 +163,8 @@
 	is.Equal(busan[0].Why, "has not received version 2 from seoul-a-0")
 	is.Equal(busan[1].Why, "version 2: digest differs")
 	is.Equal(busan[2].Why, "")
+	is.True(seoul[0].Nodes[1].Answered)
+	is.True(!seoul[0].Nodes[2].Answered)
 	is.Equal(seoul[0].Nodes[2].Why, "no answer: connection refused")
 	is.Equal(seoul[1].Nodes[2].Why, "no heartbeat from the publisher for 1m0s")
 	is.Equal(s.Regions[1].AsOfAgeMS, int64(60000))
--- a/pkg/admin/api.go
+++ b/pkg/admin/api.go
@@ -57,10 +57,13 @@
 
 // NodeStatus is the state of one node.
 type NodeStatus struct {
-	Node    model.NodeID  `json:"node"`
-	Service string        `json:"service"`
-	State   string        `json:"state"` // of the roster entry
-	Version model.Version `json:"version"`
+	Node    model.NodeID `json:"node"`
+	Service string       `json:"service"`
+	State   string       `json:"state"` // of the roster entry
+	// Answered is false if the node was not reached; what follows is then
+	// unknown.
+	Answered bool          `json:"answered"`
+	Version  model.Version `json:"version"`
 	// AsOfAgeMS is the time since the node last heard which version is in
 	// force at the publisher.
 	AsOfAgeMS int64        `json:"as_of_age_ms"`
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -136,6 +136,7 @@
 		Node:      a.entry.Node,
 		Service:   a.entry.Service,
 		State:     a.entry.State.String(),
+		Answered:  a.err == nil,
 		Version:   a.state.Version,
 		AsOfAgeMS: a.state.AsOfAge.Milliseconds(),
 		Parent:    a.state.Parent,
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -49,13 +51,18 @@
 
 // State asks the node of e.
 func (s states) State(ctx context.Context, e model.Entry) (admin.NodeState, error) {
-	url := "http://" + e.AddressFrom(s.region) + wire.State.Path()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	target := "http://" + e.AddressFrom(s.region) + wire.State.Path()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return admin.NodeState{}, merry.Prepend(err, "peer address")
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
+		// net/http repeats the URL in its errors; the status names the node.
+		var u *url.Error
+		if errors.As(err, &u) {
+			err = u.Err
+		}
 		return admin.NodeState{}, merry.Prepend(err, "peer listener")
 	}
 	defer response.Body.Close()
--- a/pkg/node/servers.go
+++ b/pkg/node/servers.go
@@ -64,6 +64,7 @@
 		Handler:           n.adminHandler(),
 		ReadHeaderTimeout: adminHeaderTimeout,
 		ReadTimeout:       time.Duration(n.settings.Limits.AdminTimeout),
+		WriteTimeout:      2 * time.Duration(n.settings.Limits.AdminTimeout), // reading, then answering
 		IdleTimeout:       adminIdleTimeout,
 		MaxHeaderBytes:    int(n.settings.Limits.Headers),
 		ErrorLog:          errors,
