Test the upper bounds of settings

A bound of twice the stated maximum passed the tests. Two faulty files above the maximum are added.

Measured with go test ./pkg/settings: with the doubled bound the tests passed before and fail now; with the stated one they pass.

--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -60,6 +60,8 @@
 		{"wrong type", "slots: 15", "slots: many", `node.yaml:15: upstream.slots: not a whole number "many" (accepted: whole number, from 1 to 10000)`},
 		{"fraction", "slots: 15", "slots: 1.5", `node.yaml:15: upstream.slots: not a whole number "1.5"`},
 		{"out of range", "slots: 15", "slots: 0", `node.yaml:15: upstream.slots: out of range "0"`},
+		{"above the maximum", "slots: 15", "slots: 10001", `node.yaml:15: upstream.slots: out of range "10001"`},
+		{"too long", "1500ms", "61s", `node.yaml:20: platform.timeout: out of range "61s"`},
 		{"mapping expected", "platform:\n  tables: http://127.0.0.1:7300\n  objects: http://127.0.0.1:7301/\n  timeout: 1500ms", "platform: here", `node.yaml:17: platform: wrong type (accepted: mapping with the fields tables, objects, timeout)`},
 		{"list expected", "[127.0.0.1:7411]", "127.0.0.1:7411", `node.yaml:21: seeds: wrong type (accepted: list of: IP number`},
 		{"wrong unit", "1500ms", "1500us", `node.yaml:20: platform.timeout: malformed duration or wrong unit "1500us" (accepted: number with unit ms, s or m, such as 500ms, from 10ms to 1m)`},
