Send crash notices to the other upstreams of a service

Cause: nodes read the crash rows of the table service every 15 s on average, so a caller that sent its request again through other nodes could crash more than two upstreams in that time; and clocks that differ could count one crash twice.

Change: the node beside a crashed upstream sends POST /.lentilflow/v1/crash to the nodes beside the other upstreams of the service, which then refuse the request themselves. Every crash has an identifier that joins its reports.

--- a/pkg/crashguard/fingerprint.go
+++ b/pkg/crashguard/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"io"
 )
 
@@ -17,6 +18,18 @@
 // String returns the hexadecimal form of f.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(f)) {
+		return fmt.Errorf("fingerprint has %d digits, want %d", len(text), hex.EncodedLen(len(f)))
+	}
+	_, err := hex.Decode(f[:], text)
+	return err
+}
+
 // Request is what a fingerprint is taken of.
 type Request struct {
 	Method, Rule string
--- a/pkg/crashguard/record.go
+++ b/pkg/crashguard/record.go
@@ -22,6 +22,9 @@
 
 // Crash is one upstream that was lost while it ran a request.
 type Crash struct {
+	// ID is the same in all reports of one crash, whichever node made them.
+	// Without it reports are joined by upstream and time.
+	ID       string       `json:"id,omitempty"`
 	Upstream model.NodeID `json:"upstream"`
 	At       time.Time    `json:"at"`
 	// Alone says that no other call was in flight on the upstream.
@@ -40,7 +43,7 @@
 	next := r.live(c.At)
 	next.Service = service
 	for _, old := range next.Crashes {
-		if old.Upstream == c.Upstream && c.At.Sub(old.At).Abs() < sameCrash {
+		if old.ID != "" && old.ID == c.ID || old.Upstream == c.Upstream && c.At.Sub(old.At).Abs() < sameCrash {
 			return next
 		}
 	}
--- a/pkg/crashguard/table.go
+++ b/pkg/crashguard/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
@@ -135,9 +134,9 @@
 // take keeps one row, or deletes it when it has expired or is damaged.
 func (t *Table) take(ctx context.Context, row platform.Row) {
 	var f Fingerprint
-	n, err := hex.Decode(f[:], []byte(row.Key[len(rowPrefix):min(len(row.Key), len(rowPrefix)+2*len(f))]))
+	err := f.UnmarshalText([]byte(row.Key[len(rowPrefix):]))
 	var r Record
-	if err == nil && n == len(f) && json.Unmarshal(row.Value, &r) == nil {
+	if err == nil && json.Unmarshal(row.Value, &r) == nil {
 		if r = r.live(t.now()); len(r.Crashes) > 0 {
 			t.merge(f, r)
 			return
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -135,8 +135,8 @@
 	}
 	if ref := peerRefusal(resp.Header); ref != nil {
 		discard(resp)
-		if ref.down {
-			p.notices.Learn(j.fingerprint(), c.route.Rule.Service, crashguard.Crash{Upstream: e.Node, At: time.Now()})
+		if ref.crash != "" {
+			p.notices.Learn(j.fingerprint(), c.route.Rule.Service, crashguard.Crash{ID: ref.crash, Upstream: e.Node, At: time.Now()})
 		}
 		return nil, ref
 	}
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -26,7 +26,7 @@
 	HeaderTarget   = "Lentilflow-Target-Us" // latency target in microseconds
 	HeaderRefusal  = "Lentilflow-Refusal"   // reason and run state: "overloaded not_run"
 	HeaderBusy     = "Lentilflow-Busy-Us"   // time that was not spent in the node
-	HeaderDown     = "Lentilflow-Upstream-Down"
+	HeaderCrash    = "Lentilflow-Crash"     // identifier of the crash that ended the call
 
 	headerPrefix = "Lentilflow-"
 
--- a/pkg/proxy/limits_test.go
+++ b/pkg/proxy/limits_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -190,13 +191,9 @@
 	})
 }
 
-// Guards against a request that goes on crashing upstreams: after two have
-// fallen, every node refuses it, and other requests are served.
-func TestCrashingRequest(t *testing.T) {
-	is := is.New(t)
-	m := newMesh(t)
-	var nodes []*node
-	for i := range 5 {
+// crashers starts nodes whose upstreams end at a request for /read/crash.
+func crashers(t *testing.T, m *mesh, n int, change ...func(*Config)) (nodes []*node, crashes func() float64) {
+	for i := range n {
 		var l net.Listener
 		var address string
 		address, l = rawUpstream(t, func(_ int, c net.Conn) {
@@ -206,7 +203,7 @@
 				if err != nil {
 					return
 				}
-				if r.URL.Path == "/read/crash" {
+				if strings.HasSuffix(r.URL.Path, "/crash") {
 					_ = l.Close()
 					_ = c.Close()
 					return
@@ -214,14 +211,21 @@
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			}
 		})
-		nodes = append(nodes, m.add(fmt.Sprint("n", i), address))
+		nodes = append(nodes, m.add(fmt.Sprint("n", i), address, change...))
 	}
-	crashes := func() (sum float64) {
+	return nodes, func() (sum float64) {
 		for _, n := range nodes {
 			sum += n.value("proxy_events_total", eventCrash)
 		}
 		return sum
 	}
+}
+
+// Guards against a request that goes on crashing upstreams: after two have
+// fallen, every node refuses it, and other requests are served.
+func TestCrashingRequest(t *testing.T) {
+	is := is.New(t)
+	nodes, crashes := crashers(t, newMesh(t), 5)
 	for i := range 20 {
 		d := refusalOf(t, send(t, "GET", nodes[i%5].url+"/read/crash", ""))
 		if i > 0 {
@@ -233,3 +237,25 @@
 		is.Equal(send(t, "GET", nodes[i%5].url+"/read/fine", "").StatusCode, 200)
 	}
 }
+
+// Guards against nodes that do not learn of crashes from each other: they
+// share no memory and no table, and each time another one takes the request.
+func TestCrashNoticesReachTheOtherNodes(t *testing.T) {
+	is := is.New(t)
+	nodes, crashes := crashers(t, newMesh(t), 5, func(c *Config) { c.Notices = crashguard.NewMemory(time.Now) })
+	f := crashguard.Of(crashguard.Request{Method: "GET", Rule: "once", Target: "/once/crash"})
+	for i, n := range nodes {
+		send(t, "GET", n.url+"/once/crash", "")
+		for _, o := range nodes {
+			eventually(t, "every node knows of the crash", func() bool {
+				r, _ := o.notices.Lookup(f)
+				return len(r.Crashes) == min(i+1, crashguard.MaxCrashes)
+			})
+		}
+	}
+	is.Equal(crashes(), 2.0)
+	for _, text := range []string{"", "{}", "{\"fingerprint\":\"00\"}"} {
+		is.Equal(send(t, "POST", "http://"+nodes[0].peer+noticePath, text).StatusCode, 400)
+	}
+	is.Equal(send(t, "POST", nodes[0].url+noticePath, "{}").StatusCode, 400) // not for callers
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -39,6 +39,7 @@
 	gate      *admission.Gate
 	notices   crashguard.Notices
 	chains    chains
+	crashes   crashEvents
 	held      memory
 	toPeers   *http.Transport
 	toUp      *http.Transport
@@ -85,15 +86,19 @@
 func (p *Proxy) PeerHandler() http.Handler { return http.HandlerFunc(p.servePeer) }
 
 // SplitPeer returns the handler of the peer listener: requests below
-// rules.ReservedPath go to messages, all others are calls. A http.ServeMux does
+// rules.ReservedPath go to messages, except for crash notices, which the Proxy
+// takes itself; all others are calls. A http.ServeMux does
 // not do for calls, because it answers paths such as "//a" with a redirect.
 func (p *Proxy) SplitPeer(messages http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, rules.ReservedPath+"/") {
+		switch {
+		case r.URL.Path == noticePath:
+			p.serveNotice(w, r)
+		case strings.HasPrefix(r.URL.Path, rules.ReservedPath+"/"):
 			messages.ServeHTTP(w, r)
-			return
+		default:
+			p.servePeer(w, r)
 		}
-		p.servePeer(w, r)
 	})
 }
 
--- a/pkg/proxy/refusal.go
+++ b/pkg/proxy/refusal.go
@@ -25,8 +25,8 @@
 	run        model.RunState
 	retryAfter time.Duration
 	detail     string
-	final      bool // no retry would help, whatever the reason
-	down       bool // the upstream was unreachable after it was lost
+	final      bool   // no retry would help, whatever the reason
+	crash      string // identifier of the crash that ended the call, if any
 }
 
 func refuse(reason model.Reason, run model.RunState, detail string) *refusal {
@@ -55,8 +55,8 @@
 // mark sets the headers by which the first node recognises a refusal of a peer.
 func (r *refusal) mark(h http.Header) {
 	h[HeaderRefusal] = []string{string(r.reason) + " " + string(r.run)}
-	if r.down {
-		h[HeaderDown] = []string{"1"}
+	if r.crash != "" {
+		h[HeaderCrash] = []string{r.crash}
 	}
 }
 
@@ -69,7 +69,7 @@
 		return nil
 	}
 	reason, run, _ := strings.Cut(mark, " ")
-	r := &refusal{reason: model.Reason(reason), run: model.RunState(run), down: h.Get(HeaderDown) != ""}
+	r := &refusal{reason: model.Reason(reason), run: model.RunState(run), crash: h.Get(HeaderCrash)}
 	if !known[r.reason] || r.run != model.NotRun && r.run != model.Unknown {
 		return refuse(model.UpstreamLost, model.Unknown, "the peer sent a refusal that cannot be read")
 	}
--- a/pkg/proxy/state_test.go
+++ b/pkg/proxy/state_test.go
@@ -160,3 +160,22 @@
 		}
 	}
 }
+
+// Guards against two attempts that each send a part of one streamed body: the
+// reader of a failed attempt may still be read by the Transport.
+func TestOnlyOneReaderOfAStreamedBody(t *testing.T) {
+	is := is.New(t)
+	r, _ := http.NewRequest("PUT", "http://h/", io.MultiReader(strings.NewReader("whole body")))
+	r.ContentLength = -1
+	b := newBody(r, 1000, nil)
+	first, second := b.reader(), b.reader()
+	_, err := first.Read(make([]byte, 5))
+	is.True(err != nil) // abandoned before it was read
+	is.True(b.replayable())
+	got, err := io.ReadAll(second)
+	is.NoErr(err)
+	is.Equal(string(got), "whole body")
+	is.True(!b.replayable())
+	_, err = io.ReadAll(b.reader())
+	is.True(err != nil) // a third reader never delivers the body as complete
+}
--- a/pkg/proxy/upstream.go
+++ b/pkg/proxy/upstream.go
@@ -20,7 +20,7 @@
 	probeTimeout = 200 * time.Millisecond
 	// probePeriod is how often an unreachable upstream is looked at.
 	probePeriod = 500 * time.Millisecond
-	// noticeTime bounds the writing of a crash notice.
+	// noticeTime bounds the sharing of a crash notice.
 	noticeTime = 10 * time.Second
 )
 
@@ -157,8 +157,8 @@
 	}
 	p.log.Warn("connection to the upstream was lost", zapRule(j.rule), zapError(err))
 	r := refuse(model.UpstreamLost, run, "")
-	if r.down = !p.upstreamAccepts(); r.down {
-		p.crashed(j)
+	if !p.upstreamAccepts() {
+		r.crash = p.crashed(j)
 		p.unreached()
 	}
 	return r
@@ -240,23 +240,6 @@
 	return nil
 }
 
-// crashed records that the upstream was lost while it ran j. The slot of j is
-// still taken.
-func (p *Proxy) crashed(j *job) {
-	f, c := j.fingerprint(), crashguard.Crash{
-		Upstream: p.cfg.Self, At: time.Now(), Alone: p.gate.State().Running == 1,
-	}
-	p.metrics.events[eventCrash].Inc()
-	p.log.Warn("upstream crashed while it ran a request", zapRule(j.rule), zapFingerprint(f))
-	p.notices.Learn(f, p.cfg.Service, c)
-	p.later(noticeTime, func(ctx context.Context) {
-		if err := p.notices.Report(ctx, f, p.cfg.Service, c); err != nil {
-			p.metrics.events[eventNotShared].Inc()
-			p.log.Warn("crash notice was not shared", zapFingerprint(f), zapError(err))
-		}
-	})
-}
-
 // exonerate tells the other nodes that a suspected request ran to its end.
 func (p *Proxy) exonerate(j *job) {
 	if p.notices.Empty() {
