Serve callers of a leaving node until its listener closes

Cause: 3 s after SIGTERM a node refused its callers with 503 draining, although other upstreams could run their calls. An empty POST or PUT reached the upstream without Content-Length: 0, a side effect of keeping net/http from repeating requests. Change: a leaving node asks HTTP/1 callers to close their connections, sends their calls to other upstreams, and closes the caller listener instead of refusing. Empty bodies are sent with their length; the idempotency key is spelled so that net/http does not treat the request as replayable. Without the spelling TestTransportDoesNotRepeat/key fails.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -88,7 +88,7 @@
 		c.p.metrics.events[eventForgedHeader].Add(float64(forged))
 	}
 	switch {
-	case c.p.refusing.Load():
+	case c.p.refusing.Load() && c.p.cfg.StopCallers == nil:
 		return refuse(model.NodeDraining, model.NotRun, "")
 	case c.p.inFlight.Load() > int64(c.p.cfg.Limits.InFlight):
 		return refuse(model.Overloaded, model.NotRun, "the node has too many calls in flight")
@@ -212,6 +212,9 @@
 
 // decorate sets the headers by which a caller can trace a decision.
 func (c *call) decorate(h http.Header) {
+	if c.p.leaving.Load() && c.r.ProtoMajor == 1 {
+		h["Connection"] = []string{"close"}
+	}
 	s := newSetter(h, 7)
 	s.set(HeaderVersion, formatVersion(c.snap))
 	if c.route != nil {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// request builds the request for the Transport. It always has a body reader
-// and never GetBody: the Transport repeats requests without a body on another
+// request builds the request for the Transport. It has a body reader where the
+// Transport would otherwise treat it as replayable, and never GetBody: the Transport repeats requests without a body on another
 // connection, also after they were written, and such a repetition would be
 // neither counted nor limited to calls that may run twice.
 func (o *outgoing) request(ctx context.Context) *http.Request {
@@ -81,6 +81,16 @@
 		r.Trailer = o.in.Trailer
 		r.Body = o.body.reader()
 	case length == 0:
+		if expectsBody(r.Method) {
+			// Only without a body reader does the Transport send
+			// "Content-Length: 0", without which some servers answer 411. It
+			// repeats such requests only if they carry an idempotency key in
+			// the canonical spelling.
+			r.Body = http.NoBody
+			respell(r.Header, "Idempotency-Key", "idempotency-key")
+			respell(r.Header, "X-Idempotency-Key", "x-idempotency-key")
+			break
+		}
 		// "identity" keeps the Transport from probing the empty reader in a
 		// goroutine and from sending it as a chunked body.
 		r.ContentLength, r.TransferEncoding = -1, []string{"identity"}
@@ -92,6 +102,18 @@
 	return r.WithContext(ctx)
 }
 
+// respell moves the values of a field to another spelling of its name.
+func respell(h http.Header, from, to string) {
+	if v, ok := h[from]; ok {
+		delete(h, from)
+		h[to] = v
+	}
+}
+
+func expectsBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
 // runState translates whether a request began into a run state.
 func runState(began bool) model.RunState {
 	if began {
