--- a/pkg/distribution/antientropy.go
+++ b/pkg/distribution/antientropy.go
@@ -13,6 +13,10 @@
 // that two groups that started apart find each other.
 const seedRounds = 6
 
+// rejoinAfter is the time without any exchange after which a node joins again
+// through whatever it knows: its part of the tree may have died around it.
+const rejoinAfter = 2 * isolationLimit
+
 // runSync compares rosters and versions with other nodes.
 func (r *Relay) runSync(ctx context.Context) {
 	next := time.Now().Add(around(r.cfg.Timing.Sync))
@@ -28,6 +32,9 @@
 			continue
 		}
 		next = time.Now().Add(around(r.cfg.Timing.Sync))
+		if time.Since(time.Unix(0, r.contact.Load())) > rejoinAfter {
+			r.join(ctx)
+		}
 		for _, e := range r.syncPeers() {
 			r.syncWith(ctx, r.targetOf(&e))
 		}
@@ -71,7 +78,7 @@
 	if err := r.post(ctx, t, wire.Sync, in, &out); err != nil {
 		return // another node is asked in the next round
 	}
-	r.VersionSeen(out.Version)
+	r.versionSeenAt(out.Version, t)
 	theirs, ok := wire.DecodeDigests(out.Buckets)
 	if !ok {
 		return // equal
--- a/pkg/distribution/follow.go
+++ b/pkg/distribution/follow.go
@@ -162,6 +162,9 @@
 	go func() { successor <- r.superviseParent(o) }()
 	cause := r.readFrames(o, stale)
 	o.cancel(streamEnd(cause))
+	if cause != endReturned && cause != endTop {
+		r.lost(o.entry.Node, o.entry.Generation)
+	}
 	return cause, <-successor
 }
 
@@ -187,7 +190,7 @@
 		now := time.Now()
 		r.count(frameKind(&f), received, o.entry.Location.Region, size+chunkOverhead)
 		if f.Version != nil && r.applyFrame(f.Version) {
-			go func() { _ = r.fetchFrom(o.ctx, r.targetOf(&o.entry), model.VersionInfo{}) }()
+			go func() { _ = r.fetchFrom(o.ctx, r.targetOf(&o.entry), model.VersionInfo{}, 0) }()
 		}
 		if len(f.Entries) > 0 {
 			r.mergeValid(o.entry.Node, f.Entries, now)
@@ -231,8 +234,9 @@
 			o.cancel(streamEnd(endTop))
 			return nil
 		}
-		proper, ok := r.tree().Parent(r.self.Node)
-		if !ok || proper.Node == o.entry.Node || proper.State != model.Ready {
+		t := r.tree()
+		proper, ok := t.Parent(r.self.Node)
+		if !ok || proper.Node == o.entry.Node || !t.Serves(&proper) {
 			since = time.Time{}
 			continue
 		}
--- a/pkg/distribution/handlers.go
+++ b/pkg/distribution/handlers.go
@@ -105,7 +105,7 @@
 // answerBeat grants a lease, unless the roster knows a newer process of the
 // node.
 func (r *Relay) answerBeat(in *wire.BeatRequest, now time.Time) reply {
-	r.VersionSeen(in.Version)
+	r.versionSeenAt(in.Version, r.known(in.Node))
 	out := wire.BeatAnswer{Version: r.held().Number, Digest: r.cfg.Roster.View().Digest()}
 	e, ok := r.cfg.Roster.Get(in.Node)
 	switch {
@@ -142,7 +142,7 @@
 }
 
 func (r *Relay) answerSync(in *wire.SyncRequest, now time.Time) reply {
-	r.VersionSeen(in.Version)
+	r.versionSeenAt(in.Version, r.known(in.Node))
 	r.mergeValid(in.Node, in.Entries, now)
 	view := r.cfg.Roster.View()
 	out := wire.SyncAnswer{Digest: view.Digest(), Version: r.held().Number}
--- a/pkg/distribution/http_test.go
+++ b/pkg/distribution/http_test.go
@@ -180,6 +180,16 @@
 	m.eventually(5*time.Second, "late node started", late.Settled)
 	is.Equal(late.held().Number, model.Version(2))
 
+	m.store.setDown(false)
+	m.store.mu.Lock()
+	m.store.head = version(3) // accepted, but its text is nowhere yet
+	m.store.head.Info.Digest = "missing"
+	m.store.mu.Unlock()
+	early := m.add("early", "a2")
+	time.Sleep(300 * time.Millisecond)
+	is.True(!early.Settled())
+	is.True(early.holder.Active() == nil) // version 2 would be a step back
+
 	lonely := newMesh(t)
 	lonely.store.setDown(true)
 	n := lonely.add("lonely", "a1")
--- a/pkg/distribution/receive.go
+++ b/pkg/distribution/receive.go
@@ -49,7 +49,7 @@
 
 // takeBeat passes on a newer heartbeat of the parent.
 func (r *Relay) takeBeat(b wire.BeatFrame, now time.Time) {
-	r.VersionSeen(b.Version)
+	r.VersionSeen(b.Version) // the frame or a request to the parent brings it
 	r.mu.Lock()
 	r.lastBeat = b
 	r.asOf.observe(&b, r.held())
@@ -109,12 +109,17 @@
 
 func (r *Relay) behind() bool { return model.Version(r.hint.Load()) > r.held().Number }
 
-// fetch asks the parent first, later other candidates.
+// fetch asks the node that the hint came from, then the parent, then others.
 func (r *Relay) fetch(ctx context.Context, attempt int) {
-	var t target
-	if p := r.attached(); p.open && attempt < 2 {
+	r.mu.Lock()
+	t := r.hintFrom
+	r.hintFrom = target{}
+	p := r.parent
+	r.mu.Unlock()
+	if t.address == "" && p.open && attempt < 3 {
 		t = r.targetOf(&p.entry)
-	} else {
+	}
+	if t.address == "" {
 		candidates := r.tree().Candidates(r.self.Node, newRand())
 		if len(candidates) == 0 {
 			candidates = r.tree().ZoneRoots()
@@ -124,23 +129,24 @@
 		}
 		t = r.targetOf(&candidates[attempt%len(candidates)])
 	}
-	if err := r.fetchFrom(ctx, t, r.held()); err != nil {
+	if err := r.fetchFrom(ctx, t, r.held(), 0); err != nil {
 		r.log.Debug("version request failed: " + err.Error())
 	}
 }
 
-// fetchFrom requests a newer version from one node and applies it; a delta
-// that does not apply is followed by a request for the whole text.
-func (r *Relay) fetchFrom(ctx context.Context, t target, held model.VersionInfo) error {
+// fetchFrom requests a newer version from one node and applies it if its
+// number is atLeast; a delta that does not apply is followed by a request for
+// the whole text.
+func (r *Relay) fetchFrom(ctx context.Context, t target, held model.VersionInfo, atLeast model.Version) error {
 	var f wire.VersionFrame
 	if err := r.get(ctx, t, wire.Version, versionQuery(held), &f); err != nil {
 		return err
 	}
-	if f.Info.Number == 0 {
+	if f.Info.Number == 0 || f.Info.Number < atLeast {
 		return nil // it has nothing newer
 	}
 	if r.applyFrame(&f) && held.Number > 0 {
-		return r.fetchFrom(ctx, t, model.VersionInfo{})
+		return r.fetchFrom(ctx, t, model.VersionInfo{}, atLeast)
 	}
 	return nil
 }
--- a/pkg/distribution/relay.go
+++ b/pkg/distribution/relay.go
@@ -42,6 +42,7 @@
 	parent   attachment
 	lastBeat wire.BeatFrame
 	asOf     asOf
+	hintFrom target // a node that holds the hinted version
 	starting string // what the start-up read waits for
 	applyErr string
 }
@@ -102,10 +103,20 @@
 
 // VersionSeen is a hint that version v exists. A node that is behind asks for
 // it. Wrong hints cost a few requests.
-func (r *Relay) VersionSeen(v model.Version) {
+func (r *Relay) VersionSeen(v model.Version) { r.versionSeenAt(v, target{}) }
+
+// versionSeenAt is VersionSeen with a node that holds the version. Such a node
+// is asked first, also below this one in the tree: a process that started from
+// the store may be ahead of a region that is cut off from the publisher.
+func (r *Relay) versionSeenAt(v model.Version, at target) {
 	if v <= r.held().Number {
 		return
 	}
+	if at.address != "" {
+		r.mu.Lock()
+		r.hintFrom = at
+		r.mu.Unlock()
+	}
 	for {
 		old := r.hint.Load()
 		if uint64(v) <= old {
@@ -151,6 +162,14 @@
 	return r.cfg.IsPublisher() || ok && top == r.self.Node
 }
 
+// known returns the target of a node in the roster.
+func (r *Relay) known(id model.NodeID) target {
+	if e, ok := r.tree().Entry(id); ok {
+		return r.targetOf(&e)
+	}
+	return target{}
+}
+
 func (r *Relay) attached() attachment {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/distribution/renew.go
+++ b/pkg/distribution/renew.go
@@ -82,7 +82,7 @@
 			return true
 		}
 	}
-	return t.IsZoneRoot(r.self.Node) && r.renewAtRoots(ctx, t.ZoneRoots(), s)
+	return (r.isTop() || t.IsZoneRoot(r.self.Node)) && r.renewAtRoots(ctx, t.ZoneRoots(), s)
 }
 
 // renewAtRoots asks all other roots at once.
@@ -122,7 +122,7 @@
 	if r.tree().IsZoneRoot(e.Node) {
 		r.rootHeard.Store(true)
 	}
-	r.VersionSeen(out.Version)
+	r.versionSeenAt(out.Version, r.targetOf(&e))
 	r.heard(e.Node, e.Generation)
 	if out.Unknown {
 		r.up.add([]model.Entry{r.cfg.Roster.Self()})
--- a/pkg/distribution/start.go
+++ b/pkg/distribution/start.go
@@ -39,17 +39,19 @@
 		joined = r.join(ctx)
 		return nil
 	})
-	ok := r.startFromStore(ctx)
+	floor, ok := r.startFromStore(ctx)
 	_ = g.Wait()
 	for attempt := 0; !ok && ctx.Err() == nil; attempt++ {
-		if ok = r.startFromPeers(ctx); ok {
+		if ok = r.startFromPeers(ctx, floor); ok {
 			break
 		}
 		if !pause(ctx, fullJitter(attempt, reconnectBase, reconnectCap, newRand())) {
 			return
 		}
 		joined = r.join(ctx) || joined
-		ok = r.startFromStore(ctx)
+		var head model.Version
+		head, ok = r.startFromStore(ctx)
+		floor = max(floor, head)
 	}
 	if ctx.Err() != nil {
 		return
@@ -91,7 +93,7 @@
 			continue // a seed of its own
 		}
 		r.mergeValid(out.Node, out.Entries, time.Now())
-		r.VersionSeen(out.Version)
+		r.versionSeenAt(out.Version, t)
 		return true
 	}
 	return len(targets) == 0
@@ -123,10 +125,11 @@
 	return out
 }
 
-// startFromStore takes the version of the head row, which is authoritative.
-func (r *Relay) startFromStore(ctx context.Context) bool {
+// startFromStore takes the version of the head row, which is authoritative. It
+// returns the number of that version, also when its text cannot be read.
+func (r *Relay) startFromStore(ctx context.Context) (model.Version, bool) {
 	if r.cfg.Table == nil {
-		return false
+		return 0, false
 	}
 	r.setStarting("the store has not answered")
 	tctx, cancel := context.WithTimeout(ctx, r.cfg.Timing.Store)
@@ -134,7 +137,7 @@
 	read := time.Now()
 	row, err := r.cfg.Table.Get(tctx, headRow)
 	if errors.Is(err, platform.ErrNotFound) {
-		return true // no version has been accepted yet
+		return 0, true // no version has been accepted yet
 	}
 	var info model.VersionInfo
 	if err == nil {
@@ -142,16 +145,16 @@
 	}
 	if err != nil {
 		r.log.Info("head row not read: " + err.Error())
-		return false
+		return 0, false
 	}
 	if !r.takeHead(ctx, info) {
 		r.setStarting(fmt.Sprintf("the text of version %d cannot be read", info.Number))
-		return false
+		return info.Number, false
 	}
 	r.mu.Lock()
 	r.asOf.raise(read)
 	r.mu.Unlock()
-	return true
+	return info.Number, true
 }
 
 // takeHead gets the text of the head version from the object store, or that
@@ -173,20 +176,20 @@
 		if r.held().Number >= info.Number || i == joinAttempts {
 			break
 		}
-		_ = r.fetchFrom(ctx, t, model.VersionInfo{}) // the next node may have it
+		_ = r.fetchFrom(ctx, t, model.VersionInfo{}, info.Number) // the next node may have it
 	}
 	return r.held().Number >= info.Number
 }
 
 // startFromPeers takes the highest version of enough other nodes, see
-// membership.Tree.Enough.
-func (r *Relay) startFromPeers(ctx context.Context) bool {
+// membership.Tree.Enough, which must not be below floor.
+func (r *Relay) startFromPeers(ctx context.Context, floor model.Version) bool {
 	versions := make(map[model.NodeID]model.Version)
 	answered := make(map[model.NodeID]bool)
 	for round := 0; round < askRounds && ctx.Err() == nil; round++ {
 		s := r.tree().Enough(r.self.Node, r.self.Location.AvailabilityZone, answered)
 		if s.Missing == "" {
-			return r.takeHighest(ctx, versions)
+			return r.takeHighest(ctx, versions, floor)
 		}
 		r.setStarting("the store does not answer and " + s.Missing)
 		if r.ask(ctx, s.Ask, answered, versions) == 0 {
@@ -196,8 +199,9 @@
 	return false
 }
 
-// ask requests the short state of some nodes and returns how many answered. A
-// node that is starting itself does not count.
+// ask requests the short state of some nodes and returns about how many it
+// learned something new. A node that is starting itself does not count as an
+// answer.
 func (r *Relay) ask(ctx context.Context, from []model.Entry, answered map[model.NodeID]bool, versions map[model.NodeID]model.Version) int {
 	if len(from) > 1 {
 		rest := from[1:]
@@ -209,11 +213,15 @@
 	for _, e := range from[:min(len(from), askAtOnce)] {
 		g.Go(func() error {
 			b, err := r.brief(ctx, r.targetOf(&e))
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil || b.Node != e.Node || !b.Settled {
+				if _, again := answered[e.Node]; !again {
+					answered[e.Node] = false
+					n++
+				}
 				return nil
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			answered[e.Node], versions[e.Node] = true, b.Version
 			n++
 			return nil
@@ -223,9 +231,9 @@
 	return n
 }
 
-// takeHighest fetches the highest version that was reported.
-func (r *Relay) takeHighest(ctx context.Context, versions map[model.NodeID]model.Version) bool {
-	highest := model.Version(0)
+// takeHighest fetches the highest version that was reported, or the stated one
+// if that is higher.
+func (r *Relay) takeHighest(ctx context.Context, versions map[model.NodeID]model.Version, highest model.Version) bool {
 	for _, v := range versions {
 		highest = max(highest, v)
 	}
@@ -237,7 +245,7 @@
 		if v < highest || !ok {
 			continue
 		}
-		if err := r.fetchFrom(ctx, r.targetOf(&e), model.VersionInfo{}); err != nil {
+		if err := r.fetchFrom(ctx, r.targetOf(&e), model.VersionInfo{}, highest); err != nil {
 			r.log.Info("version not fetched at start: " + err.Error())
 		}
 	}
--- a/pkg/distribution/stream.go
+++ b/pkg/distribution/stream.go
@@ -67,9 +67,10 @@
 }
 
 // maySend reports whether this node accepts children: not before it knows
-// which version it may hold, and not while it leaves.
+// which version it may hold, and not after its last announcement. A draining
+// node still does, because it may be the publisher.
 func (r *Relay) maySend() bool {
-	return r.settled.Load() && r.cfg.Roster.Self().State < model.Draining
+	return r.settled.Load() && r.cfg.Roster.Self().State != model.Gone
 }
 
 func (r *Relay) isProperChild(id model.NodeID) bool {
@@ -174,7 +175,7 @@
 	case f.Version != nil:
 		return wire.Version
 	case f.Beat != nil:
-		return wire.Beat
+		return wire.Stream // kind beat counts lease renewals
 	default:
 		return wire.Entries
 	}
--- a/pkg/distribution/watching.go
+++ b/pkg/distribution/watching.go
@@ -54,7 +54,11 @@
 
 // look probes the targets without a sign of life and announces verdicts.
 func (r *Relay) look(ctx context.Context, now time.Time) {
-	targets := r.tree().Targets(r.self.Node)
+	var attached model.NodeID
+	if p := r.attached(); p.open {
+		attached = p.entry.Node
+	}
+	targets := r.tree().Targets(r.self.Node, attached)
 	r.watchMu.Lock()
 	probes := r.watch.Plan(targets, now)
 	r.watchMu.Unlock()
@@ -63,7 +67,7 @@
 		return
 	}
 	r.watchMu.Lock()
-	verdicts := r.watch.Judge(targets, time.Now())
+	verdicts := r.watch.Judge(targets, r.self.Location.Region, time.Now())
 	r.watchMu.Unlock()
 	for _, v := range verdicts {
 		r.log.Info("node " + string(v.Node) + " is " + v.State.String())
@@ -92,7 +96,7 @@
 	switch {
 	case err == nil && brief.Node == e.Node && brief.Generation >= e.Generation:
 		r.heard(e.Node, e.Generation)
-		r.VersionSeen(brief.Version)
+		r.versionSeenAt(brief.Version, r.targetOf(&e))
 		if e.State == model.Suspect && brief.Generation == e.Generation {
 			r.remind(ctx, e)
 		}
--- a/pkg/membership/candidates.go
+++ b/pkg/membership/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
@@ -13,7 +14,7 @@
 // Candidates returns the nodes to try as parent of id, best first: the parent,
 // the grandparents up to the zone root, the siblings of the parent, the region
 // root, any roots (own region first), and some older nodes of the own zone.
-// Suspect and draining nodes come last. Nodes that receive their versions
+// Suspect and draining nodes come last, see Serves. Nodes that receive their versions
 // through id by position are left out, because they cannot be ahead of it.
 func (t *Tree) Candidates(id model.NodeID, rnd *rand.Rand) []model.Entry {
 	p, ok := t.at[id]
@@ -45,6 +46,13 @@
 	return append(t.list(s.good), t.list(s.poor)...)
 }
 
+// Serves reports whether e is a good parent: a ready node, or the publisher
+// while it drains, because versions come from nowhere else until it gives up
+// its lease.
+func (t *Tree) Serves(e *model.Entry) bool {
+	return e.State == model.Ready || e.State == model.Draining && t.top >= 0 && t.entries[t.top].Node == e.Node
+}
+
 // Grantor returns the node that grants the lease of the top and watches roots
 // that no node of their region has as a child: the first live one of the
 // position above, the other zone roots of the region, the eldest of the zone,
@@ -60,10 +68,11 @@
 	}
 	s.add(t.regionOf(p.entry).roots...)
 	s.add(t.zones[t.entries[p.entry].Location.AvailabilityZone]...)
+	far := selection{tree: t, seen: s.seen}
 	for i := range t.regions {
-		s.add(t.regions[i].roots...)
+		far.add(t.regions[i].roots...)
 	}
-	for _, i := range append(s.good, s.poor...) {
+	for _, i := range slices.Concat(s.good, s.poor, far.good, far.poor) {
 		return t.entries[i], true
 	}
 	return model.Entry{}, false
@@ -116,7 +125,7 @@
 			continue
 		}
 		s.seen[i] = true
-		if s.tree.entries[i].State == model.Ready {
+		if s.tree.Serves(&s.tree.entries[i]) {
 			s.good = append(s.good, i)
 		} else {
 			s.poor = append(s.poor, i)
--- a/pkg/membership/core.go
+++ b/pkg/membership/core.go
@@ -216,4 +216,9 @@
 }
 
 // View returns the next view, given the previous one or nil.
-func (c *Core) View(prev *View) *View { return buildView(prev, c) }
+func (c *Core) View(prev *View) *View {
+	if prev != nil && len(c.changed) == 0 {
+		return prev
+	}
+	return buildView(prev, c)
+}
--- a/pkg/membership/enough.go
+++ b/pkg/membership/enough.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
@@ -17,10 +19,19 @@
 }
 
 // Enough reports whether the answers of other nodes suffice to start without
-// the store: the zone root, three nodes of the own zone (or all of them), and
-// the root of another zone if there is one. Suspect nodes count as dead. A
-// process that knows no other node has no source at all.
-func (t *Tree) Enough(id model.NodeID, zone model.AvailabilityZone, answered map[model.NodeID]bool) Sources {
+// the store: the zone root, three nodes of the own zone (or all of them), the
+// region root, and the root of another zone if there is one. Suspect nodes count
+// as dead once they were asked in vain. A process that knows no other node has
+// no source at all.
+//
+// The region root is asked because it is the ancestor of a process that was a
+// zone root itself: right after a partition the root of a zone in another
+// region may be behind it.
+//
+// asked has an entry for every node that was asked; its value says whether the
+// node answered.
+func (t *Tree) Enough(id model.NodeID, zone model.AvailabilityZone, asked map[model.NodeID]bool) Sources {
+	t, answered := t.without(asked), asked
 	var s Sources
 	miss := func(text string, ask ...model.Entry) {
 		if s.Missing == "" {
@@ -37,6 +48,9 @@
 	if need := min(minZoneSources, len(peers)); heard < need {
 		miss(fmt.Sprintf("%d of %d nodes of zone %s have answered", heard, need, zone), unanswered(peers, answered)...)
 	}
+	if root, ok := t.regionRoot(id, zone); ok && !answered[root.Node] {
+		miss(fmt.Sprintf("region root %s has not answered", root.Node), root)
+	}
 	roots := t.otherRoots(zone)
 	if len(roots) > 0 && len(unanswered(roots, answered)) == len(roots) {
 		miss("no root of another zone has answered", roots...)
@@ -47,13 +61,26 @@
 	return s
 }
 
-// liveOthers returns the other nodes of a zone that are not suspect, oldest
-// first, and how many of them have answered.
+// without returns the tree of the entries that are not suspect or have not
+// been asked in vain.
+func (t *Tree) without(asked map[model.NodeID]bool) *Tree {
+	live := make([]model.Entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		answered, ok := asked[e.Node]
+		if e.State != model.Suspect || !ok || answered {
+			e.State = model.Ready // a suspicion alone does not count
+			live = append(live, e)
+		}
+	}
+	return NewTree(live)
+}
+
+// liveOthers returns the other nodes of a zone, oldest first, and how many of them have answered.
 func (t *Tree) liveOthers(id model.NodeID, zone model.AvailabilityZone, answered map[model.NodeID]bool) ([]model.Entry, int) {
 	var out []model.Entry
 	heard := 0
 	for _, e := range t.Zone(zone) {
-		if e.Node == id || e.State == model.Suspect {
+		if e.Node == id {
 			continue
 		}
 		out = append(out, e)
@@ -64,16 +91,31 @@
 	return out, heard
 }
 
+// regionRoot returns the oldest zone root, other than id, of the region of a
+// zone.
+func (t *Tree) regionRoot(id model.NodeID, zone model.AvailabilityZone) (model.Entry, bool) {
+	if len(t.zones[zone]) == 0 {
+		return model.Entry{}, false
+	}
+	for _, i := range t.regionOf(t.zones[zone][0]).roots {
+		if t.entries[i].Node != id {
+			return t.entries[i], true
+		}
+	}
+	return model.Entry{}, false
+}
+
 func (t *Tree) otherRoots(zone model.AvailabilityZone) []model.Entry {
 	var out []model.Entry
 	for z := range t.zones {
 		if z == zone {
 			continue
 		}
-		if root, ok := t.ZoneRoot(z); ok && root.State != model.Suspect {
+		if root, ok := t.ZoneRoot(z); ok {
 			out = append(out, root)
 		}
 	}
+	slices.SortFunc(out, func(a, b model.Entry) int { return cmp.Compare(a.Node, b.Node) })
 	return out
 }
 
--- a/pkg/membership/tree.go
+++ b/pkg/membership/tree.go
@@ -72,8 +72,9 @@
 	slices.SortFunc(t.regions, func(a, b region) int { return t.older(a.roots[0], b.roots[0]) })
 }
 
-// findTop chooses the publisher. A suspect publisher is passed over at once,
-// because its successor may already hold the publisher lease.
+// findTop chooses the publisher, else the oldest region root. A suspect one is
+// passed over at once: a successor may already hold the publisher lease, and a
+// partitioned region must find a root of its own.
 func (t *Tree) findTop() {
 	for i := range t.entries {
 		e := &t.entries[i]
@@ -84,6 +85,11 @@
 			t.top = i
 		}
 	}
+	for _, r := range t.regions {
+		if root := r.roots[0]; t.top < 0 && t.entries[root].State != model.Suspect {
+			t.top = root
+		}
+	}
 	if t.top < 0 && len(t.regions) > 0 {
 		t.top = t.regions[0].roots[0]
 	}
--- a/pkg/membership/watch.go
+++ b/pkg/membership/watch.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -95,8 +96,9 @@
 
 // Judge returns a verdict for every target without a sign of life: suspect
 // after a failed probe, gone when in addition a whole lease has passed since
-// the last sign, so that the node has stopped by its own clock.
-func (w *Watch) Judge(targets []model.Entry, now time.Time) []Verdict {
+// the last sign, so that the node has stopped by its own clock. Nodes of other
+// regions are only suspected: a partition looks the same as their death.
+func (w *Watch) Judge(targets []model.Entry, own model.Region, now time.Time) []Verdict {
 	var out []Verdict
 	for _, t := range targets {
 		e, ok := w.evidence[t.Node]
@@ -104,7 +106,7 @@
 			continue
 		}
 		v := Verdict{Node: t.Node, Generation: t.Generation, State: model.Suspect}
-		if now.Sub(e.heard) >= LeaseDuration {
+		if now.Sub(e.heard) >= LeaseDuration && t.Location.Region == own {
 			v.State = model.Gone
 		}
 		if v.State > t.State {
@@ -115,42 +117,58 @@
 }
 
 // Targets returns the entries that node id has to watch: its children of the
-// same region, the children of suspect ones in turn, and the roots whose
-// grantor it is.
-func (t *Tree) Targets(id model.NodeID) []model.Entry {
-	own, ok := t.Entry(id)
+// same region, the children of suspect ones in turn, the root of its region
+// whose grantor it is, and the node above it unless it is attached there. In a
+// region with a live node, every dead one is watched: the nearest dead node
+// above a live one by its child, all others from above once that one is gone.
+func (t *Tree) Targets(id, attached model.NodeID) []model.Entry {
+	p, ok := t.at[id]
 	if !ok {
 		return nil
 	}
+	region := t.entries[p.entry].Location.Region
 	var out []model.Entry
-	seen := map[model.NodeID]bool{id: true}
-	add := func(entries []model.Entry) {
+	seen := map[model.NodeID]bool{id: true, attached: true}
+	add := func(entries ...model.Entry) {
 		for _, e := range entries {
-			if !seen[e.Node] && e.Location.Region == own.Location.Region {
+			if !seen[e.Node] {
 				seen[e.Node] = true
 				out = append(out, e)
 			}
 		}
 	}
-	add(t.Children(id))
-	for _, root := range t.watchedRoots() {
-		if g, ok := t.Grantor(root.Node); ok && g.Node == id && !seen[root.Node] {
-			seen[root.Node] = true
-			out = append(out, root)
+	below := func(id model.NodeID) []model.Entry {
+		return slices.DeleteFunc(t.Children(id), func(e model.Entry) bool { return e.Location.Region != region })
+	}
+	add(below(id)...)
+	for _, root := range t.watchedRoots(region) {
+		if g, ok := t.Grantor(root.Node); ok && g.Node == id {
+			add(root)
 		}
 	}
 	for i := 0; i < len(out); i++ {
 		if out[i].State == model.Suspect {
-			add(t.Children(out[i].Node))
+			add(below(out[i].Node)...)
 		}
 	}
+	switch above := t.above(p); {
+	case above >= 0:
+		add(t.entries[above])
+	case t.top >= 0:
+		add(t.entries[t.top])
+	}
 	return out
 }
 
 // watchedRoots returns the nodes that have no parent in their own region.
-func (t *Tree) watchedRoots() []model.Entry {
-	out := t.RegionRoots()
-	if t.top >= 0 && !t.IsRegionRoot(t.entries[t.top].Node) {
+func (t *Tree) watchedRoots(r model.Region) []model.Entry {
+	var out []model.Entry
+	for i := range t.regions {
+		if t.regions[i].name == r {
+			out = append(out, t.entries[t.regions[i].roots[0]])
+		}
+	}
+	if t.top >= 0 && t.entries[t.top].Location.Region == r {
 		out = append(out, t.entries[t.top])
 	}
 	return out
