End the publisher's term at the end of its lease, also during requests

Cause: a cut-off publisher noticed the end of its lease only after its open request and three attempts of the next one had timed out. In TestCutRegionServesAndCatchesUp the old holder still led 7 s after its successor had taken the lease, and its heartbeats told the cut-off region that its version was the newest, so its age was 8.4 s after 20 s. Change: Leading compares the lease with the clock, the end of the lease ends the requests of its holder, and heartbeats carry the time at which the head row was last read instead of the present.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -94,6 +94,7 @@
 		Log:           n.log,
 		Registerer:    n.registry,
 		IsPublisher:   func() bool { return n.publisher.Leading() },
+		AsOf:          func() time.Time { return n.publisher.AsOf() },
 		RecentCallers: n.callers.recent,
 	})
 }
--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -42,13 +42,14 @@
 
 // Publisher takes part in the choice of the publisher and does its work.
 type Publisher struct {
-	cfg     Config
-	now     func() time.Time
-	jitter  func() float64
-	nudge   chan struct{}
-	leading atomic.Bool
+	cfg    Config
+	now    func() time.Time
+	jitter func() float64
+	nudge  chan struct{}
+	term   atomic.Pointer[term]
 
 	// The following fields belong to the goroutine of Run.
+	leading   bool // as last told to cfg.Lease
 	lease     lease
 	view      view
 	handed    model.Version // last version given to the hook
@@ -72,8 +73,27 @@
 	}
 }
 
-// Leading reports whether this process was the publisher at its last step.
-func (p *Publisher) Leading() bool { return p.leading.Load() }
+// term is what other goroutines may know about the lease. It is immutable.
+type term struct {
+	until time.Time // the holder stops at this time
+	asOf  time.Time // when the head row was last read, zero before
+}
+
+// Leading reports whether this process holds the lease. It turns false at the
+// end of the lease, also while a request to the store is still open.
+func (p *Publisher) Leading() bool {
+	t := p.term.Load()
+	return t != nil && p.now().Before(t.until)
+}
+
+// AsOf returns when the publisher last read from the store which version is
+// the newest; the zero time if it never did.
+func (p *Publisher) AsOf() time.Time {
+	if t := p.term.Load(); t != nil {
+		return t.asOf
+	}
+	return time.Time{}
+}
 
 // Nudge makes the publisher look at the rules file now.
 func (p *Publisher) Nudge() {
@@ -112,8 +132,15 @@
 	return wait
 }
 
-// step does everything that is due: the lease, then the rules file.
+// step does everything that is due: the lease, then the rules file. The end of
+// the lease ends the requests of its holder.
 func (p *Publisher) step(ctx context.Context) error {
+	p.tellLease()
+	if now := p.now(); p.lease.holds(now) {
+		limited, cancel := context.WithTimeout(ctx, p.lease.until.Sub(now))
+		defer cancel()
+		ctx = limited
+	}
 	var leaseErr error
 	if !p.now().Before(p.lease.nextAt) {
 		leaseErr = p.tendLease(ctx)
@@ -122,15 +149,21 @@
 			p.lease.nextAt = p.now().Add(pollInterval)
 		}
 	}
+	if holds := p.tellLease(); leaseErr != nil || !holds {
+		return leaseErr
+	}
+	return errors.Join(p.handOver(ctx), p.poll(ctx), p.handOver(ctx))
+}
+
+// tellLease reports whether the lease is held, and tells the hook of a change.
+func (p *Publisher) tellLease() bool {
 	holds := p.lease.holds(p.now())
-	if p.leading.Swap(holds) != holds {
+	if p.leading != holds {
+		p.leading = holds
 		p.cfg.Lease(holds)
 		p.cfg.Log.Info("publisher lease", zap.Bool("held", holds), zap.Uint64("generation", p.lease.row.Generation))
 	}
-	if leaseErr != nil || !holds {
-		return leaseErr
-	}
-	return errors.Join(p.handOver(ctx), p.poll(ctx), p.handOver(ctx))
+	return holds
 }
 
 // tendLease renews the lease or, as a candidate, watches it and takes it when
@@ -158,7 +191,13 @@
 	if !p.lease.holds(p.now()) {
 		return nil
 	}
-	return p.refresh(ctx)
+	p.term.Store(&term{until: p.lease.until, asOf: p.AsOf()})
+	readAt := p.now()
+	if err := p.refresh(ctx); err != nil {
+		return err
+	}
+	p.term.Store(&term{until: p.lease.until, asOf: readAt})
+	return nil
 }
 
 // writeLease writes the lease row on the condition of the revision read. A
@@ -195,6 +234,7 @@
 	if err := p.writeLease(ctx, row); err != nil {
 		p.cfg.Log.Warn("cannot release the publisher lease", zap.Error(err))
 	}
-	p.leading.Store(false)
+	p.term.Store(nil)
+	p.leading = false
 	p.cfg.Lease(false)
 }
