Test the death of a publisher; measure the memory of a roster

A new publisher in the middle of a zone is reached only once its dead predecessor is passed over, which no HTTP test covered.

--- a/pkg/distribution/http_test.go
+++ b/pkg/distribution/http_test.go
@@ -259,3 +259,21 @@
 		return e.Generation == n.generation()
 	}))
 }
+
+// Guards against versions of a new publisher that do not arrive because the
+// tree still points at its dead predecessor.
+func TestPublisherDies(t *testing.T) {
+	m := newMesh(t)
+	publisher := grow(m, 15)
+	publisher.kill()
+	live := m.nodes[1:]
+	next := m.nodes[14] // a leaf
+	next.publisher.Store(true)
+	m.accept(next, version(2))
+	took := m.eventually(10*time.Second, "all at version 2", m.all(live, atVersion(2)))
+	m.accept(next, version(3))
+	t.Logf("in force at 15 nodes after %v, the next version after %v", took,
+		m.eventually(10*time.Second, "all at version 3", m.all(live, atVersion(3))))
+	m.eventually(10*time.Second, "ages", m.all(live, func(n *meshNode) bool { return n.AsOfAge() < time.Second }))
+	m.eventually(15*time.Second, "predecessor gone", m.all(live, knows(15)))
+}
--- a/pkg/membership/bench_test.go
+++ b/pkg/membership/bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
+	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
@@ -63,3 +65,25 @@
 		})
 	}
 }
+
+// BenchmarkRosterMemory measures the heap of one roster with its view and tree.
+func BenchmarkRosterMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			entries := fleet(n, 7)
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				r := NewRoster(entries[0])
+				r.Merge(entries)
+				time.Sleep(2 * viewInterval)
+				r.View().Tree()
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(r)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KiB")
+		})
+	}
+}
