Keep the tree when an upstream stops; do not wait for starting nodes

Cause: a node whose upstream had stopped announced its own entry as suspect. With the store down, two restarted nodes of one zone waited for each other's start-up read for as long as the outage lasted (TestRestartWithStoreDown). Change: the state of the upstream is a field of its own in the roster entry; calls treat the entry as suspect, the tree does not. Nodes that answer that they are starting are left out of the sources, as dead nodes are.

--- a/pkg/admin/explain.go
+++ b/pkg/admin/explain.go
@@ -55,7 +55,7 @@
 	})
 	nearest = []Candidate{}
 	for _, e := range sorted {
-		candidate := Candidate{Node: e.Node, Location: e.Location, State: e.State.String()}
+		candidate := Candidate{Node: e.Node, Location: e.Location, State: e.ServiceState().String()}
 		if tier(from, prefer, e) == tier(from, prefer, sorted[0]) {
 			nearest = append(nearest, candidate)
 		} else {
--- a/pkg/admin/queries.go
+++ b/pkg/admin/queries.go
@@ -125,7 +125,7 @@
 	return Upstream{
 		Node:       e.Node,
 		Service:    e.Service,
-		State:      e.State.String(),
+		State:      e.ServiceState().String(),
 		Location:   e.Location,
 		Address:    e.Address,
 		Calls:      e.CallAddress,
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -135,7 +135,7 @@
 	n := NodeStatus{
 		Node:      a.entry.Node,
 		Service:   a.entry.Service,
-		State:     a.entry.State.String(),
+		State:     a.entry.ServiceState().String(),
 		Answered:  a.err == nil,
 		Version:   a.state.Version,
 		AsOfAgeMS: a.state.AsOfAge.Milliseconds(),
--- a/pkg/distribution/simnode_test.go
+++ b/pkg/distribution/simnode_test.go
@@ -68,10 +68,10 @@
 		n.settled = true
 		return
 	}
-	answered := make(map[model.NodeID]bool)
+	answered, starting := make(map[model.NodeID]bool), make(map[model.NodeID]bool)
 	var best *simNode
 	for range 4 {
-		sources := n.tree().Enough(n.id, n.loc.AvailabilityZone, answered)
+		sources := n.tree().Without(starting).Enough(n.id, n.loc.AvailabilityZone, answered)
 		if sources.Missing == "" || s.variant == startFromAnyNode && best != nil {
 			if best != nil && best.held().Number > 0 {
 				if s.fetch(n, best, model.VersionInfo{}); n.held().Number < best.held().Number {
@@ -84,6 +84,7 @@
 		for _, e := range sources.Ask {
 			if o := s.byID(e.Node); o != nil {
 				_, ok := s.call(n, o)
+				starting[o.id] = ok && !o.settled
 				answered[o.id] = ok && o.settled
 				if answered[o.id] {
 					if best == nil || o.held().Number > best.held().Number {
--- a/pkg/distribution/start.go
+++ b/pkg/distribution/start.go
@@ -184,25 +184,34 @@
 // startFromPeers takes the highest version of enough other nodes, see
 // membership.Tree.Enough, which must not be below floor.
 func (r *Relay) startFromPeers(ctx context.Context, floor model.Version) bool {
-	versions := make(map[model.NodeID]model.Version)
-	answered := make(map[model.NodeID]bool)
+	got := answers{
+		asked:    make(map[model.NodeID]bool),
+		starting: make(map[model.NodeID]bool),
+		versions: make(map[model.NodeID]model.Version),
+	}
 	for round := 0; round < askRounds && ctx.Err() == nil; round++ {
-		s := r.tree().Enough(r.self.Node, r.self.Location.AvailabilityZone, answered)
+		s := r.tree().Without(got.starting).Enough(r.self.Node, r.self.Location.AvailabilityZone, got.asked)
 		if s.Missing == "" {
-			return r.takeHighest(ctx, versions, floor)
+			return r.takeHighest(ctx, got.versions, floor)
 		}
 		r.setStarting("the store does not answer and " + s.Missing)
-		if r.ask(ctx, s.Ask, answered, versions) == 0 {
+		if r.ask(ctx, s.Ask, &got) == 0 {
 			return false
 		}
 	}
 	return false
 }
 
+// answers is what a starting process has heard from other nodes.
+type answers struct {
+	asked    map[model.NodeID]bool // whether the node answered
+	starting map[model.NodeID]bool // nodes that are starting themselves
+	versions map[model.NodeID]model.Version
+}
+
 // ask requests the short state of some nodes and returns about how many it
-// learned something new. A node that is starting itself does not count as an
-// answer.
-func (r *Relay) ask(ctx context.Context, from []model.Entry, answered map[model.NodeID]bool, versions map[model.NodeID]model.Version) int {
+// learned something new. A node that is starting itself is no source.
+func (r *Relay) ask(ctx context.Context, from []model.Entry, got *answers) int {
 	if len(from) > 1 {
 		rest := from[1:]
 		rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
@@ -215,15 +224,9 @@
 			b, err := r.brief(ctx, r.targetOf(&e))
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil || b.Node != e.Node || !b.Settled {
-				if _, again := answered[e.Node]; !again {
-					answered[e.Node] = false
-					n++
-				}
-				return nil
+			if got.take(&e, &b, err) {
+				n++
 			}
-			answered[e.Node], versions[e.Node] = true, b.Version
-			n++
 			return nil
 		})
 	}
@@ -231,6 +234,22 @@
 	return n
 }
 
+// take records what one node answered and reports whether that is new.
+func (a *answers) take(e *model.Entry, b *wire.Brief, err error) bool {
+	switch {
+	case err != nil || b.Node != e.Node:
+		_, again := a.asked[e.Node]
+		a.asked[e.Node] = a.asked[e.Node] // a later failure takes no answer back
+		return !again
+	case !b.Settled:
+		again := a.starting[e.Node]
+		a.starting[e.Node] = true
+		return !again
+	}
+	a.asked[e.Node], a.versions[e.Node] = true, b.Version
+	return true
+}
+
 // takeHighest fetches the highest version that was reported, or the stated one
 // if that is higher.
 func (r *Relay) takeHighest(ctx context.Context, versions map[model.NodeID]model.Version, highest model.Version) bool {
--- a/pkg/membership/enough.go
+++ b/pkg/membership/enough.go
@@ -22,7 +22,8 @@
 // the store: the zone root, three nodes of the own zone (or all of them), the
 // region root, and the root of another zone if there is one. Suspect nodes count
 // as dead once they were asked in vain. A process that knows no other node has
-// no source at all.
+// no source at all. Nodes that are starting themselves must be left out of the
+// tree, see Without: they have no version, and would wait for each other.
 //
 // The region root is asked because it is the ancestor of a process that was a
 // zone root itself: right after a partition the root of a zone in another
@@ -75,6 +76,17 @@
 	return NewTree(live)
 }
 
+// Without returns the tree without some nodes.
+func (t *Tree) Without(nodes map[model.NodeID]bool) *Tree {
+	rest := make([]model.Entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		if !nodes[e.Node] {
+			rest = append(rest, e)
+		}
+	}
+	return NewTree(rest)
+}
+
 // liveOthers returns the other nodes of a zone, oldest first, and how many of them have answered.
 func (t *Tree) liveOthers(id model.NodeID, zone model.AvailabilityZone, answered map[model.NodeID]bool) ([]model.Entry, int) {
 	var out []model.Entry
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -214,7 +214,17 @@
 	is.True(tree.Enough("new", "zone-1", answered).Missing != "") // zone root
 	answered[zone[0].Node] = true
 	is.Equal(tree.Enough("new", "zone-1", answered).Missing, "")
-	delete(answered, tree.Zone("zone-2")[0].Node)
+	starting := map[model.NodeID]bool{zone[0].Node: true, zone[1].Node: true}
+	rest := tree.Without(starting)
+	for _, e := range rest.RegionRoots() {
+		answered[e.Node] = true
+	}
+	is.Equal(rest.Enough("new", "zone-1", answered).Missing, "") // two that wait for this one
+	for z := range tree.zones {
+		if z != "zone-1" {
+			delete(answered, tree.Zone(z)[0].Node)
+		}
+	}
 	is.True(tree.Enough("new", "zone-1", answered).Missing != "") // another zone
 	is.True(NewTree(entries[:1]).Enough(entries[0].Node, "zone-0", nil).Missing != "")
 }
@@ -328,3 +338,38 @@
 	table.down = true
 	is.True(rows.Write(ctx, t0.Add(time.Hour)) != nil)
 }
+
+// Guards against a publisher that loses its place at the top of the tree when
+// its upstream stops, which would leave two tops, and against calls that prefer
+// such a node.
+func TestLostUpstreamKeepsTheTree(t *testing.T) {
+	is := is.New(t)
+	entries := fleet(70, 7)
+	r := NewRoster(entries[40])
+	r.Merge(entries)
+	r.SetPublisher(true)
+	r.SetState(model.Suspect)
+	self := r.Self()
+	is.Equal(self.State, model.Ready)
+	is.Equal(self.ServiceState(), model.Suspect)
+	view := waitView(r, func(v *View) bool { return v.Counts()[model.Suspect] == 1 })
+	top, ok := view.Tree().Top()
+	is.True(ok)
+	is.Equal(top, self.Node)
+	for _, e := range view.Service(self.Service) {
+		is.True(e.Node != self.Node)
+	}
+	r.SetState(model.Ready)
+	is.True(!r.Self().UpstreamLost)
+}
+
+// waitView waits for the debounced view.
+func waitView(r *Roster, ok func(*View) bool) *View {
+	for range 100 {
+		if v := r.View(); ok(v) {
+			return v
+		}
+		time.Sleep(viewInterval / 4)
+	}
+	return r.View()
+}
--- a/pkg/membership/roster.go
+++ b/pkg/membership/roster.go
@@ -67,12 +67,16 @@
 	})
 }
 
-// SetState announces a state of the own entry.
+// SetState announces a state of the own entry. Suspect stands for an upstream
+// that does not answer: a node cannot suspect itself.
 func (r *Roster) SetState(s model.EntryState) {
 	r.updateOwn(func(e *model.Entry) bool {
-		changed := e.State != s
-		e.State = s
-		return changed
+		before := *e
+		e.State, e.UpstreamLost = s, false
+		if s == model.Suspect {
+			e.State, e.UpstreamLost = model.Ready, true
+		}
+		return e.State != before.State || e.UpstreamLost != before.UpstreamLost
 	})
 }
 
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -10,7 +10,7 @@
 
 // View is an immutable state of the roster. Its slices must not be changed.
 type View struct {
-	all      []model.Entry // sorted by service, state, node; without gone entries
+	all      []model.Entry // sorted by service, service state, node; without gone entries
 	services map[string]span
 	digests  Digests
 	sum      uint64
@@ -48,11 +48,11 @@
 	return v.tree
 }
 
-// Counts returns the number of entries by state.
+// Counts returns the number of entries by service state.
 func (v *View) Counts() map[model.EntryState]int {
 	out := map[model.EntryState]int{model.Gone: v.gone}
 	for i := range v.all {
-		out[v.all[i].State]++
+		out[v.all[i].ServiceState()]++
 	}
 	return out
 }
@@ -61,7 +61,7 @@
 	if c := cmp.Compare(a.Service, b.Service); c != 0 {
 		return c
 	}
-	if c := cmp.Compare(a.State, b.State); c != 0 {
+	if c := cmp.Compare(a.ServiceState(), b.ServiceState()); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.Node, b.Node)
@@ -108,9 +108,9 @@
 func serviceSpans(all []model.Entry) map[string]span {
 	spans := make(map[string]span)
 	for i := 0; i < len(all); {
-		name, first := all[i].Service, all[i].State
+		name, first := all[i].Service, all[i].ServiceState()
 		j := i
-		for j < len(all) && all[j].Service == name && all[j].State == first {
+		for j < len(all) && all[j].Service == name && all[j].ServiceState() == first {
 			j++
 		}
 		if first < model.Draining {
--- a/pkg/model/roster.go
+++ b/pkg/model/roster.go
@@ -39,6 +39,18 @@
 	AdminAddress string `json:"admin_address"`
 	Slots        int    `json:"slots"`
 	Publisher    bool   `json:"publisher,omitempty"`
+	// UpstreamLost is set by a node whose upstream does not answer. It is apart
+	// from State, because such a node still relays versions and heartbeats.
+	UpstreamLost bool `json:"upstream_lost,omitempty"`
+}
+
+// ServiceState returns the state that calls go by: that of the node, or
+// Suspect if its upstream does not answer.
+func (e *Entry) ServiceState() EntryState {
+	if e.State == Ready && e.UpstreamLost {
+		return Suspect
+	}
+	return e.State
 }
 
 // AddressFrom returns the peer address to use from a node in region r.
