Add integration tests with real processes behind fault-injecting links

The packages had unit tests only; nothing ran the built binaries together. An observer checks throughout that no node reports an older version than before.

Before: no integration test.

--- /dev/null
+++ b/test/kill_test.go
@@ -0,0 +1,137 @@
+package test
+
+import (
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// recoverTimeout bounds the time until an edit is in force when the lease of
+// the publisher must expire first.
+const recoverTimeout = 40 * time.Second
+
+// travelTime is shorter than the way of a version from the publisher to all
+// nodes: up to 500 ms until the publisher reads the file, then two links.
+const travelTime = 300 * time.Millisecond
+
+// honest accepts answers and refusals that state reason and run state.
+func honest(a answer) bool {
+	return a.ok() || a.err == nil && a.reason != "" && a.runState != ""
+}
+
+// killNodes ends node processes all at once; their upstreams stay.
+func (c *cluster) killNodes(nodes []*node) {
+	c.t.Helper()
+	for _, n := range nodes {
+		n.process.signal(syscall.SIGKILL)
+	}
+	for _, n := range nodes {
+		n.process.kill(c.t)
+	}
+}
+
+func (c *cluster) without(gone []*node) []*node {
+	return c.of(func(n *node) bool { return !slices.Contains(gone, n) })
+}
+
+// awaitCalls waits until one call through each of the nodes is answered.
+func (c *cluster) awaitCalls(nodes []*node, limit time.Duration) {
+	c.t.Helper()
+	c.eventually("calls through every node", limit, func() string {
+		texts := make([]string, len(nodes))
+		var all sync.WaitGroup
+		for i, n := range nodes {
+			all.Go(func() {
+				if a := c.call(n, read()); !a.ok() {
+					texts[i] = n.id + ": " + a.String()
+				}
+			})
+		}
+		all.Wait()
+		slices.Sort(texts)
+		return texts[len(texts)-1]
+	})
+}
+
+// TestHalfOfAllNodesKilled guards against calls that stop when many processes
+// die at once, and against restarted processes that take an older version or
+// do not come back.
+func TestHalfOfAllNodesKilled(t *testing.T) {
+	parallel(t)
+	c := start(t, bertolucci())
+	var half []*node
+	for i := 0; i < len(c.nodes); i += 2 {
+		half = append(half, c.nodes[i])
+	}
+	survivors := c.without(half)
+	calls := c.traffic(survivors, pollInterval, read, honest)
+	c.killNodes(half)
+	c.awaitCalls(survivors, recoverTimeout)
+	edit := c.change(survivors[0])
+	c.awaitEdit(edit, survivors, recoverTimeout)
+	for _, n := range half {
+		c.startNode(n)
+	}
+	c.awaitEdit(edit, c.nodes, recoverTimeout)
+	c.awaitRosters(recoverTimeout)
+	made, bad := calls.end()
+	for _, b := range bad {
+		t.Errorf("call without an honest answer: %s", b)
+	}
+	t.Logf("%d calls through survivors", made)
+}
+
+// TestRootsKilledWhileVersionTravels guards against an accepted edit that is
+// lost, or in force in some nodes only, when the publisher and all roots die
+// on its way.
+func TestRootsKilledWhileVersionTravels(t *testing.T) {
+	parallel(t)
+	c := start(t, haneul())
+	c.publisher(inForceTimeout)
+	roots := c.roots()
+	survivors := c.without(roots)
+	if len(roots) < len(c.d.zones) || len(survivors) == 0 {
+		t.Fatalf("%d of %d nodes are roots", len(roots), len(c.nodes))
+	}
+	edit := c.change(survivors[0])
+	time.Sleep(travelTime)
+	c.killNodes(roots)
+	c.awaitEdit(edit, survivors, recoverTimeout)
+	for _, n := range roots {
+		c.startNode(n)
+	}
+	c.awaitEdit(edit, c.nodes, recoverTimeout)
+	c.checkOrder(2)
+}
+
+// TestPausedPublisherDoesNotFork guards against two versions with one number
+// when the lease of a publisher expires while its process is paused.
+func TestPausedPublisherDoesNotFork(t *testing.T) {
+	parallel(t)
+	c := start(t, bertolucci())
+	paused := c.publisher(inForceTimeout)
+	paused.process.signal(syscall.SIGSTOP)
+	successor := c.publisher(recoverTimeout, paused)
+	others := c.without([]*node{paused})
+	c.awaitEdit(c.change(successor), others, recoverTimeout)
+	paused.process.signal(syscall.SIGCONT)
+	c.awaitEdit(c.change(successor), c.nodes, recoverTimeout)
+	c.awaitEdit(c.change(paused), c.nodes, recoverTimeout)
+	c.checkOrder(4)
+}
+
+// checkOrder fails unless the history has the versions 1 to n; the observer
+// compares what the nodes report.
+func (c *cluster) checkOrder(n int) {
+	c.t.Helper()
+	is := is.New(c.t)
+	h := c.history(c.nodes[0])
+	is.Equal(len(h), n)
+	for i, v := range h {
+		is.Equal(int(v.Number), i+1)
+	}
+}
--- /dev/null
+++ b/test/stop_test.go
@@ -0,0 +1,87 @@
+package test
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	longWork = 2 * time.Second
+	// stopTimeout bounds a planned stop: 3 s of announcement, the calls in
+	// flight, and the last messages of the node.
+	stopTimeout = 20 * time.Second
+)
+
+// TestPlannedStopCutsNoCall guards against a stop that breaks calls in flight
+// or shows an error to callers (invariant I8). It stops the publisher and a
+// node without a role in the overlay.
+func TestPlannedStopCutsNoCall(t *testing.T) {
+	everyDeployment(t, func(t *testing.T, c *cluster) {
+		p := c.publisher(inForceTimeout)
+		c.stopUnderLoad(p)
+		plain := c.of(func(n *node) bool { return n.service == c.d.services[0] && n.zone.region != p.zone.region })
+		c.stopUnderLoad(plain[len(plain)-1])
+	})
+}
+
+// stopUnderLoad sends SIGTERM to a node that has calls in flight from its own
+// caller and from its neighbour's, and starts it again afterwards.
+func (c *cluster) stopUnderLoad(victim *node) {
+	c.t.Helper()
+	others := c.of(func(n *node) bool { return n != victim })
+	neighbour := c.of(func(n *node) bool { return n != victim && n.zone == victim.zone })[0]
+	everywhere := c.traffic(others, pollInterval, read, answer.ok)
+
+	var inFlight sync.WaitGroup
+	for _, n := range []*node{victim, victim, victim, neighbour, neighbour, neighbour} {
+		inFlight.Go(func() {
+			if a := c.call(n, slowRead()); !a.ok() {
+				c.t.Errorf("call in flight through %s at the stop of %s: %s", n.id, victim.id, a)
+			}
+		})
+	}
+	time.Sleep(longWork / 4)
+	victim.process.signal(syscall.SIGTERM)
+	c.moveAway(victim, neighbour)
+	inFlight.Wait()
+	if !victim.process.endsWithin(stopTimeout) {
+		c.t.Fatalf("%s has not ended %s after SIGTERM", victim.id, stopTimeout)
+	}
+	if victim.process.err != nil {
+		c.t.Errorf("%s ended with %v after SIGTERM", victim.id, victim.process.err)
+	}
+	time.Sleep(time.Second) // calls after the end
+	calls, bad := everywhere.end()
+	for _, b := range bad {
+		c.t.Errorf("stop of %s: %s", victim.id, b)
+	}
+	if calls < len(others) {
+		c.t.Errorf("only %d calls were made", calls)
+	}
+	c.startNode(victim)
+	c.awaitRosters(startTimeout)
+}
+
+// moveAway calls through the leaving node until it says that it is leaving,
+// and then through its neighbour, as a caller would.
+func (c *cluster) moveAway(from, to *node) {
+	c.t.Helper()
+	deadline := time.Now().Add(stopTimeout)
+	for time.Now().Before(deadline) {
+		a := c.call(from, read())
+		if a.elsewhere() {
+			if b := c.call(to, read()); !b.ok() {
+				c.t.Errorf("call through %s after %s sent its caller away: %s", to.id, from.id, b)
+			}
+			return
+		}
+		if !a.ok() {
+			c.t.Errorf("call through the leaving node %s: %s", from.id, a)
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+	c.t.Errorf("%s took calls for %s after SIGTERM", from.id, stopTimeout)
+}
