--- a/pkg/claim/claims_test.go
+++ b/pkg/claim/claims_test.go
@@ -81,21 +81,32 @@
 	wg.Wait()
 	_, err = service.Rows.Get(ctx, key("leaves").row())
 	is.NoErr(err) // the insert took effect
-	c.releaseAbandoned(ctx)
+	c.workOff(ctx)
 	_, err = service.Rows.Get(ctx, key("leaves").row())
 	is.True(errors.Is(err, platform.ErrNotFound))
 }
 
-// Guards against orders that hang or run while the store is down.
+// Guards against orders that hang or run while the store is down, and against
+// a key that stays in progress after an outage although its call has ended.
 func TestStoreDown(t *testing.T) {
-	is := is.New(t)
+	is, ctx := is.New(t), context.Background()
 	service, table := start(t)
-	service.SetFaults(standin.Faults{Down: true})
 	c := NewClaims(Config{Table: table, Timeout: 100 * time.Millisecond})
-	out, err := c.Begin(context.Background(), key("a"))
+	before, err := c.Begin(ctx, key("before"))
+	is.NoErr(err)
+	service.SetFaults(standin.Faults{Down: true})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	is.True(errors.Is(c.Finish(short, before.ID, Answer{Status: 201}), ErrUnavailable))
+	out, err := c.Begin(ctx, key("a"))
 	is.True(errors.Is(err, ErrUnavailable))
 	is.Equal(out.Refusal, model.ClaimUnavailable)
 	is.Equal(out.Run, model.NotRun)
+	service.SetFaults(standin.Faults{})
+	c.workOff(ctx)
+	out, err = c.Begin(ctx, key("before"))
+	is.NoErr(err)
+	is.Equal(out.Replay.Status, 201)
 }
 
 // Guards against rows that stay for ever or go before their retention ends,
@@ -126,32 +137,36 @@
 	is.Equal(again.Refusal, model.KeyOutcomeUnknown)
 }
 
-// BenchmarkOrder measures platform writes per order (claim and finish) at 64
-// orders in flight.
+// BenchmarkOrder measures platform writes per order (claim and finish) for
+// several numbers of orders in flight.
 func BenchmarkOrder(b *testing.B) {
-	for name, window := range map[string]time.Duration{"alone": -1, "grouped": DefaultWindow} {
-		b.Run(name, func(b *testing.B) {
-			service, table := start(b)
-			c := NewClaims(Config{Table: table, Window: window})
-			ctx := context.Background()
-			work := make(chan int)
-			var wg sync.WaitGroup
-			for range 64 {
-				wg.Go(func() {
-					for i := range work {
-						out, err := c.Begin(ctx, key(fmt.Sprint(i)))
-						if err != nil || !out.Granted || c.Finish(ctx, out.ID, Answer{Status: 200}) != nil {
-							b.Error("order failed", err)
-						}
-					}
-				})
-			}
-			for i := 0; b.Loop(); i++ {
-				work <- i
+	for _, inFlight := range []int{1, 8, 64} {
+		for name, window := range map[string]time.Duration{"alone": -1, "grouped": DefaultWindow} {
+			b.Run(fmt.Sprintf("%s/%d", name, inFlight), func(b *testing.B) { benchmarkOrders(b, window, inFlight) })
+		}
+	}
+}
+
+func benchmarkOrders(b *testing.B, window time.Duration, inFlight int) {
+	service, table := start(b)
+	c := NewClaims(Config{Table: table, Window: window})
+	ctx := context.Background()
+	work := make(chan int)
+	var wg sync.WaitGroup
+	for range inFlight {
+		wg.Go(func() {
+			for i := range work {
+				out, err := c.Begin(ctx, key(fmt.Sprint(i)))
+				if err != nil || !out.Granted || c.Finish(ctx, out.ID, Answer{Status: 200}) != nil {
+					b.Error("order failed", err)
+				}
 			}
-			close(work)
-			wg.Wait()
-			b.ReportMetric(float64(service.Counters().Writes)/float64(b.N), "writes/order")
 		})
 	}
+	for i := 0; b.Loop(); i++ {
+		work <- i
+	}
+	close(work)
+	wg.Wait()
+	b.ReportMetric(float64(service.Counters().Writes)/float64(b.N), "writes/order")
 }
