Test restarts without the store and a lost upstream beside the publisher

Two cases were not covered: processes that restart while the store cannot tell them the version in force, and a publisher whose own upstream is down. The tests also print the state of each node when they fail, leave the access log out of the shortened logs, pause the publisher in the middle of its work, and require that answers of the store were lost during the order test.

Before: no test of either case. After: both tests fail for faults of the product (LENTILFLOW_BIN=$PWD/bin go test -count=1 -run 'Restart|Lost' ./test/). Two restarted nodes of one zone wait for each other's start-up read for as long as the store is down. With the upstream beside the publisher down, the oldest region root and the publisher both take the top of the tree, and the other nodes get no heartbeat.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -177,6 +177,10 @@
 			c.t.Error(fault)
 		}
 	}
+	failed := c.t.Failed()
+	if failed && c.observer != nil {
+		c.logStates()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.processes {
@@ -185,14 +189,31 @@
 	for _, p := range c.processes {
 		p.kill(c.t)
 	}
-	if c.t.Failed() {
-		shown := map[string]bool{}
-		for _, p := range c.processes {
-			if !shown[p.log] {
-				c.t.Log(p.tail())
-			}
-			shown[p.log] = true
+	if failed {
+		c.logTails()
+	}
+}
+
+// logStates prints what each node says about itself.
+func (c *cluster) logStates() {
+	var mu sync.Mutex
+	c.each(c.nodes, func(n *node, s state) string {
+		mu.Lock()
+		defer mu.Unlock()
+		c.t.Logf("%s: version %d, parent %q, publisher %t, top %t, settled %t %s, roster %v, may serve %t, age %.1f s %s",
+			n.id, s.Info.Number, s.Parent, s.Publisher, s.Top, s.Settled, s.Starting, s.Roster, s.MayServe, s.AgeSeconds, s.ApplyError)
+		return ""
+	})
+}
+
+// logTails prints the end of each log once.
+func (c *cluster) logTails() {
+	shown := make(map[string]bool)
+	for _, p := range c.processes {
+		if text := p.tail(); text != "" && !shown[p.log] {
+			c.t.Log(text)
 		}
+		shown[p.log] = true
 	}
 }
 
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -1,8 +1,12 @@
 package test
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
 const (
@@ -10,6 +14,9 @@
 	// crashLimit is the number of upstreams of a service that one request may
 	// bring down: the guard knows it after the second crash.
 	crashLimit = 2
+	// moveTime is longer than nodes take to move to the parent that they have
+	// by the newest roster.
+	moveTime = 5 * time.Second
 )
 
 // TestCrashingRequestIsStopped guards against a request that brings down every
@@ -29,3 +36,71 @@
 	}
 	c.awaitCalls(c.nodes, recoverTimeout)
 }
+
+// TestLostUpstreamKeepsConfiguration guards against an overlay that treats the
+// publisher as dead because the upstream beside it is down: heartbeats and
+// versions would not reach the other nodes.
+func TestLostUpstreamKeepsConfiguration(t *testing.T) {
+	parallel(t)
+	c := start(t, bertolucci())
+	p := c.youngPublisher()
+	p.upstream.kill(t)
+	c.eventually("the upstream beside "+p.id+" is known to be down", inForceTimeout, func() string {
+		return c.each(c.nodes, func(_ *node, s state) string {
+			if s.Roster[model.Suspect.String()] == 0 {
+				return "no entry is suspect"
+			}
+			return ""
+		})
+	})
+	time.Sleep(staleAfter + moveTime)
+	// Versions also pass through the comparison of two nodes every 10 s, but
+	// heartbeats come from the parent only.
+	if text := c.each(c.nodes, func(_ *node, s state) string {
+		if s.AgeSeconds >= staleAfter.Seconds() {
+			return fmt.Sprintf("no heartbeat of the publisher for %.1f s, parent %q", s.AgeSeconds, s.Parent)
+		}
+		return ""
+	}); text != "" {
+		t.Error(text)
+	}
+	c.change(c.nodes[0])
+	c.awaitInForce(2, c.nodes, inForceTimeout)
+}
+
+// youngPublisher returns a publisher that is not the oldest node. The oldest
+// one is at the top of the overlay also without being the publisher.
+func (c *cluster) youngPublisher() *node {
+	c.t.Helper()
+	const moves = 4
+	for range moves {
+		p := c.publisher(recoverTimeout)
+		if p != c.oldest() {
+			return p
+		}
+		p.process.kill(c.t)
+		c.publisher(recoverTimeout, p)
+		c.startNode(p)
+		c.awaitRosters(recoverTimeout)
+	}
+	c.t.Fatalf("the oldest node became the publisher %d times", moves)
+	return nil
+}
+
+func (c *cluster) oldest() *node {
+	c.t.Helper()
+	var mu sync.Mutex
+	var first *node
+	var generation uint64
+	if text := c.each(c.nodes, func(n *node, s state) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if first == nil || s.Generation < generation || s.Generation == generation && n.id < first.id {
+			first, generation = n, s.Generation
+		}
+		return ""
+	}); text != "" {
+		c.t.Fatal(text)
+	}
+	return first
+}
--- a/test/kill_test.go
+++ b/test/kill_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	standin "github.com/lentilflow/lentilflow/pkg/standin/platform"
 )
 
 // recoverTimeout bounds the time until an edit is in force when the lease of
@@ -18,6 +20,10 @@
 // nodes: up to 500 ms until the publisher reads the file, then two links.
 const travelTime = 300 * time.Millisecond
 
+// slowStore is the delay of the store while a publisher is paused in the
+// middle of its work; it is below the time limit of the nodes.
+const slowStore = 400 * time.Millisecond
+
 // honest accepts answers and refusals that state reason and run state.
 func honest(a answer) bool {
 	return a.ok() || a.err == nil && a.reason != "" && a.runState != ""
@@ -34,6 +40,13 @@
 	}
 }
 
+func (c *cluster) startNodes(nodes []*node) {
+	c.t.Helper()
+	for _, n := range nodes {
+		c.startNode(n)
+	}
+}
+
 func (c *cluster) without(gone []*node) []*node {
 	return c.of(func(n *node) bool { return !slices.Contains(gone, n) })
 }
@@ -73,9 +86,7 @@
 	c.awaitCalls(survivors, recoverTimeout)
 	edit := c.change(survivors[0])
 	c.awaitEdit(edit, survivors, recoverTimeout)
-	for _, n := range half {
-		c.startNode(n)
-	}
+	c.startNodes(half)
 	c.awaitEdit(edit, c.nodes, recoverTimeout)
 	c.awaitRosters(recoverTimeout)
 	made, bad := calls.end()
@@ -85,6 +96,21 @@
 	t.Logf("%d calls through survivors", made)
 }
 
+// TestRestartWithStoreDown guards against restarted processes that take an
+// older version than their zone had, or never serve, when the store cannot
+// tell them the version in force. One zone loses two of its three nodes.
+func TestRestartWithStoreDown(t *testing.T) {
+	parallel(t)
+	c := start(t, haneul())
+	edit := c.change(c.nodes[0])
+	c.awaitEdit(edit, c.nodes, inForceTimeout)
+	ended := []*node{c.nodes[0], c.nodes[2], c.nodes[4], c.nodes[6]}
+	c.store.SetFaults(standin.Faults{Down: true})
+	c.killNodes(ended)
+	c.startNodes(ended)
+	c.awaitEdit(edit, c.nodes, recoverTimeout)
+}
+
 // TestRootsKilledWhileVersionTravels guards against an accepted edit that is
 // lost, or in force in some nodes only, when the publisher and all roots die
 // on its way.
@@ -101,9 +127,7 @@
 	time.Sleep(travelTime)
 	c.killNodes(roots)
 	c.awaitEdit(edit, survivors, recoverTimeout)
-	for _, n := range roots {
-		c.startNode(n)
-	}
+	c.startNodes(roots)
 	c.awaitEdit(edit, c.nodes, recoverTimeout)
 	c.checkOrder(2)
 }
@@ -113,15 +137,34 @@
 func TestPausedPublisherDoesNotFork(t *testing.T) {
 	parallel(t)
 	c := start(t, bertolucci())
-	paused := c.publisher(inForceTimeout)
+	c.pausePublisher(0)
+	c.pausePublisher(slowStore)
+	c.checkOrder(5)
+}
+
+// pausePublisher pauses the publisher past its lease, lets a successor accept
+// an edit, and resumes the paused process. With a delay of the store the pause
+// begins while the publisher accepts that edit.
+func (c *cluster) pausePublisher(delay time.Duration) {
+	c.t.Helper()
+	paused := c.publisher(recoverTimeout)
+	others := c.without([]*node{paused})
+	edit := 0
+	if delay > 0 {
+		c.store.SetFaults(standin.Faults{Delay: delay})
+		edit = c.change(others[0])
+		// The publisher needs several requests of this delay each.
+		time.Sleep(2 * delay)
+	}
 	paused.process.signal(syscall.SIGSTOP)
+	c.store.SetFaults(standin.Faults{})
 	successor := c.publisher(recoverTimeout, paused)
-	others := c.without([]*node{paused})
-	c.awaitEdit(c.change(successor), others, recoverTimeout)
+	if edit == 0 {
+		edit = c.change(successor)
+	}
+	c.awaitEdit(edit, others, recoverTimeout)
 	paused.process.signal(syscall.SIGCONT)
-	c.awaitEdit(c.change(successor), c.nodes, recoverTimeout)
 	c.awaitEdit(c.change(paused), c.nodes, recoverTimeout)
-	c.checkOrder(4)
 }
 
 // checkOrder fails unless the history has the versions 1 to n; the observer
--- a/test/observer_test.go
+++ b/test/observer_test.go
@@ -17,7 +17,7 @@
 type state = distribution.State
 
 const (
-	observeInterval = 250 * time.Millisecond
+	observeInterval = 100 * time.Millisecond
 	stateTimeout    = 2 * time.Second
 	maxStateBytes   = 1 << 20
 )
--- a/test/orders_test.go
+++ b/test/orders_test.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	orderKeys     = 120
+	orderKeys     = 300
 	orderCallers  = 6
 	orderAttempts = 8 // of one caller for one key
 	orderPause    = 150 * time.Millisecond
 	orderSeed     = 7
+	killPeriod    = 300 * time.Millisecond
 	lostAnswers   = 0.1 // share of writes of the store
 )
 
@@ -72,6 +73,9 @@
 	close(disturb)
 	disturbed.Wait()
 	c.store.SetFaults(standin.Faults{})
+	if c.store.Counters().Lost == 0 {
+		t.Error("no answer of the store was lost")
+	}
 	compare(t, b, c.ledgers())
 }
 
@@ -111,11 +115,11 @@
 		select {
 		case <-done:
 			return
-		case <-time.After(time.Second):
+		case <-time.After(killPeriod):
 		}
 		n := c.nodes[random.IntN(len(c.nodes))]
 		n.process.kill(c.t)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(killPeriod)
 		c.startNode(n)
 	}
 }
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -82,13 +83,21 @@
 	logColumns = 240
 )
 
-// tail returns the last lines of the process's output, shortened.
+// accessLog marks the lines of the access log, which would hide all others.
+const accessLog = `"logger":"access"`
+
+// tail returns the last lines of the process's output, shortened and without
+// the access log. It is empty if there are none.
 func (p *process) tail() string {
 	text, err := os.ReadFile(p.log)
 	if err != nil {
 		return err.Error()
 	}
 	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	lines = slices.DeleteFunc(lines, func(l string) bool { return l == "" || strings.Contains(l, accessLog) })
+	if len(lines) == 0 {
+		return ""
+	}
 	lines = lines[max(0, len(lines)-logLines):]
 	for i, l := range lines {
 		if len(l) > logColumns {
--- a/test/upstream_test.go
+++ b/test/upstream_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
@@ -117,8 +116,3 @@
 func (c *cluster) crashed() []*node {
 	return c.of(func(n *node) bool { return !n.upstream.running() })
 }
-
-// sameService returns the nodes beside upstreams of a service.
-func (c *cluster) sameService(service string) []*node {
-	return slices.Clone(c.of(func(n *node) bool { return n.service == service }))
-}
