Make the planned-stop test notice a missing drain

A node that skipped its drain passed the test, because the servers give open requests 5 s anyway and the calls in flight took 2 s. They now take 7 s, and a leaving node must take calls for the 3 s of its announcement.

With the drain removed from the node, before: both cases of TestPlannedStopCutsNoCall pass.

--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -8,7 +8,11 @@
 )
 
 const (
-	longWork = 2 * time.Second
+	// longWork is longer than the 5 s that an HTTP server of a node gives to
+	// open requests without a drain, and ends within the deadline of the rule.
+	longWork = 7 * time.Second
+	// settleTime is enough for calls to reach their upstreams.
+	settleTime = 500 * time.Millisecond
 	// stopTimeout bounds a planned stop: 3 s of announcement, the calls in
 	// flight, and the last messages of the node.
 	stopTimeout = 20 * time.Second
@@ -42,9 +46,10 @@
 			}
 		})
 	}
-	time.Sleep(longWork / 4)
+	time.Sleep(settleTime)
+	sent := time.Now()
 	victim.process.signal(syscall.SIGTERM)
-	c.moveAway(victim, neighbour)
+	c.moveAway(victim, neighbour, sent)
 	inFlight.Wait()
 	if !victim.process.endsWithin(stopTimeout) {
 		c.t.Fatalf("%s has not ended %s after SIGTERM", victim.id, stopTimeout)
@@ -65,13 +70,17 @@
 }
 
 // moveAway calls through the leaving node until it says that it is leaving,
-// and then through its neighbour, as a caller would.
-func (c *cluster) moveAway(from, to *node) {
+// and then through its neighbour, as a caller would. The node must take calls
+// for the time of the announcement, which begins after the signal was sent.
+func (c *cluster) moveAway(from, to *node, sent time.Time) {
 	c.t.Helper()
 	deadline := time.Now().Add(stopTimeout)
 	for time.Now().Before(deadline) {
 		a := c.call(from, read())
 		if a.elsewhere() {
+			if took := time.Since(sent); took < drainTime {
+				c.t.Errorf("%s sent its caller away %s after SIGTERM: %s", from.id, took, a)
+			}
 			if b := c.call(to, read()); !b.ok() {
 				c.t.Errorf("call through %s after %s sent its caller away: %s", to.id, from.id, b)
 			}
