Require another edit while all roots are dead

TestRootsKilledWhileVersionTravels passed whenever the version had reached the survivors before the kill, so it did not show whether they replace the roots. It now puts a second edit before the roots return.

--- a/test/kill_test.go
+++ b/test/kill_test.go
@@ -113,7 +113,7 @@
 
 // TestRootsKilledWhileVersionTravels guards against an accepted edit that is
 // lost, or in force in some nodes only, when the publisher and all roots die
-// on its way.
+// on its way, and against survivors that do not replace the roots.
 func TestRootsKilledWhileVersionTravels(t *testing.T) {
 	parallel(t)
 	c := start(t, haneul())
@@ -127,9 +127,11 @@
 	time.Sleep(travelTime)
 	c.killNodes(roots)
 	c.awaitEdit(edit, survivors, recoverTimeout)
+	edit = c.change(survivors[0]) // needs another publisher
+	c.awaitEdit(edit, survivors, recoverTimeout)
 	c.startNodes(roots)
 	c.awaitEdit(edit, c.nodes, recoverTimeout)
-	c.checkOrder(2)
+	c.checkOrder(3)
 }
 
 // TestPausedPublisherDoesNotFork guards against two versions with one number
