--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -15,10 +16,12 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/lentilflow/lentilflow/pkg/claim"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/routing"
 	"github.com/lentilflow/lentilflow/pkg/rules"
+	standin "github.com/lentilflow/lentilflow/pkg/standin/platform"
 )
 
 const testRules = `service agenda slots=15 connections=130 # Ana Prado
@@ -56,9 +59,6 @@
 	return m
 }
 
-// raise puts version 8 in force.
-func raise(t testing.TB, m *mesh) { m.snap.Store(compile(t, 8)) }
-
 func compile(t testing.TB, v model.Version) *routing.Snapshot {
 	f, faults := rules.Parse("test", []byte(testRules))
 	if len(faults) > 0 {
@@ -146,12 +146,9 @@
 
 // deadAddress returns an address that refuses connections.
 func deadAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	address, l := rawUpstream(t, nil)
+	_ = l.Close()
+	return address
 }
 
 // send makes a request and fails the test when there is no answer.
@@ -195,51 +192,45 @@
 	return sum
 }
 
-// fakeClaims is a claim store for one test.
-type fakeClaims struct {
-	mu       sync.Mutex
-	rows     map[string]*ClaimAnswer // nil while in progress
-	digests  map[string][32]byte
-	down     bool
-	released int
+// testClaims is the claims of one process over a table service in memory.
+type testClaims struct {
+	*claim.Claims
+	store *standin.Rows
+	down  bool
 }
 
-func (f *fakeClaims) Begin(_ context.Context, k ClaimKey) (ClaimOutcome, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
+func (c *testClaims) Begin(ctx context.Context, k ClaimKey) (ClaimOutcome, error) {
+	if c.down {
 		return ClaimOutcome{}, errors.New("store down")
 	}
-	a, held := f.rows[k.Key]
-	switch {
-	case !held:
-		f.rows[k.Key], f.digests[k.Key] = nil, k.Digest
-		return ClaimOutcome{ID: k.Key}, nil
-	case f.digests[k.Key] != k.Digest:
-		return ClaimOutcome{State: ClaimReused}, nil
-	case a == nil:
-		return ClaimOutcome{State: ClaimInProgress}, nil
+	o, err := c.Claims.Begin(ctx, claim.Key{Service: k.Service, Key: k.Key, Digest: hex.EncodeToString(k.Digest[:])})
+	if o.Replay != nil {
+		return ClaimOutcome{State: ClaimDone, Answer: &ClaimAnswer{Status: o.Replay.Status, Header: o.Replay.Header, Body: o.Replay.Body}}, err
 	}
-	return ClaimOutcome{State: ClaimDone, Answer: a}, nil
+	states := map[model.Reason]ClaimState{model.KeyReused: ClaimReused, model.KeyInProgress: ClaimInProgress}
+	return ClaimOutcome{State: states[o.Refusal], ID: o.ID}, err
+}
+
+func (c *testClaims) Finish(ctx context.Context, id any, a ClaimAnswer) error {
+	return c.Claims.Finish(ctx, id.(claim.ID), claim.Answer{Status: a.Status, Header: a.Header, Body: a.Body})
 }
 
-func (f *fakeClaims) Finish(_ context.Context, id any, a ClaimAnswer) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.rows[id.(string)] = &a
-	return nil
+func (c *testClaims) Release(ctx context.Context, id any) error {
+	return c.Claims.Release(ctx, id.(claim.ID))
 }
 
-func (f *fakeClaims) Release(_ context.Context, id any) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.released++
-	delete(f.rows, id.(string))
-	return nil
+func newClaims() *testClaims {
+	store := standin.NewRows()
+	return &testClaims{Claims: claim.NewClaims(claim.Config{Table: store, Node: "a", Window: -1}), store: store}
 }
 
-func newFakeClaims() *fakeClaims {
-	return &fakeClaims{rows: map[string]*ClaimAnswer{}, digests: map[string][32]byte{}}
+// row returns the only row of the store.
+func (c *testClaims) row() string {
+	rows, _ := c.store.Scan(context.Background(), "claim/", "", 2)
+	if len(rows) != 1 {
+		return fmt.Sprint(len(rows), " rows")
+	}
+	return string(rows[0].Value)
 }
 
 func eventually(t testing.TB, what string, f func() bool) {
