Name the wrong listener, address, service and count in lentilctl

Cause: a trial of every wrong input showed answers that mislead. The default of `upstream.health_path` was /healthz, while the stand-in of the upstream serves /health.

Change: every answer of the administration API carries `Lentilflow-Api`, and the client refuses answers without it. `--admin` is checked as host:port before any request. The other cases are one error with status 1. The default health path is /health, and a test compares it with the stand-in.

The expectation "unexpected answer: 404 Not Found" of the test for a wrong listener became the new message, which also names the address.

Measured: `go test -race ./cmd/... ./pkg/admin/... ./pkg/settings ./docs` and `go test -race -run TestHealthPathsAgree ./pkg/devcluster` pass; the new cases of TestFailuresExitWithOneError describe the answers before.

--- a/cmd/lentilctl/cli/cli.go
+++ b/cmd/lentilctl/cli/cli.go
@@ -5,19 +5,36 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/lentilflow/lentilflow/pkg/admin/client"
 )
 
 // Globals are the flags that every command takes.
 type Globals struct {
-	Admin   string        `help:"Administration listener of any node, as host:port." env:"LENTILCTL_ADMIN" default:"127.0.0.1:7402" placeholder:"ADDRESS"`
+	Admin   string        `help:"Administration listener of any node, as host:port; ${default} if not stated." env:"LENTILCTL_ADMIN" default:"127.0.0.1:7402" placeholder:"ADDRESS"`
 	Output  string        `help:"Form of the output: ${enum}." enum:"text,json" default:"text" short:"o"`
 	Timeout time.Duration `help:"Longest time for one request." default:"10s"`
 }
 
+// Validate refuses an address that is not host:port before any request is made.
+func (g *Globals) Validate() error {
+	host, port, err := net.SplitHostPort(g.Admin)
+	if err == nil && host != "" {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil || host == "" || strings.ContainsAny(host, "/ ") {
+		return merry.Errorf("--admin: address %q is not accepted (accepted: host:port, such as 127.0.0.1:7402)", g.Admin)
+	}
+	return nil
+}
+
 // Env is what a command runs with.
 type Env struct {
 	Globals
--- a/cmd/lentilctl/execute_test.go
+++ b/cmd/lentilctl/execute_test.go
@@ -42,18 +42,31 @@
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/rules", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(admin.APIHeader, admin.APIVersion)
 		_ = json.NewEncoder(w).Encode(admin.RulesFile{ETag: "1", Text: text})
 	})
 	mux.HandleFunc("PUT /v1/rules", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(admin.APIHeader, admin.APIVersion)
 		w.Header().Set("Content-Type", admin.ProblemType)
 		w.WriteHeader(http.StatusPreconditionFailed)
 		_ = json.NewEncoder(w).Encode(admin.Problem{Status: 412, Detail: "changed by someone else", ETag: "2"})
 	})
+	mux.HandleFunc("GET /v1/upstreams", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(admin.APIHeader, admin.APIVersion)
+		_ = json.NewEncoder(w).Encode(admin.Page[admin.Upstream]{})
+	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// other answers JSON to everything, as an upstream does.
+func other(t *testing.T) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // Guards against a failure that exits with status 0, or with no or several
 // error messages.
 func TestFailuresExitWithOneError(t *testing.T) {
@@ -74,7 +87,12 @@
 		{"unknown output", []string{"status", "--output", "xml"}, "must be one of"},
 		{"node unreachable", []string{"status", "--admin", "127.0.0.1:1"}, "no answer from the node at 127.0.0.1:1"},
 		{"address malformed", []string{"status", "--admin", "a b"}, `address "a b"`},
-		{"not an admin listener", []string{"status", "--admin", address}, "unexpected answer: 404 Not Found"},
+		{"not an admin listener", []string{"status", "--admin", address}, address + " is not the administration listener of a node (it answered 404 Not Found)"},
+		{"upstream instead of a node", []string{"rules", "get", "--admin", other(t)}, "is not the administration listener"},
+		{"address without port", []string{"status", "--admin", "localhost"}, `address "localhost" is not accepted (accepted: host:port`},
+		{"address as URL", []string{"status", "--admin", "http://127.0.0.1:1"}, "(accepted: host:port"},
+		{"no versions", []string{"rules", "history", "--last", "0"}, "--last: 0 is not accepted"},
+		{"no upstream", []string{"upstreams", "--service", "none", "--admin", address}, `no upstream of service "none"`},
 		{"file missing", []string{"rules", "check", filepath.Join(dir, "none")}, "no such file"},
 		{"file faulty", []string{"rules", "check", faulty}, "fails the check"},
 		{"diff of a faulty file", []string{"rules", "diff", faulty, "--admin", address}, "fails the check"},
@@ -122,6 +140,17 @@
 	}
 }
 
+// Guards against an error that names a kept draft although the editor has
+// removed it.
+func TestRemovedDraftIsNotCalledKept(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("TMPDIR", t.TempDir())
+	r := lentilctl(map[string]string{"EDITOR": "rm"}, "rules", "edit", "--admin", serve(t))
+	is.Equal(r.code, 1)
+	is.True(strings.Contains(r.stderr, "no longer exists, and nothing was changed"))
+	is.True(!strings.Contains(r.stderr, "is kept in"))
+}
+
 // Guards against an unchanged file that is put as a new version.
 func TestEditWithoutChangePutsNothing(t *testing.T) {
 	is := is.New(t)
--- a/cmd/lentilctl/explain/explain.go
+++ b/cmd/lentilctl/explain/explain.go
@@ -39,7 +39,7 @@
 	if r.Target > 0 {
 		fmt.Fprintf(w, "target\t%s\n", r.Target)
 	}
-	fmt.Fprintf(w, "idempotent\t%t, retries %d\n", r.Idempotent, r.Retries)
+	fmt.Fprintf(w, "idempotent\t%s, retries %d\n", yesNo(r.Idempotent), r.Retries)
 	fmt.Fprintf(w, "service\t%s\n", r.Service)
 	fmt.Fprintf(w, "goes to\t%s\n", list(x.Nearest))
 	fmt.Fprintf(w, "otherwise\t%s\n", list(x.Others))
@@ -55,6 +55,14 @@
 	return r.AskedBy + ": " + r.Reason
 }
 
+// yesNo writes a value as the rules file does.
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
 func methods(m []string) string {
 	if len(m) == 0 {
 		return "*"
--- a/cmd/lentilctl/rules/edit.go
+++ b/cmd/lentilctl/rules/edit.go
@@ -22,6 +22,10 @@
 // Whenever the edited text is not put, it stays in the local file that the
 // error names.
 func (c *Edit) Run(env *cli.Env) error {
+	editor := strings.Fields(env.Getenv("EDITOR"))
+	if len(editor) == 0 {
+		return merry.New("the environment variable EDITOR is not set; nothing was changed")
+	}
 	ctx, cancel := env.Request()
 	defer cancel()
 	current, err := env.Client().Rules(ctx)
@@ -32,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	if err := runEditor(env, path); err != nil {
+	if err := runEditor(env, editor, path); err != nil {
 		return kept(err, path)
 	}
 	text, err := readFile(path)
@@ -68,6 +72,9 @@
 }
 
 func kept(err error, path string) error {
+	if _, missing := os.Stat(path); missing != nil {
+		return merry.Errorf("%w; the draft %s no longer exists, and nothing was changed", err, path)
+	}
 	return merry.Errorf("%w; your text is kept in %s", err, path)
 }
 
@@ -83,12 +90,8 @@
 	return f.Name(), f.Close()
 }
 
-// runEditor runs $EDITOR, which may hold arguments separated by blanks.
-func runEditor(env *cli.Env, path string) error {
-	words := strings.Fields(env.Getenv("EDITOR"))
-	if len(words) == 0 {
-		return merry.New("the environment variable EDITOR is not set")
-	}
+// runEditor runs the words of $EDITOR with the path of the draft added.
+func runEditor(env *cli.Env, words []string, path string) error {
 	editor := exec.CommandContext(env.Context, words[0], append(words[1:], path)...)
 	editor.Stdin, editor.Stdout, editor.Stderr = env.Stdin, env.Stdout, env.Stderr
 	if err := editor.Run(); err != nil {
--- a/cmd/lentilctl/rules/history.go
+++ b/cmd/lentilctl/rules/history.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/rules"
@@ -13,6 +15,8 @@
 // pageSize is the number of versions read with one request.
 const pageSize = 100
 
+var errLast = merry.New("--last: 0 is not accepted (accepted: whole number, at least 1)")
+
 // History lists accepted versions.
 type History struct {
 	Last uint `help:"Number of versions to list." default:"20"`
@@ -20,6 +24,9 @@
 
 // Run prints the newest versions, the newest last.
 func (c *History) Run(env *cli.Env) error {
+	if c.Last == 0 {
+		return errLast
+	}
 	versions, err := newest(env, c.Last)
 	if err != nil {
 		return err
@@ -67,7 +74,10 @@
 
 // Run prints each line of the newest version with its origin.
 func (c *Blame) Run(env *cli.Env) error {
-	versions, err := newest(env, max(c.Last, 1))
+	if c.Last == 0 {
+		return errLast
+	}
+	versions, err := newest(env, c.Last)
 	if err != nil {
 		return err
 	}
--- a/cmd/lentilctl/status/status.go
+++ b/cmd/lentilctl/status/status.go
@@ -25,8 +25,7 @@
 }
 
 func write(w io.Writer, s *admin.Status) {
-	fmt.Fprintf(w, "version %d in force on %d of %d nodes (%d behind, %d without an answer)\n",
-		s.Highest, s.Summary.InForce, s.Summary.Nodes, s.Summary.Behind, s.Summary.Unreachable)
+	fmt.Fprintln(w, summary(s))
 	fmt.Fprintf(w, "publisher %s\n", orNone(string(s.Publisher)))
 	fmt.Fprintf(w, "store %s\n", store(s.Store))
 	if s.Rejected != nil {
@@ -51,6 +50,14 @@
 	}
 }
 
+func summary(s *admin.Status) string {
+	if s.Highest == 0 {
+		return fmt.Sprintf("no version in force on any of %d nodes (%d without an answer)", s.Summary.Nodes, s.Summary.Unreachable)
+	}
+	return fmt.Sprintf("version %d in force on %d of %d nodes (%d behind, %d without an answer)",
+		s.Highest, s.Summary.InForce, s.Summary.Nodes, s.Summary.Behind, s.Summary.Unreachable)
+}
+
 func store(s admin.Store) string {
 	if s.Reachable {
 		return "reachable"
--- a/cmd/lentilctl/upstreams/upstreams.go
+++ b/cmd/lentilctl/upstreams/upstreams.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
 	"github.com/lentilflow/lentilflow/pkg/admin"
 )
@@ -31,6 +33,9 @@
 		}
 		after = page.Next
 	}
+	if c.Service != "" && len(all) == 0 {
+		return merry.Errorf("no upstream of service %q is in the roster", c.Service)
+	}
 	return env.Print(all, func(w io.Writer) {
 		fmt.Fprintln(w, "NODE\tSERVICE\tREGION\tZONE\tSTATE\tSLOTS\tCALLS\tPEER\tADMIN")
 		for _, u := range all {
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -204,5 +204,6 @@
 	answer := call(t, f, http.MethodGet, "/readyz", "", "")
 	is.Equal(answer.Code, 503)
 	is.Equal(decode[Problem](t, answer).Detail, "no version is in force")
+	is.Equal(answer.Header().Get(APIHeader), APIVersion) // also on refusals; clients need it
 	is.Equal(call(t, f, http.MethodGet, "/healthz", "", "").Code, 200)
 }
--- a/pkg/admin/client/client.go
+++ b/pkg/admin/client/client.go
@@ -117,8 +117,11 @@
 	if err != nil {
 		return merry.Prependf(err, "answer of node at %s", c.address)
 	}
+	if response.Header.Get(admin.APIHeader) == "" {
+		return merry.Errorf("%s is not the administration listener of a node (it answered %s)", c.address, response.Status)
+	}
 	if response.StatusCode != http.StatusOK {
-		return refusal(response, body)
+		return c.refusal(response, body)
 	}
 	if err := json.Unmarshal(body, result); err != nil {
 		return merry.Prependf(err, "answer of node at %s is not valid", c.address)
@@ -135,10 +138,10 @@
 	return merry.Prependf(err, "no answer from the node at %s", c.address)
 }
 
-func refusal(response *http.Response, body []byte) error {
+func (c *Client) refusal(response *http.Response, body []byte) error {
 	p := &admin.Problem{}
 	if response.Header.Get("Content-Type") != admin.ProblemType || json.Unmarshal(body, p) != nil {
-		return merry.Errorf("unexpected answer: %s", response.Status)
+		return merry.Errorf("unexpected answer of the node at %s: %s", c.address, response.Status)
 	}
 	return p
 }
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -81,12 +81,20 @@
 	Log     *zap.Logger
 }
 
+// APIHeader is on every answer of the administration API, so that a client can
+// tell it from the other listeners of a node and from other servers.
+const (
+	APIHeader  = "Lentilflow-Api"
+	APIVersion = "v1"
+)
+
 // New returns the handler of the administration listener.
 func New(cfg Config) http.Handler {
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = writeError
+	e.Pre(markAnswers)
 	e.Use(middleware.RecoverWithConfig(middleware.RecoverConfig{
 		DisableErrorHandler: false,
 		LogErrorFunc: func(_ echo.Context, err error, stack []byte) error {
@@ -114,3 +122,12 @@
 	e.GET("/readyz", q.ready)
 	return e
 }
+
+// markAnswers sets APIHeader before the route is known, so that refusals carry
+// it too.
+func markAnswers(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Header().Set(APIHeader, APIVersion)
+		return next(c)
+	}
+}
--- a/pkg/devcluster/cluster_test.go
+++ b/pkg/devcluster/cluster_test.go
@@ -16,6 +16,8 @@
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/platform"
 	"github.com/lentilflow/lentilflow/pkg/publisher"
+	"github.com/lentilflow/lentilflow/pkg/settings"
+	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
 )
 
 // awaitLimit is generous because the tests of other packages run at the same
@@ -45,6 +47,19 @@
 	return nil
 }
 
+// Guards against a default of the settings that the stand-in of the upstream
+// does not serve.
+func TestHealthPathsAgree(t *testing.T) {
+	is := is.New(t)
+	is.Equal(settings.Default().Upstream.HealthPath, upstream.HealthPath)
+	d, err := Find("haneul")
+	is.NoErr(err)
+	cfg := Config{Deployment: d, NodesPerService: 1, FirstPort: DefaultFirstPort}
+	for _, n := range cfg.plan() {
+		is.Equal(n.Upstream.HealthPath, upstream.HealthPath)
+	}
+}
+
 // call sends the call to try to one node.
 func call(t *testing.T, c *Cluster, n Node) (status int, version string) {
 	t.Helper()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -42,7 +42,7 @@
 	Address     Address `yaml:"address" required:"yes" unit:"address"`
 	Slots       int     `yaml:"slots" required:"yes" min:"1" max:"10000" unit:"calls"`
 	Connections int     `yaml:"connections" required:"yes" min:"1" max:"100000" unit:"connections"`
-	HealthPath  string  `yaml:"health_path" default:"/healthz" unit:"path"`
+	HealthPath  string  `yaml:"health_path" default:"/health" unit:"path"`
 }
 
 // Platform says where the platform's table service and object store are.
