End the wait for a rules file that equals the newest version

Cause: after a faulty file had been written with other tools, `lentilctl rules edit` restored the text in force and then ended after 20 s with "not accepted yet", status 1. The publisher gives the text of the newest version no second number, so the entity tag never appeared in the history. Nor could an operator print an accepted version, which going back to it needs.

Change: the wait also ends when the newest version has the digest of the file that was put.

`go test -race ./cmd/lentilctl` passes.

--- a/cmd/lentilctl/execute_test.go
+++ b/cmd/lentilctl/execute_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
 	"github.com/lentilflow/lentilflow/pkg/admin"
+	"github.com/lentilflow/lentilflow/pkg/delta"
+	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
 const text = "service s slots=1 connections=10 # Ana Prado: test\n" +
@@ -151,6 +153,31 @@
 	is.True(!strings.Contains(r.stderr, "is kept in"))
 }
 
+// Guards against a wait that never ends when the file gets the text of the
+// newest version again, as after the repair of a refused file.
+func TestPutOfTheNewestTextIsAccepted(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "f.rules")
+	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+	answers := map[string]any{
+		"PUT /v1/rules":    admin.PutResult{ETag: "9"},
+		"GET /v1/status":   admin.Status{Highest: 4, Summary: admin.Summary{Nodes: 1, InForce: 1}},
+		"GET /v1/versions": admin.Page[model.VersionInfo]{Items: []model.VersionInfo{{Number: 4, ETag: "7", Digest: delta.Digest([]byte(text))}}},
+	}
+	mux := http.NewServeMux()
+	for pattern, answer := range answers {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(admin.APIHeader, admin.APIVersion)
+			_ = json.NewEncoder(w).Encode(answer)
+		})
+	}
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	r := lentilctl(nil, "rules", "put", file, "--if-match", "8", "--wait", "5s", "--admin", strings.TrimPrefix(server.URL, "http://"))
+	is.Equal(r.stderr, "")
+	is.Equal(r.stdout, "version 4 in force on 1 of 1 nodes\n")
+}
+
 // Guards against an unchanged file that is put as a new version.
 func TestEditWithoutChangePutsNothing(t *testing.T) {
 	is := is.New(t)
--- a/cmd/lentilctl/rules/edit.go
+++ b/cmd/lentilctl/rules/edit.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
 	"github.com/lentilflow/lentilflow/pkg/admin"
+	"github.com/lentilflow/lentilflow/pkg/delta"
 	"github.com/lentilflow/lentilflow/pkg/rules"
 )
 
@@ -54,7 +55,7 @@
 	if err := os.Remove(path); err != nil {
 		return merry.Prepend(err, "remove the draft")
 	}
-	return c.follow(env, etag)
+	return c.follow(env, etag, delta.Digest(text))
 }
 
 func (c *Edit) replace(env *cli.Env, path string, text []byte, current admin.RulesFile) (string, error) {
--- a/cmd/lentilctl/rules/put.go
+++ b/cmd/lentilctl/rules/put.go
@@ -12,6 +12,7 @@
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
 	"github.com/lentilflow/lentilflow/pkg/admin"
+	"github.com/lentilflow/lentilflow/pkg/delta"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/rules"
 )
@@ -45,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	return c.follow(env, etag)
+	return c.follow(env, etag, delta.Digest(text))
 }
 
 func put(env *cli.Env, text []byte, ifMatch string) (string, error) {
@@ -70,12 +71,13 @@
 	Version model.Version `json:"version,omitempty"` // 0 if the command did not wait
 	Nodes   int           `json:"nodes,omitempty"`
 	InForce int           `json:"in_force,omitempty"`
+	digest  string
 }
 
 // follow waits until the file with the given tag is in force on every node
 // that answers.
-func (w Wait) follow(env *cli.Env, etag string) error {
-	outcome := putOutcome{ETag: etag}
+func (w Wait) follow(env *cli.Env, etag, digest string) error {
+	outcome := putOutcome{ETag: etag, digest: digest}
 	if w.Wait > 0 {
 		ctx, cancel := context.WithTimeout(env.Context, w.Wait)
 		defer cancel()
@@ -135,7 +137,7 @@
 		return true, merry.Errorf("the publisher has refused the rules file with ETag %s", outcome.ETag)
 	}
 	if outcome.Version == 0 {
-		if outcome.Version, err = accepted(ctx, env, outcome.ETag, s.Highest); err != nil || outcome.Version == 0 {
+		if outcome.Version, err = accepted(ctx, env, outcome, s.Highest); err != nil || outcome.Version == 0 {
 			return false, err
 		}
 	}
@@ -147,15 +149,16 @@
 // others may have put files since.
 const lookBack = 20
 
-// accepted returns the version that was accepted from the file with the given
-// tag, 0 if there is none yet.
-func accepted(ctx context.Context, env *cli.Env, etag string, highest model.Version) (model.Version, error) {
+// accepted returns the version that was accepted from the file that was put, 0
+// if there is none yet. A file with the text of the newest version gets no
+// number of its own.
+func accepted(ctx context.Context, env *cli.Env, put *putOutcome, highest model.Version) (model.Version, error) {
 	page, err := env.Client().Versions(ctx, highest-min(highest, lookBack), lookBack)
 	if err != nil {
 		return 0, err
 	}
 	for _, v := range page.Items {
-		if v.ETag == etag {
+		if v.ETag == put.ETag || v.Number == highest && v.Digest == put.digest {
 			return v.Number, nil
 		}
 	}
--- a/cmd/lentilctl/rules/rules.go
+++ b/cmd/lentilctl/rules/rules.go
@@ -2,6 +2,7 @@
 package rules
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -9,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
+	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/rules"
 )
 
@@ -16,7 +18,7 @@
 type Command struct {
 	Check   Check   `cmd:"" help:"Check a local rules file without a node."`
 	Diff    Diff    `cmd:"" help:"Show which statements of a local file differ from the deployment's rules file."`
-	Get     Get     `cmd:"" help:"Print the deployment's rules file; its entity tag goes to standard error."`
+	Get     Get     `cmd:"" help:"Print the deployment's rules file, with its entity tag on standard error, or an accepted version."`
 	Put     Put     `cmd:"" help:"Replace the deployment's rules file by a local file."`
 	Edit    Edit    `cmd:"" help:"Edit the deployment's rules file with $EDITOR and replace it."`
 	History History `cmd:"" help:"List accepted versions, the newest last."`
@@ -114,13 +116,18 @@
 	})
 }
 
-// Get prints the deployment's rules file.
-type Get struct{}
+// Get prints the deployment's rules file or an accepted version of it.
+type Get struct {
+	Version uint64 `help:"Print this accepted version instead of the current file." placeholder:"N"`
+}
 
 // Run prints the text as it is, or with its tag as JSON.
 func (c *Get) Run(env *cli.Env) error {
 	ctx, cancel := env.Request()
 	defer cancel()
+	if c.Version > 0 {
+		return c.accepted(ctx, env)
+	}
 	f, err := env.Client().Rules(ctx)
 	if err != nil {
 		return err
@@ -133,6 +140,18 @@
 	return err
 }
 
+func (c *Get) accepted(ctx context.Context, env *cli.Env) error {
+	v, err := env.Client().Version(ctx, model.Version(c.Version))
+	if err != nil {
+		return err
+	}
+	if env.Output == "json" {
+		return env.Print(v, nil)
+	}
+	_, err = io.WriteString(env.Stdout, v.Text)
+	return err
+}
+
 // readFile reads a local rules file with a bound on its size.
 func readFile(path string) ([]byte, error) {
 	f, err := os.Open(path)
