Refuse a time limit of zero and a negative wait

Change: both are refused before any request, with the accepted values.

Measured: `go test -race ./cmd/lentilctl ./docs` passes with the two new cases.

--- a/cmd/lentilctl/cli/cli.go
+++ b/cmd/lentilctl/cli/cli.go
@@ -23,8 +23,12 @@
 	Timeout time.Duration `help:"Longest time for one request." default:"10s"`
 }
 
-// Validate refuses an address that is not host:port before any request is made.
+// Validate refuses an address that is not host:port, and a time limit that no
+// request can meet, before any request is made.
 func (g *Globals) Validate() error {
+	if g.Timeout <= 0 {
+		return merry.Errorf("--timeout: %s is not accepted (accepted: duration above 0s, such as 10s)", g.Timeout)
+	}
 	host, port, err := net.SplitHostPort(g.Admin)
 	if err == nil && host != "" {
 		_, err = strconv.ParseUint(port, 10, 16)
--- a/cmd/lentilctl/execute_test.go
+++ b/cmd/lentilctl/execute_test.go
@@ -93,6 +93,8 @@
 		{"upstream instead of a node", []string{"rules", "get", "--admin", other(t)}, "is not the administration listener"},
 		{"address without port", []string{"status", "--admin", "localhost"}, `address "localhost" is not accepted (accepted: host:port`},
 		{"address as URL", []string{"status", "--admin", "http://127.0.0.1:1"}, "(accepted: host:port"},
+		{"no time", []string{"status", "--timeout", "0s", "--admin", address}, "--timeout: 0s is not accepted"},
+		{"negative wait", []string{"rules", "put", good, "--if-match", "1", "--wait=-1s", "--admin", address}, "--wait: -1s is not accepted"},
 		{"no versions", []string{"rules", "history", "--last", "0"}, "--last: 0 is not accepted"},
 		{"no upstream", []string{"upstreams", "--service", "none", "--admin", address}, `no upstream of service "none"`},
 		{"file missing", []string{"rules", "check", filepath.Join(dir, "none")}, "no such file"},
--- a/cmd/lentilctl/rules/put.go
+++ b/cmd/lentilctl/rules/put.go
@@ -22,6 +22,14 @@
 	Wait time.Duration `help:"Longest time to wait until the file is in force on all nodes; 0s does not wait." default:"20s"`
 }
 
+// Validate refuses a negative duration.
+func (w *Wait) Validate() error {
+	if w.Wait < 0 {
+		return merry.Errorf("--wait: %s is not accepted (accepted: 0s or a longer duration, such as 20s)", w.Wait)
+	}
+	return nil
+}
+
 // pollInterval separates two looks at the deployment while waiting.
 const pollInterval = 200 * time.Millisecond
 
