--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets need Go, make and git only; Go fetches the pinned modules.
-.PHONY: build run test fmt lint unit race integration clean
+.PHONY: build run test fmt lint unit race integration bench-distribution capacity clean
 
 MODULES := . ./test
 PACKAGES := ./... ./test/...
@@ -26,5 +26,13 @@
 integration: build
 	LENTILFLOW_BIN=$(CURDIR)/bin go test -count=1 -timeout 8m ./test/...
 
+# Prints one line for each figure: name, value, unit, target, holds or misses.
+bench-distribution: build
+	go run ./test/bench/distribution --binary bin/lentilflow
+
+# Measures the slopes of each role and rewrites docs/CAPACITY.md.
+capacity: build
+	go run ./test/bench/capacity --binary bin/lentilflow
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/test/bench/internal/mesh/rules.go
@@ -0,0 +1,36 @@
+package mesh
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Services is the number of services of the target (docs/design.md, section 2).
+const Services = 140
+
+// Service returns the name of the service with a number.
+func Service(i int) string { return fmt.Sprintf("service-%03d", i%Services) }
+
+// Host is the host that the generated rules match.
+const Host = "api.bench.example"
+
+// Rules returns a rules file with n rules for up to Services services. change
+// alters the line of one rule, as an operator's edit does; 0 alters none.
+func Rules(n, change int) []byte {
+	var b strings.Builder
+	for i := range min(n, Services) {
+		fmt.Fprintf(&b, "service %s slots=15 connections=130   # Ana Prado: team %d\n", Service(i), i%17)
+	}
+	for i := range n {
+		deadline := 400 + i%7*100
+		if change > 0 && i == change*7%n {
+			deadline = 3000 + change
+		}
+		fmt.Fprintf(&b, "rule rule-%04d method=GET host=%s path=/area-%04d/items service=%s rank=%d target=80ms worth=%d deadline=%dms idempotent=yes retries=1 prefer=zone   # Marina Costa: request %d of the area team\n",
+			i, Host, i, Service(i), i%8, 1+i%4, deadline, 1000+i*37%4001)
+	}
+	return []byte(b.String())
+}
+
+// Path returns a path that rule i matches.
+func Path(i int) string { return fmt.Sprintf("/area-%04d/items/1", i) }
--- /dev/null
+++ b/test/bench/internal/report/doc.go
@@ -0,0 +1,2 @@
+// Package report prints figures and fits lines through them.
+package report
