Compare bytes between regions per change with the baselines

Cause: bytes a second of the push baseline depend on how often the bench publishes and say nothing. Change: print bytes for each change on both sides, and the idle bytes of the poll baseline only.

--- a/test/bench/distribution/baselines.go
+++ b/test/bench/distribution/baselines.go
@@ -41,7 +41,9 @@
 		b.figures.Info(b.name(one.name+"_in_force_max"), report.Summarize(times).Max, "s")
 		b.figures.Info(b.name(one.name+"_in_force_median"), median(times), "s")
 		b.figures.Info(b.name(one.name+"_between_regions_per_change"), float64(links.Bytes())/baselineChanges, "B")
-		b.figures.Info(b.name(one.name+"_between_regions"), float64(links.Bytes())/seconds, "B/s")
+		if one.name == "baseline_poll" {
+			b.figures.Info(b.name(one.name+"_between_regions"), float64(links.Bytes())/seconds*60, "B/min")
+		}
 		links.Close()
 	}
 	return nil
--- a/test/bench/distribution/size.go
+++ b/test/bench/distribution/size.go
@@ -154,6 +154,7 @@
 	b.figures.Info(b.name("in_force_calm_median"), s.Median, "s")
 	b.figures.Info(b.name("compressed_delta"), float64(deltas)/float64(len(times)), "B")
 	b.figures.Most(b.name("version_frames_ratio"), (b.versionBytes()-sent)/ideal, "x", 1.5)
+	b.figures.Info(b.name("between_regions_per_change"), float64(b.Peers.Bytes()-wire)/float64(len(times)), "B")
 	b.figures.Info(b.name("wire_ratio"), float64(b.Peers.Bytes()-wire)/ideal, "x")
 	return nil
 }
