--- a/pkg/proxy/refusal.go
+++ b/pkg/proxy/refusal.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,14 +12,21 @@
 	"github.com/lentilflow/lentilflow/pkg/problem"
 )
 
+// Callers that are refused without a better estimate are asked to come back
+// after a time in this range, spread so that they do not come back together.
+const (
+	minPause    = time.Second
+	pauseSpread = 2 * time.Second
+)
+
 // refusal is an attempt or a call that brought no answer of an upstream.
 type refusal struct {
 	reason     model.Reason
 	run        model.RunState
 	retryAfter time.Duration
 	detail     string
-	final      bool // no retry would help, whatever the reason
-	down       bool // the upstream was unreachable after it was lost
+	final      bool   // no retry would help, whatever the reason
+	crash      string // identifier of the crash that ended the call, if any
 }
 
 func refuse(reason model.Reason, run model.RunState, detail string) *refusal {
@@ -39,7 +47,7 @@
 	d := problem.New(r.reason, r.run)
 	d.Detail, d.Version, d.Rule, d.RetryAfter = r.detail, version, rule, r.retryAfter
 	if d.RetryAfter == 0 && (d.Status == http.StatusServiceUnavailable || d.Status == http.StatusTooManyRequests) {
-		d.RetryAfter = time.Second
+		d.RetryAfter = minPause + rand.N(pauseSpread)
 	}
 	return d
 }
@@ -47,8 +55,8 @@
 // mark sets the headers by which the first node recognises a refusal of a peer.
 func (r *refusal) mark(h http.Header) {
 	h[HeaderRefusal] = []string{string(r.reason) + " " + string(r.run)}
-	if r.down {
-		h[HeaderDown] = []string{"1"}
+	if r.crash != "" {
+		h[HeaderCrash] = []string{r.crash}
 	}
 }
 
@@ -61,7 +69,7 @@
 		return nil
 	}
 	reason, run, _ := strings.Cut(mark, " ")
-	r := &refusal{reason: model.Reason(reason), run: model.RunState(run), down: h.Get(HeaderDown) != ""}
+	r := &refusal{reason: model.Reason(reason), run: model.RunState(run), crash: h.Get(HeaderCrash)}
 	if !known[r.reason] || r.run != model.NotRun && r.run != model.Unknown {
 		return refuse(model.UpstreamLost, model.Unknown, "the peer sent a refusal that cannot be read")
 	}
