--- a/test/bench/capacity/main.go
+++ b/test/bench/capacity/main.go
@@ -3,56 +3,67 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"os"
-	"os/signal"
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/lentilflow/lentilflow/test/bench/internal/mesh"
+	"github.com/lentilflow/lentilflow/test/bench/internal/report"
 )
 
-type flags struct {
+var flags struct {
 	Binary string `default:"bin/lentilflow" help:"Node binary."`
 	Page   string `default:"docs/CAPACITY.md" help:"Page to write."`
 	Plots  string `default:"docs/capacity" help:"Folder of the plots."`
 	Sizes  []int  `default:"18,60,180" help:"Numbers of live nodes, one process each."`
-	Only   string `help:"Run only the named part (roster, publisher, proxy, fleet) and write nothing."`
+	Only   string `help:"Run only the named part (proxy, publisher, roster, fleet) and write nothing."`
 }
 
-// part measures one group of roles and adds its lines to the page.
-type part struct {
-	name string
-	run  func(context.Context, *flags, *page) error
-}
+// The target of section 2 of the design page.
+const (
+	nodes          = 2800
+	zoneNodes      = 400
+	calls          = 160000.0 / nodes // a second and node
+	changesPerDay  = 2900
+	restartsPerDay = 720
+	day            = 24 * time.Hour
+	fanOut         = 8
+	zoneRoots      = 3 // beside the region root's own, in a region of 4 zones
+	regions        = 2
+)
 
-func main() {
-	var f flags
-	kong.Parse(&f)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := run(ctx, &f); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		stop()
-		os.Exit(1)
-	}
-}
+const (
+	joinTime = 8 * time.Second
+	runTime  = 15 * time.Second
+	// speedup shortens a day of changes and restarts, so that runTime holds 30
+	// changes and 7 restarts.
+	speedup = 60
+	rules   = 1000
+)
 
-func run(ctx context.Context, f *flags) error {
-	p := &page{}
-	for _, one := range []part{{"proxy", proxyRole}, {"publisher", publisherRole}, {"roster", rosterRoles}, {"fleet", fleetRoles}} {
-		if f.Only != "" && f.Only != one.name {
-			continue
+func processor(n mesh.NodeUsage) float64 { return n.Processor }
+func bytesOf(n mesh.NodeUsage) float64   { return n.Bytes }
+func resident(n mesh.NodeUsage) float64  { return n.Resident }
+
+func main() {
+	kong.Parse(&flags)
+	report.Main(func() {
+		p := &page{}
+		for _, part := range []struct {
+			name string
+			run  func(*page)
+		}{{"proxy", proxyRole}, {"publisher", publisherRole}, {"roster", rosterRoles}, {"fleet", fleetRoles}} {
+			if flags.Only != "" && flags.Only != part.name {
+				continue
+			}
+			at := time.Now()
+			part.run(p)
+			fmt.Printf("%s measured in %.0f s\n", part.name, time.Since(at).Seconds())
 		}
-		at := time.Now()
-		if err := one.run(ctx, f, p); err != nil {
-			return fmt.Errorf("%s: %w", one.name, err)
+		p.print()
+		if flags.Only == "" {
+			p.write()
 		}
-		fmt.Printf("%s measured in %.0f s\n", one.name, time.Since(at).Seconds())
-	}
-	p.print(os.Stdout)
-	if f.Only != "" {
-		return nil
-	}
-	return p.write(f)
+	})
 }
--- a/test/bench/distribution/main.go
+++ b/test/bench/distribution/main.go
@@ -3,10 +3,8 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"os"
-	"os/signal"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -14,41 +12,105 @@
 	"github.com/lentilflow/lentilflow/test/bench/internal/report"
 )
 
-type flags struct {
+var flags struct {
 	Binary  string `default:"bin/lentilflow" help:"Node binary."`
 	Sizes   []int  `default:"18,60,180" help:"Numbers of nodes, one process each."`
 	Rules   int    `default:"1000" help:"Rules in the file."`
 	Changes int    `default:"8" help:"Changes of one rule whose time is measured."`
 }
 
-func main() {
-	var f flags
-	kong.Parse(&f)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	figures := &report.Figures{Out: os.Stdout}
-	if err := run(ctx, &f, figures); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		stop()
-		os.Exit(1)
-	}
-	fmt.Printf("# %d figures miss their target\n", len(figures.Missed()))
+const (
+	settle   = 6 * time.Second  // until joins and returns to the proper parent are over
+	idleTime = 15 * time.Second // long enough for five lease renewals
+	limit    = 20 * time.Second // for one version to be in force everywhere
+	target   = 2800             // nodes in two years (docs/design.md, section 2)
+)
+
+// bench is one deployment under measurement.
+type bench struct {
+	*mesh.Mesh
+	idle  mesh.Usage
+	rules int  // in the file
+	edits int  // of the file so far
+	adds  bool // edits add a rule instead of changing one
 }
 
-func run(ctx context.Context, f *flags, figures *report.Figures) error {
-	var all []sized
-	for _, size := range f.Sizes {
-		s, err := measureSize(ctx, f, size, figures)
-		if err != nil {
-			return fmt.Errorf("%d nodes: %w", size, err)
+func main() {
+	kong.Parse(&flags)
+	report.Main(func() {
+		var x []float64
+		var idle []mesh.Usage
+		for _, size := range flags.Sizes {
+			x = append(x, float64(size))
+			idle = append(idle, measure(size))
 		}
-		all = append(all, s)
+		if len(x) > 1 {
+			slopes(x, idle)
+		}
+	})
+}
+
+// measure runs all steps with one number of nodes, one process each, in the
+// three regions of Bertolucci, and returns the idle usage.
+func measure(size int) mesh.Usage {
+	b := &bench{rules: flags.Rules}
+	b.Mesh = mesh.Start(mesh.Config{Binary: flags.Binary, Zones: mesh.Zones(), Nodes: size, Rules: mesh.Rules(b.rules, 0)})
+	defer b.Stop()
+	time.Sleep(settle)
+	b.idle = b.Measure(func() { time.Sleep(idleTime) })
+	report.Info(b.name("idle_between_regions"), b.idle.Between*60, "B/min")
+	report.Info(b.name("idle_store_between_regions"), b.idle.StoreBetween*60, "B/min")
+	report.Info(b.name("idle_store_reads"), b.idle.Reads, "1/s")
+	report.Info(b.name("idle_store_writes"), b.idle.Writes, "1/s")
+	b.usage("idle", b.idle)
+	b.memory("idle", b.idle)
+	for _, step := range []func(){b.calm, b.busy, b.heal, b.baselines, b.drain, b.dying} {
+		step()
 	}
-	slopes(all, figures)
-	return nil
+	return b.idle
+}
+
+// name adds the number of nodes to the name of a figure.
+func (b *bench) name(text string) string { return fmt.Sprintf("%s_%d", text, len(b.Nodes)) }
+
+func bytesOf(n mesh.NodeUsage) float64   { return n.Bytes }
+func processor(n mesh.NodeUsage) float64 { return n.Processor }
+func resident(n mesh.NodeUsage) float64  { return n.Resident }
+
+// usage prints the figures of the mean node and of the busiest one.
+func (b *bench) usage(when string, u mesh.Usage) {
+	b.both(when+"_node_bytes", "B/s", 5000, u.Values(bytesOf))
+	b.both(when+"_processor", "%core", 3.3, u.Values(processor))
+}
+
+func (b *bench) memory(when string, u mesh.Usage) {
+	b.both(when+"_memory", "MB", 32, u.Values(resident))
 }
 
-// deployment starts the three regions of Bertolucci with one process a node.
-func deployment(ctx context.Context, f *flags, size int) (*mesh.Mesh, error) {
-	return mesh.Start(ctx, mesh.Config{Binary: f.Binary, Zones: mesh.Zones(), Nodes: size, Rules: mesh.Rules(f.Rules, 0)})
+func (b *bench) both(name, unit string, most float64, values []float64) {
+	report.Most(b.name(name+"_mean"), report.Mean(values), unit, most)
+	report.Most(b.name(name+"_max"), report.Max(values), unit, most)
+}
+
+// slopes prints what grows with the number of nodes, and its value at target
+// by the fitted line (derived, not measured).
+func slopes(x []float64, idle []mesh.Usage) {
+	for _, one := range []struct {
+		name, unit string
+		most       float64
+		of         func(mesh.Usage) float64
+	}{
+		{"node_bytes_mean", "B/s", 5000, func(u mesh.Usage) float64 { return report.Mean(u.Values(bytesOf)) }},
+		{"node_bytes_max", "B/s", 5000, func(u mesh.Usage) float64 { return report.Max(u.Values(bytesOf)) }},
+		{"store_reads", "1/s", 2000, func(u mesh.Usage) float64 { return u.Reads }},
+		{"store_writes", "1/s", 400, func(u mesh.Usage) float64 { return u.Writes }},
+	} {
+		var y []float64
+		for _, u := range idle {
+			y = append(y, one.of(u))
+		}
+		f := report.Line(x, y)
+		report.Info("idle_"+one.name+"_slope", f.Slope, one.unit+"/node")
+		report.Most(fmt.Sprintf("derived_idle_%s_%d", one.name, target), f.At(target), one.unit, one.most)
+	}
 }
--- a/test/bench/internal/mesh/links.go
+++ b/test/bench/internal/mesh/links.go
@@ -6,42 +6,36 @@
 
 	"github.com/lentilflow/lentilflow/pkg/faultproxy"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/test/bench/internal/report"
 )
 
+// Latency is the one-way latency between regions of both users.
+const Latency = 12 * time.Millisecond
+
 // Links are the links between regions for one kind of traffic. Each pair of
 // regions has one counted direction each way.
 type Links struct {
-	latency time.Duration // one way
-
 	mu         sync.Mutex
 	directions map[[2]model.Region]*faultproxy.Direction
-	proxies    []link
-}
-
-type link struct {
-	from, to model.Region
-	proxy    *faultproxy.Proxy
+	proxies    []*faultproxy.Proxy
 }
 
-// NewLinks returns links with a one-way latency.
-func NewLinks(latency time.Duration) *Links {
-	return &Links{latency: latency, directions: make(map[[2]model.Region]*faultproxy.Direction)}
+// NewLinks returns links without connections.
+func NewLinks() *Links {
+	return &Links{directions: make(map[[2]model.Region]*faultproxy.Direction)}
 }
 
 // Via returns the address under which processes of region from reach target
 // in region to.
-func (l *Links) Via(from, to model.Region, target string) (string, error) {
+func (l *Links) Via(from, to model.Region, target string) string {
 	if from == to {
-		return target, nil
+		return target
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p, err := faultproxy.New(faultproxy.Config{Target: target, Forward: l.direction(from, to), Backward: l.direction(to, from)})
-	if err != nil {
-		return "", err
-	}
-	l.proxies = append(l.proxies, link{from: from, to: to, proxy: p})
-	return p.Addr(), nil
+	p := report.Get(faultproxy.New(faultproxy.Config{Target: target, Forward: l.direction(from, to), Backward: l.direction(to, from)}))
+	l.proxies = append(l.proxies, p)
+	return p.Addr()
 }
 
 func (l *Links) direction(from, to model.Region) *faultproxy.Direction {
@@ -49,47 +43,36 @@
 	d, ok := l.directions[key]
 	if !ok {
 		d = faultproxy.NewDirection()
-		d.Set(faultproxy.Conditions{Latency: l.latency})
+		d.Set(faultproxy.Conditions{Latency: Latency})
 		l.directions[key] = d
 	}
 	return d
 }
 
 // Bytes returns the bytes carried between regions so far, in all directions.
-func (l *Links) Bytes() int64 {
+func (l *Links) Bytes() (n float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var n int64
 	for _, d := range l.directions {
-		n += d.Bytes()
+		n += float64(d.Bytes())
 	}
 	return n
 }
 
-// Part loses everything from and to a region until it is called with false.
-// Connections that were open then break, as after a long loss.
+// Part loses everything from and to a region until it is called with false,
+// which also breaks all connections between regions, as after a long loss.
 func (l *Links) Part(region model.Region, on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, d := range l.directions {
-		if key[0] == region || key[1] == region {
-			d.Set(faultproxy.Conditions{Latency: l.latency, Blackhole: on})
-		}
+		d.Set(faultproxy.Conditions{Latency: Latency, Blackhole: on && (key[0] == region || key[1] == region)})
 	}
 	for _, p := range l.proxies {
-		if !on && (p.from == region || p.to == region) {
-			p.proxy.Reset()
+		if !on {
+			p.Reset()
 		}
 	}
 }
 
 // Close ends all links.
-func (l *Links) Close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var all sync.WaitGroup
-	for _, p := range l.proxies {
-		all.Go(p.proxy.Close)
-	}
-	all.Wait()
-}
+func (l *Links) Close() { report.Each(len(l.proxies), 64, func(i int) { l.proxies[i].Close() }) }
--- a/test/bench/internal/mesh/mesh.go
+++ b/test/bench/internal/mesh/mesh.go
@@ -3,27 +3,21 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/lentilflow/lentilflow/pkg/distribution"
-	"github.com/lentilflow/lentilflow/pkg/distribution/wire"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/publisher"
 	"github.com/lentilflow/lentilflow/pkg/standin/platform"
+	"github.com/lentilflow/lentilflow/test/bench/internal/report"
 )
 
-// Latency is the one-way latency between regions of both users.
-const Latency = 12 * time.Millisecond
-
 // Zones are those of Bertolucci (docs/design.md, section 1).
 func Zones() []model.Location {
 	return []model.Location{
@@ -50,110 +44,68 @@
 	Peers *Links // messages and calls between nodes
 	Reads *Links // requests to the store
 
-	cfg  Config
-	dir  string
-	seen model.Version
+	cfg Config
+	dir string // of settings and logs
 }
 
 // Start starts the deployment and waits until every node knows all others and
 // has the rules in force.
-func Start(ctx context.Context, cfg Config) (*Mesh, error) {
-	m := &Mesh{cfg: cfg, Peers: NewLinks(Latency), Reads: NewLinks(Latency)}
-	if err := m.start(ctx); err != nil {
-		m.Stop()
-		return nil, err
-	}
-	return m, nil
-}
-
-func (m *Mesh) start(ctx context.Context) (err error) {
-	if m.dir, err = os.MkdirTemp("", "lentilflow-bench-"); err != nil {
-		return err
-	}
-	m.Store, err = platform.NewServer("127.0.0.1:0", platform.NewService(platform.Config{}))
-	if err != nil {
-		return err
-	}
-	if err := m.Put(ctx, m.cfg.Rules); err != nil {
-		return err
-	}
-	for i := range m.cfg.Nodes {
-		if err := m.add(i); err != nil {
-			return err
+func Start(cfg Config) *Mesh {
+	m := &Mesh{
+		cfg: cfg, Peers: NewLinks(), Reads: NewLinks(), dir: report.Get(os.MkdirTemp("", "lentilflow-bench-")),
+		Store: report.Get(platform.NewServer("127.0.0.1:0", platform.NewService(platform.Config{}))),
+	}
+	complete := false
+	defer func() {
+		if !complete {
+			m.Stop()
 		}
+	}()
+	m.Put(cfg.Rules)
+	for i := range cfg.Nodes {
+		m.add(i)
 	}
 	for i, n := range m.Nodes {
-		if err := n.Start(); err != nil {
-			return err
-		}
-		if i < len(m.cfg.Zones) {
+		n.Start()
+		if i < len(cfg.Zones) {
 			time.Sleep(100 * time.Millisecond) // the first node of each zone is its root
 		}
 	}
-	if len(m.cfg.Seeds) > 0 {
-		return nil
+	if len(cfg.Seeds) == 0 {
+		m.Await(1)
 	}
-	return m.AwaitComplete(ctx, time.Minute)
+	complete = true
+	return m
 }
 
-func (m *Mesh) add(i int) error {
+func (m *Mesh) add(i int) {
 	n := &Node{Location: m.cfg.Zones[i%len(m.cfg.Zones)], Service: Service(i / len(m.cfg.Zones)), binary: m.cfg.Binary}
 	n.ID = model.NodeID(fmt.Sprintf("%s-%03d", n.Location.AvailabilityZone, i))
-	for _, into := range []*string{&n.Calls, &n.Peer, &n.Admin} {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		*into = address
-	}
-	var err error
-	if n.Upstream, err = NewUpstream(); err != nil {
-		return err
-	}
+	n.Calls, n.Peer, n.Admin = freeAddress(), freeAddress(), freeAddress()
+	n.upstream = httptest.NewServer(n)
 	m.Nodes = append(m.Nodes, n)
-	regions := m.regions()
+	own := n.Location.Region
+	var regions []model.Region
 	others := make(map[model.Region]string)
-	for _, r := range regions {
-		if r == n.Location.Region {
-			continue
-		}
-		if others[r], err = m.Peers.Via(r, n.Location.Region, n.Peer); err != nil {
-			return err
-		}
-	}
-	store, err := m.Reads.Via(n.Location.Region, m.cfg.Zones[0].Region, m.Store.URL()[len("http://"):])
-	if err != nil {
-		return err
-	}
-	return n.writeSettings(m.dir, regions, others, "http://"+store, m.seeds(n))
-}
-
-// seeds returns the first node, under its address for the region of n.
-func (m *Mesh) seeds(n *Node) []string {
-	if len(m.cfg.Seeds) > 0 {
-		return m.cfg.Seeds
-	}
-	address, err := m.Peers.Via(n.Location.Region, m.Nodes[0].Location.Region, m.Nodes[0].Peer)
-	if err != nil {
-		return nil
-	}
-	return []string{address}
-}
-
-func (m *Mesh) regions() []model.Region {
-	var out []model.Region
 	for _, z := range m.cfg.Zones {
-		if !slices.Contains(out, z.Region) {
-			out = append(out, z.Region)
+		if !slices.Contains(regions, z.Region) {
+			regions = append(regions, z.Region)
+			if z.Region != own {
+				others[z.Region] = m.Peers.Via(z.Region, own, n.Peer)
+			}
 		}
 	}
-	return out
+	seeds := m.cfg.Seeds
+	if len(seeds) == 0 {
+		seeds = []string{m.Peers.Via(own, m.Nodes[0].Location.Region, m.Nodes[0].Peer)}
+	}
+	store := m.Reads.Via(own, m.cfg.Zones[0].Region, m.Store.URL()[len("http://"):])
+	n.writeSettings(m.dir, regions, others, "http://"+store, seeds)
 }
 
 // Put replaces the rules file, as an operator does.
-func (m *Mesh) Put(ctx context.Context, text []byte) error {
-	_, err := m.Store.Blobs.Put(ctx, publisher.RulesObject, text, "")
-	return err
+func (m *Mesh) Put(text []byte) {
+	report.Get(m.Store.Blobs.Put(context.Background(), publisher.RulesObject, text, ""))
 }
 
 // Alive returns the nodes whose process runs.
@@ -161,100 +113,60 @@
 	return slices.DeleteFunc(slices.Clone(m.Nodes), func(n *Node) bool { return !n.Alive() })
 }
 
-// State asks a node for its state.
-func (n *Node) State() (s distribution.State, err error) {
-	resp, err := client.Get("http://" + n.Peer + wire.State.Path())
-	if err != nil {
-		return s, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return s, merry.Errorf("state of %s: %s", n.ID, resp.Status)
-	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return s, err
-	}
-	return s, wire.Unmarshal(body, resp.Header.Get("Content-Encoding") == wire.Encoding, &s)
-}
-
-// AwaitComplete waits until the rosters of all live nodes hold exactly these
-// as ready and all have the newest version in force.
-func (m *Mesh) AwaitComplete(ctx context.Context, limit time.Duration) error {
-	return m.AwaitVersion(ctx, limit, 1)
-}
+// awaitLimit is the time after which a deployment that does not agree counts
+// as failed.
+const awaitLimit = time.Minute
 
-// AwaitVersion is AwaitComplete for version v or a higher one.
-func (m *Mesh) AwaitVersion(ctx context.Context, limit time.Duration, v model.Version) error {
-	m.seen = max(m.seen, v)
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+// Await waits until the rosters of all live nodes hold exactly these as ready
+// and all have the same version in force, v or a later one. It returns how
+// long that took.
+func (m *Mesh) Await(v model.Version) time.Duration {
+	at := time.Now()
 	for {
-		missing := m.missing()
+		missing := m.missing(v)
 		if missing == "" {
-			return nil
+			return time.Since(at)
 		}
-		select {
-		case <-ctx.Done():
-			return merry.Errorf("deployment is not complete after %s: %s (logs in %s)", limit, missing, m.dir)
-		case <-time.After(250 * time.Millisecond):
+		if time.Since(at) > awaitLimit {
+			report.Must(merry.Errorf("nodes do not agree after %s: %s", awaitLimit, missing))
 		}
+		time.Sleep(250 * time.Millisecond)
 	}
 }
 
-func (m *Mesh) missing() string {
+// missing names a node that is not there yet, empty if all are.
+func (m *Mesh) missing(v model.Version) string {
 	alive := m.Alive()
-	states := make([]distribution.State, len(alive))
-	var g errgroup.Group
-	g.SetLimit(16)
-	for i, n := range alive {
-		g.Go(func() (err error) {
-			states[i], err = n.State()
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
-		return err.Error()
-	}
+	states, errs := make([]distribution.State, len(alive)), make([]error, len(alive))
+	report.Each(len(alive), 16, func(i int) { states[i], errs[i] = alive[i].State() })
 	for _, s := range states {
-		m.seen = max(m.seen, s.Info.Number)
+		v = max(v, s.Info.Number)
 	}
-	for _, s := range states {
-		if s.Roster[model.Ready.String()] != len(alive) || s.Info.Number != m.seen || s.Info.Number == 0 || !s.Settled {
-			return fmt.Sprintf("node %s: %d of %d nodes ready, version %d of %d", s.Node, s.Roster["ready"], len(alive), s.Info.Number, m.seen)
+	for i, s := range states {
+		if errs[i] != nil {
+			return errs[i].Error()
+		}
+		if ready := s.Roster[model.Ready.String()]; ready != len(alive) || s.Info.Number != v || !s.Settled {
+			return fmt.Sprintf("node %s: %d of %d nodes ready, version %d of %d", s.Node, ready, len(alive), s.Info.Number, v)
 		}
 	}
 	return ""
 }
 
-// Publisher returns the node that holds the publisher lease.
-func (m *Mesh) Publisher() (*Node, error) {
-	for _, n := range m.Alive() {
-		if s, err := n.State(); err == nil && s.Publisher {
-			return n, nil
-		}
-	}
-	return nil, merry.New("no node is the publisher")
+// Kill ends processes at once and waits for their end.
+func Kill(nodes []*Node) {
+	report.Each(len(nodes), len(nodes)+1, func(i int) { <-nodes[i].Signal(syscall.SIGKILL) })
 }
 
 // Stop ends everything without a drain.
 func (m *Mesh) Stop() {
-	var all sync.WaitGroup
+	Kill(m.Alive())
 	for _, n := range m.Nodes {
-		if n.cmd != nil {
-			all.Go(func() { <-n.Signal(syscall.SIGKILL) })
-		}
-		if n.Upstream != nil {
-			n.Upstream.Close()
-		}
+		n.upstream.CloseClientConnections()
+		n.upstream.Close()
 	}
-	all.Wait()
 	m.Peers.Close()
 	m.Reads.Close()
-	if m.Store != nil {
-		m.Store.Stop()
-	}
-	if m.dir != "" {
-		_ = os.RemoveAll(m.dir)
-	}
+	m.Store.Stop()
+	_ = os.RemoveAll(m.dir)
 }
--- a/test/bench/internal/mesh/rules.go
+++ b/test/bench/internal/mesh/rules.go
@@ -5,20 +5,21 @@
 	"strings"
 )
 
-// Services is the number of services of the target (docs/design.md, section 2).
-const Services = 140
+// services is the number of services of the target (docs/design.md, section 2).
+const services = 140
 
-// Service returns the name of the service with a number.
-func Service(i int) string { return fmt.Sprintf("service-%03d", i%Services) }
+// host is the host that the generated rules match.
+const host = "api.bench.example"
 
-// Host is the host that the generated rules match.
-const Host = "api.bench.example"
+// Service returns the name of the service with a number. Rule i is for the
+// service with number i.
+func Service(i int) string { return fmt.Sprintf("service-%03d", i%services) }
 
-// Rules returns a rules file with n rules for up to Services services. change
-// alters the line of one rule, as an operator's edit does; 0 alters none.
+// Rules returns a rules file with n rules. change alters the line of one rule,
+// as an operator's edit does; 0 alters none.
 func Rules(n, change int) []byte {
 	var b strings.Builder
-	for i := range min(n, Services) {
+	for i := range min(n, services) {
 		fmt.Fprintf(&b, "service %s slots=15 connections=130   # Ana Prado: team %d\n", Service(i), i%17)
 	}
 	for i := range n {
@@ -27,10 +28,9 @@
 			deadline = 3000 + change
 		}
 		fmt.Fprintf(&b, "rule rule-%04d method=GET host=%s path=/area-%04d/items service=%s rank=%d target=80ms worth=%d deadline=%dms idempotent=yes retries=1   # Marina Costa: request %d\n",
-			i, Host, i, Service(i), i%8, 1+i%4, deadline, 1000+i*37%4001)
+			i, host, i, Service(i), i%8, 1+i%4, deadline, 1000+i*37%4001)
 	}
 	return []byte(b.String())
 }
 
-// Path returns a path that rule i matches.
-func Path(i int) string { return fmt.Sprintf("/area-%04d/items/1", i) }
+func path(rule int) string { return fmt.Sprintf("/area-%04d/items/1", rule) }
--- a/test/bench/internal/report/doc.go
+++ b/test/bench/internal/report/doc.go
@@ -1,2 +1,3 @@
-// Package report prints figures and fits lines through them.
+// Package report prints figures, fits lines through them, and ends a
+// measurement that failed.
 package report
--- a/test/bench/internal/report/figure.go
+++ b/test/bench/internal/report/figure.go
@@ -2,92 +2,55 @@
 
 import (
 	"fmt"
-	"io"
 	"math"
 	"slices"
-	"sync"
 
 	"gonum.org/v1/gonum/stat"
 )
 
-// Figures prints one line for each figure: name, value, unit, target, and
-// whether the value holds or misses the target.
-type Figures struct {
-	Out io.Writer
-
-	mu     sync.Mutex
-	missed []string
-}
-
-// Most prints a figure that may be at most target.
-func (f *Figures) Most(name string, value float64, unit string, target float64) {
+// Most prints a figure that may be at most target: name, value, unit, target,
+// and whether the value holds or misses the target.
+func Most(name string, value float64, unit string, target float64) {
 	verdict := "holds"
-	if value > target {
+	if !(value <= target) {
 		verdict = "misses"
 	}
-	f.print(name, value, unit, fmt.Sprintf("%g", target), verdict)
+	fmt.Printf("%s %.4g %s %g %s\n", name, value, unit, target, verdict)
 }
 
 // Info prints a figure without a target.
-func (f *Figures) Info(name string, value float64, unit string) { f.print(name, value, unit, "-", "-") }
-
-// Failed prints a figure that could not be measured.
-func (f *Figures) Failed(name string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.missed = append(f.missed, name)
-	fmt.Fprintf(f.Out, "%s - - - misses # %v\n", name, err)
-}
-
-// Missed returns the names of the figures that miss their target.
-func (f *Figures) Missed() []string { return f.missed }
-
-func (f *Figures) print(name string, value float64, unit, target, verdict string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if verdict == "misses" {
-		f.missed = append(f.missed, name)
-	}
-	fmt.Fprintf(f.Out, "%s %.4g %s %s %s\n", name, value, unit, target, verdict)
-}
+func Info(name string, value float64, unit string) { fmt.Printf("%s %.4g %s - -\n", name, value, unit) }
 
 // Fit is a line fitted by least squares.
 type Fit struct {
+	X, Y             []float64
 	Slope, Intercept float64
 	Error            float64 // root mean square of the residuals
-	X, Y             []float64
 }
 
 // Line fits a line through the points.
 func Line(x, y []float64) Fit {
-	a, b := stat.LinearRegression(x, y, nil, false)
-	f := Fit{Slope: b, Intercept: a, X: x, Y: y}
-	squares := make([]float64, len(x))
+	f := Fit{X: x, Y: y}
+	f.Intercept, f.Slope = stat.LinearRegression(x, y, nil, false)
+	var squares float64
 	for i := range x {
-		d := y[i] - f.At(x[i])
-		squares[i] = d * d
+		squares += math.Pow(y[i]-f.At(x[i]), 2)
 	}
-	f.Error = rootMean(squares)
+	f.Error = math.Sqrt(squares / float64(len(x)))
 	return f
 }
 
 // At returns the line's value at x.
 func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
 
-// Summary holds what is said about a set of values.
-type Summary struct{ Mean, Median, Max float64 }
+// Mean returns the mean of values.
+func Mean(values []float64) float64 { return stat.Mean(values, nil) }
 
-// Summarize returns the summary of values.
-func Summarize(values []float64) Summary {
-	if len(values) == 0 {
-		return Summary{}
-	}
-	sorted := slices.Sorted(slices.Values(values))
-	return Summary{
-		Mean:   stat.Mean(sorted, nil),
-		Median: stat.Quantile(0.5, stat.Empirical, sorted, nil),
-		Max:    sorted[len(sorted)-1],
-	}
+// Median returns the median of values, which it sorts.
+func Median(values []float64) float64 {
+	slices.Sort(values)
+	return stat.Quantile(0.5, stat.Empirical, values, nil)
 }
 
-func rootMean(squares []float64) float64 { return math.Sqrt(stat.Mean(squares, nil)) }
+// Max returns the largest of values.
+func Max(values []float64) float64 { return slices.Max(values) }
