--- a/pkg/admission/core_test.go
+++ b/pkg/admission/core_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"flag"
 	"os"
 	"strconv"
@@ -12,21 +13,13 @@
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// TestMain fixes the seed of rapid unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20")
-	}
-	os.Exit(m.Run())
-}
+// init fixes the seed of rapid; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "20") }
 
 // steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
 func steps() int {
-	if n, err := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS")); err == nil {
-		return n
-	}
-	return 300
+	n, _ := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS"))
+	return cmp.Or(n, 300)
 }
 
 // variant wraps the decisions of a Core; broken ones change its numbers
@@ -272,21 +265,15 @@
 func TestLimitFollowsLatency(t *testing.T) {
 	var l limiter
 	l.setCeiling(16)
-	feed := func(took time.Duration, n int) {
-		for range n {
-			l.answered(0, took, 50*time.Millisecond, true)
+	for i, c := range []struct {
+		took    time.Duration
+		n, want int
+	}{{10 * time.Millisecond, 500, 16}, {200 * time.Millisecond, 200, 4}, {10 * time.Millisecond, 500, 16}} {
+		for range c.n {
+			l.answered(0, c.took, 50*time.Millisecond, true)
+		}
+		if l.current() != c.want {
+			t.Fatalf("phase %d: limit %d, want %d", i, l.current(), c.want)
 		}
-	}
-	feed(10*time.Millisecond, 500)
-	if l.current() != 16 {
-		t.Fatalf("limit %d after fast answers", l.current())
-	}
-	feed(200*time.Millisecond, 200)
-	if l.current() != 4 {
-		t.Fatalf("limit %d after slow answers", l.current())
-	}
-	feed(10*time.Millisecond, 500)
-	if l.current() != 16 {
-		t.Fatalf("limit %d after recovery", l.current())
 	}
 }
--- a/pkg/proxy/stream_test.go
+++ b/pkg/proxy/stream_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,12 +143,10 @@
 // Guards against an answer of an abandoned attempt that reaches another call:
 // late answers of timed-out calls must not follow on reused connections.
 func TestLateAnswersReachNobody(t *testing.T) {
-	var n atomic.Int32
 	up := upstream(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/short/late" {
 			time.Sleep(130 * time.Millisecond)
 		}
-		n.Add(1)
 		_, _ = io.WriteString(w, r.URL.RequestURI())
 	})
 	hops(t, up, func(t *testing.T, n *node) {
@@ -183,13 +180,11 @@
 	sender := m.add("c", "")
 	inFlight := make(chan int, 1)
 	go func() {
-		resp, err := trySend("GET", a.url+"/read/slow", "")
-		if err != nil {
-			inFlight <- 0
-			return
+		status := 0
+		if resp, err := trySend("GET", a.url+"/read/slow", ""); err == nil {
+			status = resp.StatusCode
 		}
-		_ = resp.Body.Close()
-		inFlight <- resp.StatusCode
+		inFlight <- status
 	}()
 	eventually(t, "the slow call runs", func() bool { return a.gate.State().Running == 1 })
 	drained := make(chan error, 1)
