--- a/test/bench/capacity/page.go
+++ b/test/bench/capacity/page.go
@@ -25,8 +25,14 @@
 	report.Fit
 }
 
-// Derived returns the value at the target by the fitted line.
-func (l Line) Derived() float64 { return l.At(l.Target) }
+// Derived returns the value at the target by the fitted line. A line that falls
+// below 0 shows no growth; its last measured value stands for the target then.
+func (l Line) Derived() float64 {
+	if v := l.At(l.Target); v >= 0 {
+		return v
+	}
+	return l.Y[len(l.Y)-1]
+}
 
 // Verdict compares the derived value with the limit.
 func (l Line) Verdict() string { return verdict(l.Derived(), l.Limit) }
