Count the children of the busiest node and explain its bytes

Cause: the bytes of the busiest node grew with the number of nodes without a stated reason. Change: the most children of a node are a line of the page.

--- a/test/bench/capacity/fleet.go
+++ b/test/bench/capacity/fleet.go
@@ -58,6 +58,11 @@
 	o.add("store", "writes, idle", "1/s", 400, idle.Writes)
 	o.add("whole fleet", "control bytes of the mean node, idle", "B/s", 5000, report.Mean(idle.Values(bytesOf)))
 	o.add("whole fleet", "control bytes of the busiest node, idle", "B/s", 5000, report.Max(idle.Values(bytesOf)))
+	children := 0
+	for _, n := range o.Nodes {
+		children = max(children, len(report.Get(n.State()).Children))
+	}
+	o.add("whole fleet", "most children of a node, 60 s after a partition", "streams", 64, float64(children))
 	o.add("whole fleet", "bytes between regions, idle", "B/s", 0, idle.Between)
 	row := report.Get(o.Store.Rows.Get(context.Background(), "roster/"+string(mesh.Zones()[0].AvailabilityZone)))
 	o.addZone("roster writer", "size of the roster row", "B", float64(len(row.Value)))
