--- a/pkg/distribution/http_test.go
+++ b/pkg/distribution/http_test.go
@@ -180,6 +180,16 @@
 	m.eventually(5*time.Second, "late node started", late.Settled)
 	is.Equal(late.held().Number, model.Version(2))
 
+	m.store.setDown(false)
+	m.store.mu.Lock()
+	m.store.head = version(3) // accepted, but its text is nowhere yet
+	m.store.head.Info.Digest = "missing"
+	m.store.mu.Unlock()
+	early := m.add("early", "a2")
+	time.Sleep(300 * time.Millisecond)
+	is.True(!early.Settled())
+	is.True(early.holder.Active() == nil) // version 2 would be a step back
+
 	lonely := newMesh(t)
 	lonely.store.setDown(true)
 	n := lonely.add("lonely", "a1")
@@ -249,3 +259,21 @@
 		return e.Generation == n.generation()
 	}))
 }
+
+// Guards against versions of a new publisher that do not arrive because the
+// tree still points at its dead predecessor.
+func TestPublisherDies(t *testing.T) {
+	m := newMesh(t)
+	publisher := grow(m, 15)
+	publisher.kill()
+	live := m.nodes[1:]
+	next := m.nodes[14] // a leaf
+	next.publisher.Store(true)
+	m.accept(next, version(2))
+	took := m.eventually(10*time.Second, "all at version 2", m.all(live, atVersion(2)))
+	m.accept(next, version(3))
+	t.Logf("in force at 15 nodes after %v, the next version after %v", took,
+		m.eventually(10*time.Second, "all at version 3", m.all(live, atVersion(3))))
+	m.eventually(10*time.Second, "ages", m.all(live, func(n *meshNode) bool { return n.AsOfAge() < time.Second }))
+	m.eventually(15*time.Second, "predecessor gone", m.all(live, knows(15)))
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,6 +48,7 @@
 	claims    *claim.Claims
 	notices   *crashguard.Table
 	proxy     *proxy.Proxy
+	calls     *http.Server // of the caller listener
 }
 
 // New binds the listeners and builds the node. Run must be called afterwards.
@@ -93,6 +94,7 @@
 		Log:           n.log,
 		Registerer:    n.registry,
 		IsPublisher:   func() bool { return n.publisher.Leading() },
+		AsOf:          func() time.Time { return n.publisher.AsOf() },
 		RecentCallers: n.callers.recent,
 	})
 }
