Stop the measured processes when a measurement is interrupted

Cause: a terminated measurement left its node processes and folders behind. Change: a signal kills the processes of every running deployment.

--- a/test/bench/internal/mesh/mesh.go
+++ b/test/bench/internal/mesh/mesh.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -48,6 +50,24 @@
 	dir string // of settings and logs
 }
 
+// running holds the deployments that an interrupt has to stop; their processes
+// would outlive the measurement otherwise.
+var running sync.Map
+
+var onInterrupt = sync.OnceFunc(func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		running.Range(func(m, _ any) bool {
+			Kill(m.(*Mesh).Alive())
+			_ = os.RemoveAll(m.(*Mesh).dir)
+			return true
+		})
+		os.Exit(1)
+	}()
+})
+
 // Start starts the deployment and waits until every node knows all others and
 // has the rules in force.
 func Start(cfg Config) *Mesh {
@@ -55,6 +75,8 @@
 		cfg: cfg, Peers: NewLinks(), Reads: NewLinks(), dir: report.Get(os.MkdirTemp("", "lentilflow-bench-")),
 		Store: report.Get(platform.NewServer("127.0.0.1:0", platform.NewService(platform.Config{}))),
 	}
+	running.Store(m, nil)
+	onInterrupt()
 	complete := false
 	defer func() {
 		if !complete {
@@ -160,6 +182,7 @@
 
 // Stop ends everything without a drain.
 func (m *Mesh) Stop() {
+	defer running.Delete(m)
 	Kill(m.Alive())
 	for _, n := range m.Nodes {
 		n.upstream.CloseClientConnections()
