--- /dev/null
+++ b/test/bench/internal/report/doc.go
@@ -0,0 +1,3 @@
+// Package report prints figures, fits lines through them, and ends a
+// measurement that failed.
+package report
