--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets need Go, make and git only; Go fetches the pinned modules.
-.PHONY: build run test fmt lint unit race integration clean
+.PHONY: build run test fmt lint unit race integration bench-path clean
 
 MODULES := . ./test
 PACKAGES := ./... ./test/...
@@ -26,5 +26,9 @@
 integration: build
 	LENTILFLOW_BIN=$(CURDIR)/bin go test -count=1 -timeout 8m ./test/...
 
+# Prints the figures of the call path: name, value, unit, target, verdict.
+bench-path: build
+	go run ./test/pathbench
+
 clean:
 	rm -rf bin
