Wait for the first version and print the quietest round

A node without any version counted as having the highest one in force, so the crash measurement could run against nodes that refuse every call and report 0 lost upstreams. The start now waits for a version, and a crash measurement without a crash is an error. Noise of other work hides the added time, so the least of the rounds is printed beside the median.

--- a/test/pathbench/added.go
+++ b/test/pathbench/added.go
@@ -79,20 +79,18 @@
 // upstreams. Both alternate in short slices, so that other work on the machine
 // affects them alike.
 func (b *bench) measureAdded(ctx context.Context, most float64) {
-	direct := b.bases(func(m *member) string { return m.upstream })
-	nodes := b.bases(func(m *member) string { return m.calls })
-	for range b.rounds {
-		b.added(ctx, "57_per_node", callsPerNode*members, direct, nodes)
+	for range 2 * b.rounds {
+		b.added(ctx, "57_per_node", callsPerNode*members, b.direct, b.nodes)
 	}
-	for range b.rounds {
-		b.added(ctx, "half_of_most", most/2, direct[:1], nodes[:1])
+	for range 2 * b.rounds {
+		b.added(ctx, "half_of_most", most/2, b.direct[:1], b.nodes[:1])
 	}
 	b.out.flush()
 }
 
 func (b *bench) added(ctx context.Context, name string, rate float64, direct, nodes []string) {
 	var streams []stream
-	length := b.scale(6 * time.Second)
+	length := b.scale(4500 * time.Millisecond)
 	for from := time.Duration(0); from < length; from += 3 * sliceTime {
 		for i, s := range []stream{
 			{rank: "direct", bases: direct, path: "/near"},
@@ -112,7 +110,9 @@
 		calls := b.through(l.outcomes[kind], kind == "one_node")
 		prefix := "added." + name + "." + kind
 		b.out.add(prefix+".p50", quantile(calls, 50)-quantile(base, 50), "ms", target{})
-		b.out.add(prefix+".p99", quantile(calls, 99)-quantile(base, 99), "ms", atMost(addedTarget))
+		added := quantile(calls, 99) - quantile(base, 99)
+		b.out.add(prefix+".p99", added, "ms", atMost(addedTarget))
+		b.out.least(prefix+".p99_of_quietest_round", added, "ms")
 	}
 	b.out.add("added."+name+".direct.p50", quantile(base, 50), "ms", target{})
 	b.out.add("added."+name+".direct.p99", quantile(base, 99), "ms", target{})
--- a/test/pathbench/baseline.go
+++ b/test/pathbench/baseline.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"io"
@@ -11,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Delays between the resends of a forwarder that retries without a limit.
@@ -50,17 +53,14 @@
 	if *fifo > 0 {
 		f.slots = make(chan struct{}, *fifo)
 	}
-	failed := make(chan error, 2)
-	go func() { failed <- http.ListenAndServe(*calls, http.HandlerFunc(f.serveCall)) }()
-	go func() { failed <- http.ListenAndServe(*peer, http.HandlerFunc(f.servePeer)) }()
-	return <-failed
+	var g errgroup.Group
+	g.Go(func() error { return http.ListenAndServe(*calls, http.HandlerFunc(f.serveCall)) })
+	g.Go(func() error { return http.ListenAndServe(*peer, http.HandlerFunc(f.servePeer)) })
+	return g.Wait()
 }
 
 func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
-	ms, err := strconv.Atoi(r.Header.Get(deadlineHeader))
-	if err != nil {
-		ms = 2000
-	}
+	ms, _ := strconv.Atoi(cmp.Or(r.Header.Get(deadlineHeader), "2000"))
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
--- a/test/pathbench/cluster.go
+++ b/test/pathbench/cluster.go
@@ -66,6 +66,7 @@
 	dir, binary, serverBinary string
 	store                     *standin.Server
 	members                   []*member
+	nodes, direct             []string // base URLs of nodes and upstreams
 }
 
 // start starts a deployment in which every node runs. With links, calls between
@@ -79,7 +80,7 @@
 	if _, err := c.store.Blobs.Put(ctx, "rules/current", []byte(rulesText), platform.IfAbsent); err != nil {
 		return err
 	}
-	c.members = nil
+	c.members, c.nodes, c.direct = nil, nil, nil
 	for i := range members {
 		file := filepath.Join(c.dir, fmt.Sprintf("n%d", i))
 		m := &member{
@@ -87,6 +88,7 @@
 			settings: file + ".yaml", ledger: file + ".ledger",
 		}
 		c.members = append(c.members, m)
+		c.nodes, c.direct = append(c.nodes, "http://"+m.calls), append(c.direct, "http://"+m.upstream)
 		if err := errors.Join(c.prepare(i, m, links), c.startServer(m), c.startNode(m)); err != nil {
 			return err
 		}
@@ -128,7 +130,8 @@
 	for {
 		missing := ""
 		for _, m := range c.members {
-			if status, err := client.NewClient(m.admin).Status(ctx); err != nil || status.Summary.Nodes < members || status.Summary.InForce < members {
+			status, err := client.NewClient(m.admin).Status(ctx)
+			if s := status.Summary; err != nil || status.Highest == 0 || s.Nodes < members || s.InForce < members {
 				missing = fmt.Sprintf("node %s: %v, %+v", m.name, err, status.Summary)
 			}
 		}
@@ -157,15 +160,6 @@
 	}
 }
 
-// bases returns the base URLs of the listeners that address selects.
-func (c *cluster) bases(address func(*member) string) []string {
-	var urls []string
-	for _, m := range c.members {
-		urls = append(urls, "http://"+address(m))
-	}
-	return urls
-}
-
 // awaitAnswer waits until the URL is answered at all.
 func awaitAnswer(url string) error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/test/pathbench/crash.go
+++ b/test/pathbench/crash.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/ansel1/merry/v2"
 )
 
 const (
@@ -57,15 +59,18 @@
 }
 
 // crashes compares the crash guard with forwarders that pass on every call.
-func (b *bench) crashes(ctx context.Context, plain *baseline) {
-	nodes := b.bases(func(m *member) string { return m.calls })
+func (b *bench) crashes(ctx context.Context, plain *baseline) error {
 	for round := range b.rounds {
-		lost := b.crash(ctx, nodes, fmt.Sprintf("one-%d", round), 1)
+		lost := b.crash(ctx, b.nodes, fmt.Sprintf("one-%d", round), 1)
+		if lost == 0 {
+			return merry.New("the crashing request crashed nothing")
+		}
 		b.out.add("crash.system.lost", float64(lost), "upstreams", atMost(lostAtMost))
-		lost = b.crash(ctx, nodes, fmt.Sprintf("four-%d", round), 4)
+		lost = b.crash(ctx, b.nodes, fmt.Sprintf("four-%d", round), 4)
 		b.out.add("crash.system.lost_to_four_callers", float64(lost), "upstreams", target{})
 	}
 	lost := b.crash(ctx, plain.calls, "plain", 1)
 	b.out.add("crash.forwarder.lost", float64(lost), "upstreams", target{})
 	b.out.flush()
+	return ctx.Err()
 }
--- a/test/pathbench/figures.go
+++ b/test/pathbench/figures.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
@@ -40,25 +41,40 @@
 	f.list = append(f.list, &figure{name: name, unit: unit, target: t, values: []float64{value}})
 }
 
+// least records a value of which only the least is kept.
+func (f *figures) least(name string, value float64, unit string) {
+	f.add(name, value, unit, target{})
+	for _, one := range f.list {
+		if one.name == name {
+			one.values = []float64{slices.Min(one.values)}
+		}
+	}
+}
+
 // flush prints and forgets the collected figures.
 func (f *figures) flush() {
 	for _, one := range f.list {
-		value := median(one.values)
-		bound, verdict := "-", "-"
-		if t := one.target; t.set {
-			bound, verdict = fmt.Sprintf("<=%.4g", t.limit), "misses"
-			if t.least {
-				bound = fmt.Sprintf(">=%.4g", t.limit)
-			}
-			if t.least && value >= t.limit || !t.least && value <= t.limit {
-				verdict = "holds"
-			}
-		}
-		fmt.Fprintf(f.out, "%s %.5g %s %s %s\n", one.name, value, one.unit, bound, verdict)
+		fmt.Fprintf(f.out, "%s %.5g %s %s\n", one.name, median(one.values), one.unit, one.target.verdict(median(one.values)))
 	}
 	f.list = nil
 }
 
+// verdict returns the bound and whether the value is within it.
+func (t target) verdict(value float64) string {
+	sign, holds := "<=", value <= t.limit
+	if t.least {
+		sign, holds = ">=", value >= t.limit
+	}
+	switch {
+	case !t.set:
+		return "- -"
+	case holds:
+		return fmt.Sprintf("%s%.4g holds", sign, t.limit)
+	default:
+		return fmt.Sprintf("%s%.4g misses", sign, t.limit)
+	}
+}
+
 // note prints a line that is not a figure.
 func (f *figures) note(format string, args ...any) {
 	fmt.Fprintln(f.out, "#", strings.TrimSpace(fmt.Sprintf(format, args...)))
--- a/test/pathbench/flood.go
+++ b/test/pathbench/flood.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"strings"
 	"time"
@@ -47,9 +46,7 @@
 	same                                      bool // all calls of a rank are identical requests
 }
 
-// span is a part of a scenario.
-type span struct{ from, to time.Duration }
-
+// spans are the parts of a scenario in which something is counted.
 type spans struct{ calm, low, top, storm, after span }
 
 // streams lays the phases out one after the other. Calm load runs through all
@@ -91,26 +88,28 @@
 		t.set = name == "system" // baselines have no targets
 		return t
 	}
+	useful := func(part string, in span) {
+		b.out.add(name+part+".useful_of_capacity", 100*answered(l, in, ranks...)/capacity, "%", goal(atLeast(usefulShare)))
+	}
 	b.byRank(l, name+".calm", s.calm)
 	b.byRank(l, name+".flood_of_least_urgent", s.low)
 	b.byRank(l, name+".flood_of_most_urgent", s.top)
 	b.byRank(l, name+".retry_storm", s.storm)
 	b.byRank(l, name+".after_storm", s.after)
 	if s.low.to > s.low.from {
-		calm, flood := l.window("r0", s.calm.from, s.calm.to), l.window("r0", s.low.from, s.low.to)
+		calm, flood := l.window("r0", s.calm), l.window("r0", s.low)
 		b.out.add(name+".flood_of_least_urgent.r0.goal", share(flood), "%", goal(atLeast(topShare)))
 		b.out.add(name+".flood_of_least_urgent.r0.p99_to_calm", quantile(flood, 99)/quantile(calm, 99), "1", goal(atMost(topSlowdown)))
-		b.useful(l, name+".flood_of_least_urgent", s.low, capacity, goal)
+		useful(".flood_of_least_urgent", s.low)
 	}
 	if s.top.to > s.top.from {
 		for _, r := range ranks[1:] {
-			got := answered(l, s.top, r)
-			b.out.add(fmt.Sprintf("%s.flood_of_most_urgent.%s.of_capacity", name, r.name), 100*got/capacity, "%", goal(atLeast(r.floor)))
+			b.out.add(name+".flood_of_most_urgent."+r.name+".of_capacity", 100*answered(l, s.top, r)/capacity, "%", goal(atLeast(r.floor)))
 		}
-		b.useful(l, name+".flood_of_most_urgent", s.top, capacity, goal)
+		useful(".flood_of_most_urgent", s.top)
 	}
 	if s.after.to > s.after.from {
-		b.useful(l, name+".retry_storm", s.storm, capacity, goal)
+		useful(".retry_storm", s.storm)
 		b.out.add(name+".after_storm.recovered_after", recovered(l, s), "s", goal(atMost(recoverTime)))
 	}
 	b.out.add(name+".generator_lag.p99", float64(l.lag.ValueAtQuantile(99))/1000, "ms", target{})
@@ -123,16 +122,12 @@
 		return
 	}
 	for _, r := range ranks {
-		calls := l.window(r.name, in.from, in.to)
-		b.out.add(fmt.Sprintf("%s.%s.within_deadline", name, r.name), share(calls), "%", target{})
-		b.out.add(fmt.Sprintf("%s.%s.p99", name, r.name), quantile(calls, 99), "ms", target{})
+		calls := l.window(r.name, in)
+		b.out.add(name+"."+r.name+".within_deadline", share(calls), "%", target{})
+		b.out.add(name+"."+r.name+".p99", quantile(calls, 99), "ms", target{})
 	}
 }
 
-func (b *bench) useful(l *load, name string, in span, capacity float64, goal func(target) target) {
-	b.out.add(name+".useful_of_capacity", 100*answered(l, in, ranks...)/capacity, "%", goal(atLeast(usefulShare)))
-}
-
 // answered returns the calls per second that were answered in time within the
 // span, of the given ranks.
 func answered(l *load, in span, of ...rankLoad) float64 {
@@ -156,9 +151,9 @@
 	last := 0.0
 	for from := s.after.from; from+bin <= s.after.to; from += bin {
 		for _, r := range ranks {
-			calls := l.window(r.name, from, from+bin)
+			calls := l.window(r.name, span{from, from + bin})
 			late := len(calls) - good(calls)
-			usual := quantile(l.window(r.name, s.calm.from, s.calm.to), 50)
+			usual := quantile(l.window(r.name, s.calm), 50)
 			if late > max(1, len(calls)/100) || quantile(calls, 50) > topSlowdown*usual {
 				last = math.Round(10*(from+bin-s.after.from).Seconds()) / 10
 			}
--- a/test/pathbench/load.go
+++ b/test/pathbench/load.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -71,14 +72,9 @@
 
 func (l *load) generate(ctx context.Context, start time.Time, s *stream, random *rand.Rand, all *sync.WaitGroup) {
 	at := s.from
-	for n := 0; ; n++ {
-		at += time.Duration(random.ExpFloat64() / s.rate * float64(time.Second))
-		if at >= s.to || ctx.Err() != nil {
-			return
-		}
-		if d := time.Until(start.Add(at)); d > 0 {
-			time.Sleep(d)
-		}
+	gap := func() time.Duration { return time.Duration(random.ExpFloat64() / s.rate * float64(time.Second)) }
+	for at += gap(); at < s.to && ctx.Err() == nil; at += gap() {
+		time.Sleep(time.Until(start.Add(at)))
 		target := random.IntN(len(s.bases))
 		all.Go(func() { l.call(ctx, start, at, s, target) })
 	}
@@ -123,15 +119,12 @@
 	return err == nil && resp.StatusCode == http.StatusOK, resp.Header.Get("Lentilflow-Upstream")
 }
 
-// window returns the outcomes of a rank that arrived in [from, to).
-func (l *load) window(rank string, from, to time.Duration) []outcome {
-	var in []outcome
-	for _, o := range l.outcomes[rank] {
-		if o.at >= from && o.at < to {
-			in = append(in, o)
-		}
-	}
-	return in
+// span is a part of a load.
+type span struct{ from, to time.Duration }
+
+// window returns the outcomes of a rank that arrived in the span.
+func (l *load) window(rank string, in span) []outcome {
+	return slices.DeleteFunc(slices.Clone(l.outcomes[rank]), func(o outcome) bool { return o.at < in.from || o.at >= in.to })
 }
 
 // share returns the percentage of calls answered within the deadline.
@@ -174,22 +167,18 @@
 func saturate(client *http.Client, bases []string, path string, workers int, d time.Duration) float64 {
 	l := &load{client: client}
 	s := &stream{path: path, deadline: 2 * time.Second}
-	counts := make([]int, workers)
+	var answered atomic.Int64
 	var all sync.WaitGroup
 	start := time.Now()
 	for i := range workers {
 		all.Go(func() {
 			for time.Since(start) < d {
-				if ok, _ := l.send(context.Background(), s, bases[i%len(bases)], int64(counts[i])); ok {
-					counts[i]++
+				if ok, _ := l.send(context.Background(), s, bases[i%len(bases)], rand.Int64()); ok {
+					answered.Add(1)
 				}
 			}
 		})
 	}
 	all.Wait()
-	sum := 0
-	for _, n := range counts {
-		sum += n
-	}
-	return float64(sum) / time.Since(start).Seconds()
+	return float64(answered.Load()) / time.Since(start).Seconds()
 }
--- a/test/pathbench/main.go
+++ b/test/pathbench/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -54,10 +55,8 @@
 	b.out.note("seed %d, %d nodes, %d slots, service time %v, rounds %d, %d processors of which other work uses %.1f",
 		seed, members, slots, serviceTime, b.rounds, runtime.NumCPU(), readMachine().since(before))
 	wanted := func(part string) bool { return *only == "" || *only == part }
-	if wanted("path") || wanted("flood") || wanted("crash") {
-		if err := b.direct(ctx, wanted); err != nil {
-			return err
-		}
+	if err := b.unlinked(ctx, wanted); err != nil {
+		return err
 	}
 	if wanted("keys") {
 		if err := b.linked(ctx); err != nil {
@@ -86,25 +85,17 @@
 	return merry.Prepend(build.Run(), "build the upstream stand-in")
 }
 
-// direct measures with nodes that reach each other directly.
-func (b *bench) direct(ctx context.Context, wanted func(string) bool) error {
+// unlinked measures with nodes that reach each other directly.
+func (b *bench) unlinked(ctx context.Context, wanted func(string) bool) error {
 	defer b.stop()
 	if err := b.start(ctx, false); err != nil {
 		return err
 	}
 	var fifo, open, retrying baseline
-	for _, one := range []struct {
-		*baseline
-		flags []string
-	}{
-		{&fifo, []string{"-fifo", fmt.Sprint(slots)}},
-		{&open, nil},
-		{&retrying, []string{"-retry"}},
-	} {
-		defer one.stop()
-		if err := one.start(&b.cluster, one.flags...); err != nil {
-			return err
-		}
+	defer func() { fifo.stop(); open.stop(); retrying.stop() }()
+	err := errors.Join(fifo.start(&b.cluster, "-fifo", fmt.Sprint(slots)), open.start(&b.cluster), retrying.start(&b.cluster, "-retry"))
+	if err != nil {
+		return err
 	}
 	if wanted("path") {
 		b.measureAdded(ctx, b.measureCost(&fifo))
@@ -115,7 +106,7 @@
 		}
 	}
 	if wanted("crash") {
-		b.crashes(ctx, &fifo)
+		return b.crashes(ctx, &fifo)
 	}
 	return ctx.Err()
 }
@@ -131,10 +122,8 @@
 
 // floods compares the system with the forwarders in turn.
 func (b *bench) floods(ctx context.Context, fifo, open, retrying *baseline) error {
-	nodes := b.bases(func(m *member) string { return m.calls })
-	upstreams := b.bases(func(m *member) string { return m.upstream })
 	s := b.scale(time.Second)
-	capacity := saturate(b.client, upstreams, "/r0", members*slots, 2*s)
+	capacity := saturate(b.client, b.direct, "/r0", members*slots, 2*s)
 	b.out.add("capacity", capacity, "1/s", target{})
 	for round := range b.rounds {
 		warm, after := s, 6*s
@@ -144,21 +133,17 @@
 		if round == b.rounds-1 {
 			after = 15 * s
 		}
-		b.scenario(ctx, "system", nodes, capacity, phases{warm: warm, calm: 3 * s, low: 4 * s, pause: s, top: 4 * s, storm: 3 * s, after: after, resends: stormSends})
-		if err := b.deadThird(ctx, "system.third_dead", nodes, capacity, 4*s, false); err != nil {
-			return err
-		}
+		b.scenario(ctx, "system", b.nodes, capacity, phases{warm: warm, calm: 3 * s, low: 4 * s, pause: s, top: 4 * s, storm: 3 * s, after: after, resends: stormSends})
 		b.scenario(ctx, "first_come", fifo.calls, capacity, phases{calm: s, low: 4 * s, pause: s, top: 4 * s})
-		if err := b.deadThird(ctx, "random_choice.third_dead", fifo.calls, capacity, 4*s, false); err != nil {
-			return err
-		}
 		b.scenario(ctx, "no_admission", open.calls, capacity, phases{calm: s, low: 4 * s})
 		b.scenario(ctx, "unlimited_retries", retrying.calls, capacity, phases{calm: s, storm: 3 * s, after: 5 * s})
-		if ctx.Err() != nil {
-			return ctx.Err()
+		err := errors.Join(b.deadThird(ctx, "system.third_dead", b.nodes, capacity, 4*s, false),
+			b.deadThird(ctx, "random_choice.third_dead", fifo.calls, capacity, 4*s, false), ctx.Err())
+		if err != nil {
+			return err
 		}
 	}
-	err := b.deadThird(ctx, "system.third_dead_identical_requests", nodes, capacity, 4*s, true)
+	err := b.deadThird(ctx, "system.third_dead_identical_requests", b.nodes, capacity, 4*s, true)
 	b.out.flush()
 	return err
 }
