--- a/test/pathbench/added.go
+++ b/test/pathbench/added.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -67,11 +67,9 @@
 		return 0
 	}
 	defer resp.Body.Close()
-	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-		if value, ok := strings.CutPrefix(lines.Text(), "go_memstats_mallocs_total "); ok {
-			_, _ = fmt.Sscan(value, &n)
-		}
-	}
+	text, _ := io.ReadAll(resp.Body)
+	_, value, _ := strings.Cut(string(text), "\ngo_memstats_mallocs_total ")
+	_, _ = fmt.Sscan(value, &n)
 	return n
 }
 
--- a/test/pathbench/baseline.go
+++ b/test/pathbench/baseline.go
@@ -10,7 +10,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -32,7 +31,7 @@
 	peers    []string
 	upstream string
 	slots    chan struct{} // blocked senders wait in order; nil admits all
-	waiting  atomic.Int64  // of slots
+	queue    chan struct{} // holds one token for each call, running or waiting
 	retry    bool          // until the deadline
 	client   *http.Client
 }
@@ -51,7 +50,7 @@
 	}
 	f := &forwarder{peers: strings.Split(*peers, ","), upstream: *upstream, retry: *retry, client: newClient()}
 	if *fifo > 0 {
-		f.slots = make(chan struct{}, *fifo)
+		f.slots, f.queue = make(chan struct{}, *fifo), make(chan struct{}, *fifo+queueLength)
 	}
 	var g errgroup.Group
 	g.Go(func() error { return http.ListenAndServe(*calls, http.HandlerFunc(f.serveCall)) })
@@ -84,30 +83,25 @@
 	ctx, cancel := withDeadline(r)
 	defer cancel()
 	if f.slots != nil {
-		if !f.enter(ctx) {
+		select {
+		case f.queue <- struct{}{}:
+			defer func() { <-f.queue }()
+		default:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		defer func() { <-f.slots }()
+		select {
+		case f.slots <- struct{}{}:
+			defer func() { <-f.slots }()
+		case <-ctx.Done():
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
 	}
 	resp, err := f.pass(ctx, r, f.upstream)
 	answer(w, resp, err)
 }
 
-// enter waits for a slot. The queue is as long as that of a node.
-func (f *forwarder) enter(ctx context.Context) bool {
-	defer f.waiting.Add(-1)
-	if f.waiting.Add(1) > queueLength {
-		return false
-	}
-	select {
-	case f.slots <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (f *forwarder) pass(ctx context.Context, r *http.Request, address string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.URL.RequestURI(), nil)
 	if err != nil {
@@ -129,9 +123,8 @@
 		w.WriteHeader(http.StatusBadGateway)
 		return
 	}
-	defer resp.Body.Close()
 	w.WriteHeader(resp.StatusCode)
-	_, _ = io.Copy(w, resp.Body)
+	drop(resp)
 }
 
 // baseline is a running set of forwarders beside the upstreams of a cluster.
--- a/test/pathbench/keys.go
+++ b/test/pathbench/keys.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	keyCount      = 100_000
+	keyCount      = 102_000 // over 100,000 of them run
 	keyCountQuick = 5_000
 	keyWorkers    = 96
 	keySends      = 4 // at most, by one caller
--- a/test/pathbench/process.go
+++ b/test/pathbench/process.go
@@ -59,16 +59,14 @@
 	}
 }
 
-// cpu returns the processor time in seconds that the process has used.
+// cpu returns the processor time in seconds that the process has used, 0 if it
+// has ended.
 func (p *process) cpu() float64 {
 	proc, err := procfs.NewProc(p.cmd.Process.Pid)
 	if err != nil {
 		return 0
 	}
-	stat, err := proc.Stat()
-	if err != nil {
-		return 0
-	}
+	stat, _ := proc.Stat()
 	return stat.CPUTime()
 }
 
@@ -80,14 +78,10 @@
 }
 
 func readMachine() machine {
-	m := machine{at: time.Now()}
-	if fs, err := procfs.NewDefaultFS(); err == nil {
-		if stat, err := fs.Stat(); err == nil {
-			c := stat.CPUTotal
-			m.busy = c.User + c.Nice + c.System + c.IRQ + c.SoftIRQ + c.Steal
-		}
-	}
-	return m
+	fs, _ := procfs.NewDefaultFS()
+	stat, _ := fs.Stat()
+	c := stat.CPUTotal
+	return machine{busy: c.User + c.Nice + c.System + c.IRQ + c.SoftIRQ + c.Steal, at: time.Now()}
 }
 
 // since returns how many processors were in use on average.
