--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets need Go, make and git only; Go fetches the pinned modules.
-.PHONY: build run test fmt lint unit race integration bench-distribution capacity clean
+.PHONY: build run test fmt lint unit race integration bench-distribution bench-path capacity clean
 
 MODULES := . ./test
 PACKAGES := ./... ./test/...
@@ -34,5 +34,9 @@
 capacity: build
 	go run ./test/bench/capacity --binary bin/lentilflow
 
+# Prints the figures of the call path: name, value, unit, target, verdict.
+bench-path: build
+	go run ./test/pathbench
+
 clean:
 	rm -rf bin
