Tell every node of a service about a crash; do not blame equal requests

Change: notices go to all members of the service, a call that has waited for its slot is checked again, and a crash counts only if its run began after the crashes known before.

--- a/pkg/crashguard/crashguard_test.go
+++ b/pkg/crashguard/crashguard_test.go
@@ -161,3 +161,15 @@
 	}
 	is.Equal(Of(base), Of(Request{"GET", "r", "/a", append(base.Body, 1)})) // only the first 64 KiB count
 }
+
+// Guards against equal requests that are refused for minutes because two
+// upstreams which ran them were lost together.
+func TestUpstreamsLostTogether(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Now()
+	first := Crash{ID: "1", Upstream: "a", At: t0, Ran: time.Second}
+	r := Record{}.add("agenda", first).add("agenda", Crash{ID: "2", Upstream: "b", At: t0.Add(50 * time.Millisecond), Ran: 100 * time.Millisecond})
+	is.True(!r.Refused(t0.Add(time.Second)))
+	r = r.add("agenda", Crash{ID: "3", Upstream: "c", At: t0.Add(time.Second), Ran: 900 * time.Millisecond})
+	is.True(r.Refused(t0.Add(time.Second))) // sent again after the first crash
+}
--- a/pkg/crashguard/record.go
+++ b/pkg/crashguard/record.go
@@ -27,10 +27,17 @@
 	ID       string       `json:"id,omitempty"`
 	Upstream model.NodeID `json:"upstream"`
 	At       time.Time    `json:"at"`
+	// Ran is how long the request had run.
+	Ran time.Duration `json:"ran_ns,omitempty"`
 	// Alone says that no other call was in flight on the upstream.
 	Alone bool `json:"alone"`
 }
 
+// independent reports whether the request began after the earlier crash. Two
+// upstreams that are lost together, for example with their rack, lose many equal
+// requests at once, which says nothing about these requests.
+func (c *Crash) independent(earlier *Crash) bool { return !c.At.Add(-c.Ran).Before(earlier.At) }
+
 // Record holds the crashes of one fingerprint. It is a value: its methods
 // return changed copies.
 type Record struct {
@@ -38,7 +45,8 @@
 	Crashes []Crash `json:"crashes"`
 }
 
-// add returns r with one more crash, without duplicates and expired crashes.
+// add returns r with one more crash, without duplicates and expired crashes. A
+// crash of a run that had begun before a known crash is left out.
 func (r Record) add(service string, c Crash) Record {
 	next := r.live(c.At)
 	next.Service = service
@@ -46,6 +54,9 @@
 		if old.ID != "" && old.ID == c.ID || old.Upstream == c.Upstream && c.At.Sub(old.At).Abs() < sameCrash {
 			return next
 		}
+		if !c.independent(&old) {
+			return next
+		}
 	}
 	next.Crashes = append(next.Crashes, c)
 	return next
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -30,6 +30,17 @@
 // Service returns the usable entries of a service.
 func (e endpoints) Service(name string) []model.Entry { return e.roster.View().Service(name) }
 
+// Members returns every entry of a service that is not gone.
+func (e endpoints) Members(service string) []model.Entry {
+	var out []model.Entry
+	for _, entry := range e.roster.View().All() {
+		if entry.Service == service {
+			out = append(out, entry)
+		}
+	}
+	return out
+}
+
 // MayServePeers reports whether the own lease is held.
 func (e endpoints) MayServePeers() bool { return e.roster.MayServe() }
 
--- a/pkg/proxy/config.go
+++ b/pkg/proxy/config.go
@@ -15,9 +15,11 @@
 // Snapshots gives the routing snapshot in force, nil before the first version.
 type Snapshots interface{ Snapshot() *routing.Snapshot }
 
-// Roster gives the usable entries of a service in the current view.
+// Roster gives the entries of a service in the current view: the usable ones,
+// and all that are not gone.
 type Roster interface {
 	Service(name string) []model.Entry
+	Members(service string) []model.Entry
 }
 
 // Membership says whether this node may run work that peers send.
--- a/pkg/proxy/dispatch.go
+++ b/pkg/proxy/dispatch.go
@@ -136,7 +136,7 @@
 	if ref := peerRefusal(resp.Header); ref != nil {
 		discard(resp)
 		if ref.crash != "" {
-			p.notices.Learn(j.fingerprint(), c.route.Rule.Service, crashguard.Crash{ID: ref.crash, Upstream: e.Node, At: time.Now()})
+			p.notices.Learn(j.fingerprint(), c.route.Rule.Service, crashguard.Crash{ID: ref.crash, Upstream: e.Node, At: time.Now(), Ran: time.Since(sent)})
 		}
 		return nil, ref
 	}
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -53,6 +53,8 @@
 	return m.entries
 }
 
+func (m *mesh) Members(name string) []model.Entry { return m.Service(name) }
+
 func newMesh(t testing.TB) *mesh {
 	m := &mesh{t: t, notices: crashguard.NewMemory(time.Now)}
 	m.snap.Store(compile(t, 7))
--- a/pkg/proxy/notice.go
+++ b/pkg/proxy/notice.go
@@ -60,9 +60,11 @@
 }
 
 // crashed records that the upstream was lost while it ran j, and returns the
-// identifier of the crash. The slot of j is still taken.
-func (p *Proxy) crashed(j *job) string {
+// identifier of the crash. The run had taken the stated time; the slot of j is
+// still taken.
+func (p *Proxy) crashed(j *job, took time.Duration) string {
 	n := crashNotice{Fingerprint: j.fingerprint(), Service: p.cfg.Service, Crash: p.crashes.current(p.cfg.Self, time.Now())}
+	n.Crash.Ran = took
 	n.Crash.Alone = p.gate.State().Running == 1
 	p.metrics.events[eventCrash].Inc()
 	p.log.Warn("upstream crashed while it ran a request", zapRule(j.rule), zapFingerprint(n.Fingerprint))
@@ -83,8 +85,9 @@
 }
 
 // tellPeers sends the notice to the nodes beside the other upstreams of the
-// service. They refuse the request themselves, whichever node took it from its
-// caller, and need not wait until they read the table service again.
+// service, also those that are suspect and may soon run calls again. They
+// refuse the request themselves, whichever node took it from its caller, and
+// need not wait until they read the table service again.
 func (p *Proxy) tellPeers(ctx context.Context, n crashNotice) {
 	text, err := json.Marshal(n)
 	if err != nil {
@@ -93,7 +96,7 @@
 	}
 	var g errgroup.Group
 	g.SetLimit(noticeParallel)
-	for _, e := range p.cfg.Roster.Service(p.cfg.Service) {
+	for _, e := range p.cfg.Roster.Members(p.cfg.Service) {
 		if e.Node == p.cfg.Self {
 			continue
 		}
--- a/pkg/proxy/upstream.go
+++ b/pkg/proxy/upstream.go
@@ -64,6 +64,10 @@
 		r.retryAfter = refused.RetryAfter
 		return nil, r
 	}
+	if r := p.refuseCrasher(j); r != nil { // another upstream fell while this call waited
+		slot.Release(admission.Other)
+		return nil, r
+	}
 	admitted := time.Now()
 	observe(p.metrics.queued[j.rank], admitted.Sub(arrived))
 	token := p.chains.open(link{rank: j.rank, deadline: j.deadline, depth: j.depth})
@@ -73,7 +77,7 @@
 	head := time.Now()
 	if err != nil {
 		p.chains.close(token)
-		r := p.upstreamFailure(ctx, j, began, err)
+		r := p.upstreamFailure(ctx, j, began, err, head.Sub(admitted))
 		slot.Release(endOf(r))
 		return nil, r
 	}
@@ -142,8 +146,9 @@
 	return admission.Other
 }
 
-// upstreamFailure translates a failed exchange with the local upstream.
-func (p *Proxy) upstreamFailure(ctx context.Context, j *job, began bool, err error) *refusal {
+// upstreamFailure translates a failed exchange with the local upstream, which
+// took the stated time.
+func (p *Proxy) upstreamFailure(ctx context.Context, j *job, began bool, err error, took time.Duration) *refusal {
 	run := runState(began)
 	if r := bodyFailure(j.body, run); r != nil {
 		return r
@@ -158,7 +163,7 @@
 	p.log.Warn("connection to the upstream was lost", zapRule(j.rule), zapError(err))
 	r := refuse(model.UpstreamLost, run, "")
 	if p.upstreamGone(ctx) {
-		r.crash = p.crashed(j)
+		r.crash = p.crashed(j, took)
 		p.unreached()
 	}
 	return r
