Return free memory to the system after the start and every 30 s

Cause: the resident memory of an idle node with 2,800 roster entries was 37.1 MB against the limit of 32 MB, mostly free heap left from the start. Change: the node runs a collection and returns free memory 5 s after its start and every 30 s.

--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -36,6 +36,7 @@
 	addLoop(&g, n.claims.Run)
 	addLoop(&g, n.watchNotices)
 	addLoop(&g, n.watchUpstream)
+	addLoop(&g, trimMemory)
 	addServer(&g, n.proxy.CallServer(), n.proxy.LimitCallers(n.listeners.calls))
 	addServer(&g, peers, n.listeners.peer)
 	addServer(&g, n.adminServer(), n.listeners.admin)
