Start no call that cannot finish; let a rank be offered twice what it ran

Cause: under a flood of the most urgent rank 20% of the capacity went into calls that ended after their deadline: a waiting call was started until its deadline had passed, and the expected wait left out the floors of less urgent ranks. A node offered a refused rank only 1.25 times what had been accepted, so that slots stayed idle. Change: a call needs 0.9 of the usual time of its rank left when it arrives and when it starts, floors of less urgent ranks with waiting calls are taken off the slots, and the headroom is 2, as in the book.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -111,7 +111,7 @@
 	if c.running == 0 {
 		return false
 	}
-	need := c.service.fastest(now, w.Rank)
+	need := c.service.usual(now, w.Rank)
 	if !free {
 		need += c.expectedWait(now, w.Rank)
 	}
@@ -126,7 +126,13 @@
 		ahead += c.ranks[q].waiting
 	}
 	mean := c.service.mean(now)
-	wait := mean * time.Duration(ahead) / time.Duration(c.Limit())
+	slots := c.Limit()
+	for q := int(r) + 1; q < Ranks; q++ {
+		if c.ranks[q].waiting > 0 {
+			slots -= c.floorSlots(model.Rank(q)) // taken by the floors of less urgent ranks
+		}
+	}
+	wait := mean * time.Duration(ahead) / time.Duration(max(slots, 1))
 	if f := c.floorSlots(r); f > 0 {
 		wait = min(wait, mean*time.Duration(c.ranks[r].waiting+1)/time.Duration(f))
 	}
@@ -157,8 +163,8 @@
 	return nil
 }
 
-// Next takes the waiting call that gets a free slot, or one whose deadline has
-// passed; the latter has admitted=false. It returns nil when there is neither.
+// Next takes the waiting call that gets a free slot, or one that can no longer
+// finish before its deadline; the latter has admitted=false. It returns nil when there is neither.
 func (c *Core) Next(now time.Duration) (w *Waiter, admitted bool) {
 	if c.waiting == 0 || c.running >= c.Limit() {
 		return nil, false
@@ -166,8 +172,8 @@
 	r := c.nextRank()
 	w = c.ranks[r].pop()
 	c.waiting--
-	if w.Deadline <= now {
-		return w, false
+	if w.Deadline <= now+c.service.usual(now, w.Rank) {
+		return w, false // it would take a slot and not finish in time
 	}
 	c.start(now, w)
 	return w, true
--- a/pkg/admission/service.go
+++ b/pkg/admission/service.go
@@ -13,9 +13,11 @@
 	// serviceHalfLife lets an estimate fade without samples, so that refused
 	// calls are tried again after the upstream has recovered.
 	serviceHalfLife = time.Second
-	// fastestShare of the mean is taken for the fastest a call can be; a call
-	// is refused as unreachable only when even that is too slow.
-	fastestShare = 0.5
+	// usualShare of the mean time of a rank must be left before its deadline
+	// when a call arrives or starts. With half of the mean, or none at the
+	// start, 20% of the capacity went into calls that ended too late under a
+	// flood of the most urgent rank.
+	usualShare = 0.9
 )
 
 // average is a moving average that fades without samples.
@@ -53,6 +55,7 @@
 
 func (s *serviceTimes) mean(now time.Duration) time.Duration { return s.all.get(now) }
 
-func (s *serviceTimes) fastest(now time.Duration, r model.Rank) time.Duration {
-	return time.Duration(fastestShare * float64(s.byRank[r].get(now)))
+// usual returns the time that a call of a rank needs at least in most cases.
+func (s *serviceTimes) usual(now time.Duration, r model.Rank) time.Duration {
+	return time.Duration(usualShare * float64(s.byRank[r].get(now)))
 }
--- a/pkg/balance/picker.go
+++ b/pkg/balance/picker.go
@@ -12,8 +12,8 @@
 	// acceptHeadroom is K of client-side throttling (Site Reliability
 	// Engineering, O'Reilly 2016, chapter 21): a rank may be offered K times
 	// as many calls as were accepted. The excess finds out that load has
-	// fallen; each such call costs a hop, hence less than the book's 2.
-	acceptHeadroom = 1.25
+	// fallen. With 1.25 slots stayed idle under a flood.
+	acceptHeadroom = 2
 	// evidenceIdle is how long evidence of an unused upstream is kept.
 	evidenceIdle = 10 * time.Minute
 	tiers        = 3
