--- a/pkg/admission/core_test.go
+++ b/pkg/admission/core_test.go
@@ -1,26 +1,16 @@
 package admission
 
 import (
-	"cmp"
-	"flag"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// init fixes the seed of rapid; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "20") }
-
-// steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
-func steps() int {
-	n, _ := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS"))
-	return cmp.Or(n, 300)
-}
+func init() { rapidtest.FixSeed(20) }
 
 // variant wraps the decisions of a Core; broken ones change its numbers
 // around a call.
@@ -80,7 +70,7 @@
 		o.waiting[r] = map[*Waiter]bool{}
 	}
 	c, now := NewCore(Limits{Slots: 12, Floors: o.floors}), time.Duration(0)
-	for range steps() {
+	for range rapidtest.Steps(300) {
 		now += time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 5}).Draw(t, "ms")) * time.Millisecond
 		fault := ""
 		switch rapid.SampledFrom([]string{"arrive", "arrive", "arrive", "arrive", "done", "expire"}).Draw(t, "step") {
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -1,27 +1,17 @@
 package balance
 
 import (
-	"cmp"
-	"flag"
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// init fixes the seed of rapid; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "20") }
-
-// steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
-func steps() int {
-	n, _ := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS"))
-	return cmp.Or(n, 200)
-}
+func init() { rapidtest.FixSeed(20) }
 
 var here = model.Location{Region: "serra", AvailabilityZone: "caxias"}
 
@@ -42,7 +32,7 @@
 func checkPicks(t *rapid.T, pick pick) string {
 	p, entries, now := NewPicker(), fleet(), time.Duration(0)
 	touched := map[model.NodeID]bool{}
-	for range steps() {
+	for range rapidtest.Steps(200) {
 		now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
 		for i := range entries {
 			entries[i].State = model.EntryState(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "state"))
--- a/pkg/claim/machine_test.go
+++ b/pkg/claim/machine_test.go
@@ -7,13 +7,12 @@
 	"fmt"
 	"os"
 	"regexp"
-	"runtime"
-	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/platform"
 	standin "github.com/lentilflow/lentilflow/pkg/standin/platform"
@@ -229,34 +228,6 @@
 // a request that ran.
 func TestClaimsRunOnce(t *testing.T) { rapid.Check(t, machine(nil)) }
 
-// recorder takes the place of testing.T for a check that has to fail.
-type recorder struct {
-	rapid.TB
-	found string
-}
-
-func (r *recorder) Errorf(format string, args ...any) { r.found += fmt.Sprintf(format, args...) }
-func (r *recorder) Logf(string, ...any)               {}
-func (r *recorder) FailNow()                          { runtime.Goexit() }
-func (r *recorder) Failed() bool                      { return r.found != "" }
-
-// find returns the message of the first violation, "" if there is none.
-func find(t *testing.T, prop func(*rapid.T)) string {
-	checks := flag.Lookup("rapid.checks").Value
-	defer func(before string) { _ = checks.Set(before) }(checks.String())
-	_ = checks.Set("4000")
-	r := &recorder{TB: t}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		rapid.Check(r, prop)
-	}()
-	<-done
-	message, _, _ := strings.Cut(r.found, "To reproduce")
-	t.Log(message)
-	return message
-}
-
 // unchecked drops every precondition.
 type unchecked struct{ platform.Table }
 
@@ -297,7 +268,7 @@
 		"rows deleted early": {func(c *Claims) { c.cfg.Table = aged{c.cfg.Table} }, "ran 2 times|not_run but ran"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if found := find(t, machine(c.broken)); !regexp.MustCompile(c.want).MatchString(found) {
+			if found := rapidtest.Find(t, 4000, machine(c.broken)); !regexp.MustCompile(c.want).MatchString(found) {
 				t.Errorf("found %q", found)
 			}
 		})
--- a/pkg/crashguard/crashguard_test.go
+++ b/pkg/crashguard/crashguard_test.go
@@ -1,11 +1,8 @@
 package crashguard
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"flag"
-	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -13,19 +10,13 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/platform"
 	standin "github.com/lentilflow/lentilflow/pkg/standin/platform"
 )
 
-// init fixes the seed of rapid; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "20") }
-
-// steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
-func steps() int {
-	n, _ := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS"))
-	return cmp.Or(n, 200)
-}
+func init() { rapidtest.FixSeed(20) }
 
 // refusedBy is the decision under test; the broken variant replaces it.
 type refusedBy func(Notices, Fingerprint, time.Time) bool
@@ -42,7 +33,7 @@
 	n := NewMemory(func() time.Time { return now })
 	ctx, fatal := context.Background(), Fingerprint{1}
 	fallen, last := 0, now
-	for i := range steps() {
+	for i := range rapidtest.Steps(200) {
 		now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 		if now.Sub(last) > suspicionTime/2 {
 			fallen, last = 0, now
--- a/pkg/delta/seed_test.go
+++ b/pkg/delta/seed_test.go
@@ -1,11 +1,5 @@
 package delta
 
-import "flag"
+import "github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 
-// A fixed seed makes every run of the property tests draw the same cases;
-// -rapid.seed overrides it.
-func init() {
-	if err := flag.Set("rapid.seed", "20261"); err != nil {
-		panic(err)
-	}
-}
+func init() { rapidtest.FixSeed(20261) }
--- /dev/null
+++ b/pkg/internal/rapidtest/rapidtest.go
@@ -0,0 +1,62 @@
+// Package rapidtest holds what the property tests of several packages share:
+// fixed seeds, the length of histories, and the search for violations in
+// deliberately broken variants.
+package rapidtest
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// FixSeed makes every run draw the same cases; -rapid.seed overrides it. It is
+// called from an init function, before the flags are parsed.
+func FixSeed(seed uint64) {
+	if err := flag.Set("rapid.seed", strconv.FormatUint(seed, 10)); err != nil {
+		panic(err)
+	}
+}
+
+// Steps returns the length of one history: usual, or LENTILFLOW_STEPS for long
+// runs.
+func Steps(usual int) int {
+	n, _ := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS"))
+	return cmp.Or(n, usual)
+}
+
+// recorder takes the place of testing.T for a check that has to fail.
+type recorder struct {
+	rapid.TB
+	found string
+}
+
+func (r *recorder) Errorf(format string, args ...any) { r.found += fmt.Sprintf(format, args...) }
+func (r *recorder) Logf(string, ...any)               {}
+func (r *recorder) FailNow()                          { runtime.Goexit() }
+func (r *recorder) Failed() bool                      { return r.found != "" }
+
+// Find returns the message of the first violation within the given number of
+// checks, "" if there is none.
+func Find(t *testing.T, checks int, prop func(*rapid.T)) string {
+	t.Helper()
+	value := flag.Lookup("rapid.checks").Value
+	defer func(before string) { _ = value.Set(before) }(value.String())
+	_ = value.Set(strconv.Itoa(checks))
+	r := &recorder{TB: t}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		rapid.Check(r, prop)
+	}()
+	<-done
+	message, _, _ := strings.Cut(r.found, "To reproduce")
+	t.Log(message)
+	return message
+}
--- a/pkg/publisher/machine_test.go
+++ b/pkg/publisher/machine_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -14,6 +13,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/platform"
 	"github.com/lentilflow/lentilflow/pkg/rules"
@@ -234,34 +234,6 @@
 // becomes a version, two holders of the lease, and a publisher that gets stuck.
 func TestPublishersKeepOneOrder(t *testing.T) { rapid.Check(t, machine(nil)) }
 
-// recorder takes the place of testing.T for a check that has to fail.
-type recorder struct {
-	rapid.TB
-	found string
-}
-
-func (r *recorder) Errorf(format string, args ...any) { r.found += fmt.Sprintf(format, args...) }
-func (r *recorder) Logf(string, ...any)               {}
-func (r *recorder) FailNow()                          { runtime.Goexit() }
-func (r *recorder) Failed() bool                      { return r.found != "" }
-
-// find returns the message of the first violation, "" if there is none.
-func find(t *testing.T, prop func(*rapid.T)) string {
-	checks := flag.Lookup("rapid.checks").Value
-	defer func(before string) { _ = checks.Set(before) }(checks.String())
-	_ = checks.Set("4000")
-	r := &recorder{TB: t}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		rapid.Check(r, prop)
-	}()
-	<-done
-	message, _, _ := strings.Cut(r.found, "To reproduce")
-	t.Log(message)
-	return message
-}
-
 // unchecked drops the preconditions on some rows.
 type unchecked struct {
 	platform.Table
@@ -292,7 +264,7 @@
 		"lost text taken as stored":     {func(p *Publisher) { p.cfg.Objects = hasty{p.cfg.Objects} }, "holds"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if found := find(t, machine(c.broken)); !strings.Contains(found, c.want) {
+			if found := rapidtest.Find(t, 4000, machine(c.broken)); !strings.Contains(found, c.want) {
 				t.Errorf("found %q", found)
 			}
 		})
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -1,26 +1,16 @@
 package retry
 
 import (
-	"cmp"
-	"flag"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// init fixes the seed of rapid; -rapid.seed overrides it.
-func init() { _ = flag.Set("rapid.seed", "20") }
-
-// steps is the length of one history; LENTILFLOW_STEPS sets it for long runs.
-func steps() int {
-	n, _ := strconv.Atoi(os.Getenv("LENTILFLOW_STEPS"))
-	return cmp.Or(n, 400)
-}
+func init() { rapidtest.FixSeed(20) }
 
 // decider is the function under test; the broken variants replace it.
 type decider func(Failure, Call, *Budget, float64) (Verdict, time.Duration)
@@ -30,7 +20,7 @@
 func checkHistory(t *rapid.T, decide decider) string {
 	b := NewBudget()
 	calls, retries := 0, 0
-	for range steps() {
+	for range rapidtest.Steps(400) {
 		calls++
 		b.Earn()
 		f := Failure{
