--- a/pkg/distribution/antientropy.go
+++ b/pkg/distribution/antientropy.go
@@ -20,8 +20,8 @@
 // While a part of the tree hears no publisher, its roots compare their rosters
 // more often, with several nodes.
 const (
-	partedSync  = 4 // times as often
-	partedPeers = 3 // nodes of other regions in a round
+	partitionedSync  = 4 // times as often
+	partitionedPeers = 3 // nodes of other regions in a round
 )
 
 // runSync compares rosters and versions with other nodes.
@@ -39,8 +39,8 @@
 			continue
 		}
 		period := r.cfg.Timing.Sync
-		if r.parted(time.Now()) {
-			period /= partedSync
+		if r.partitioned(time.Now()) {
+			period /= partitionedSync
 		}
 		next = time.Now().Add(around(period))
 		if time.Since(time.Unix(0, r.contact.Load())) > rejoinAfter {
@@ -55,32 +55,32 @@
 	}
 }
 
-// parted reports whether this node heads a part of the tree that has not heard
+// partitioned reports whether this node heads a part of the tree that has not heard
 // of the publisher for some time.
-func (r *Relay) parted(now time.Time) bool {
+func (r *Relay) partitioned(now time.Time) bool {
 	return r.age(now) > rejoinAfter && !r.cfg.IsPublisher() && (r.isTop() || !r.attached().open)
 }
 
 // syncPeers returns a random node of the own region and, for a region root, a
 // random root of another region. When all roots of a region die at once, no one
 // there tells the other regions, and what they take for its roots is dead. A
-// parted node therefore asks any nodes of other regions.
+// partitioned node therefore asks any nodes of other regions.
 func (r *Relay) syncPeers() []model.Entry {
-	parted, root := r.parted(time.Now()), r.tree().IsRegionRoot(r.self.Node)
+	partitioned, root := r.partitioned(time.Now()), r.tree().IsRegionRoot(r.self.Node)
 	var near, far []model.Entry
 	for _, e := range r.cfg.Roster.View().All() {
 		switch {
 		case e.Node == r.self.Node || e.State >= model.Draining:
 		case e.Location.Region == r.self.Location.Region:
 			near = append(near, e)
-		case parted && e.State == model.Ready, root && !parted && r.tree().IsZoneRoot(e.Node):
+		case partitioned && e.State == model.Ready, root && !partitioned && r.tree().IsZoneRoot(e.Node):
 			far = append(far, e)
 		}
 	}
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	count := 1
-	if parted {
-		count = partedPeers
+	if partitioned {
+		count = partitionedPeers
 	}
 	out := far[:min(count, len(far))]
 	if len(near) > 0 {
--- a/test/bench/capacity/fleet.go
+++ b/test/bench/capacity/fleet.go
@@ -50,7 +50,7 @@
 	o.zone = float64((size + len(mesh.Zones()) - 1) / len(mesh.Zones()))
 	time.Sleep(joinTime)
 	o.storeDown()
-	healed := o.parted()
+	healed := o.partitioned()
 	// Nodes keep the parent that they found at the start for up to 90 s.
 	time.Sleep(returnTime)
 	idle := o.Measure(func() { time.Sleep(runTime) })
@@ -66,7 +66,7 @@
 	o.add("whole fleet", "bytes between regions, idle", "B/s", 0, idle.Between)
 	row := report.Get(o.Store.Rows.Get(context.Background(), "roster/"+string(mesh.Zones()[0].AvailabilityZone)))
 	o.addZone("roster writer", "size of the roster row", "B", float64(len(row.Value)))
-	o.add("regions parted", "bytes between regions in 12 s after the heal beyond idle", "B", 0, max(0, healed-idle.Between*faultTime.Seconds()))
+	o.add("regions partitioned", "bytes between regions in 12 s after the heal beyond idle", "B", 0, max(0, healed-idle.Between*faultTime.Seconds()))
 	o.zoneLost(idle)
 	o.allNew()
 	return o.all
@@ -96,10 +96,10 @@
 	o.add("store down", "from its return until a change is in force everywhere", "s", 0, o.Await(2).Seconds())
 }
 
-// parted cuts off a region, changes the rules three times, measures the time
+// partitioned cuts off a region, changes the rules three times, measures the time
 // until the region agrees after the heal, and returns the bytes between regions
 // in faultTime after it.
-func (o *observed) parted() float64 {
+func (o *observed) partitioned() float64 {
 	reads := o.Store.Counters().Reads
 	o.Peers.Part("litoral", true)
 	o.Reads.Part("litoral", true)
@@ -107,11 +107,11 @@
 		o.Put(mesh.Rules(rules, 2+i))
 		time.Sleep(faultTime / 3)
 	}
-	o.add("regions parted", "store reads while parted", "1/s", 0, float64(o.Store.Counters().Reads-reads)/faultTime.Seconds())
+	o.add("regions partitioned", "store reads while partitioned", "1/s", 0, float64(o.Store.Counters().Reads-reads)/faultTime.Seconds())
 	at, bytes := time.Now(), o.Peers.Bytes()
 	o.Peers.Part("litoral", false)
 	o.Reads.Part("litoral", false)
-	o.add("regions parted", "from the heal until all agree", "s", 0, o.Await(5).Seconds())
+	o.add("regions partitioned", "from the heal until all agree", "s", 0, o.Await(5).Seconds())
 	time.Sleep(time.Until(at.Add(faultTime)))
 	return o.Peers.Bytes() - bytes
 }
