Wait for the last rules file, not for a count, after a partition

Cause: make capacity ended with 'nodes do not agree after 1m0s: 18 of 18 nodes ready, version 4 of 5'. Change: the program waits until the file in the store is accepted and takes the number of that version.

--- a/test/bench/capacity/fleet.go
+++ b/test/bench/capacity/fleet.go
@@ -108,10 +108,11 @@
 		time.Sleep(faultTime / 3)
 	}
 	o.add("regions partitioned", "store reads while partitioned", "1/s", 0, float64(o.Store.Counters().Reads-reads)/faultTime.Seconds())
+	version := o.Accepted()
 	at, bytes := time.Now(), o.Peers.Bytes()
 	o.Peers.Part("litoral", false)
 	o.Reads.Part("litoral", false)
-	o.add("regions partitioned", "from the heal until all agree", "s", 0, o.Await(5).Seconds())
+	o.add("regions partitioned", "from the heal until all agree", "s", 0, o.Await(version).Seconds())
 	time.Sleep(time.Until(at.Add(faultTime)))
 	return o.Peers.Bytes() - bytes
 }
--- a/test/bench/internal/mesh/mesh.go
+++ b/test/bench/internal/mesh/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http/httptest"
 	"os"
@@ -130,6 +131,26 @@
 	report.Get(m.Store.Blobs.Put(context.Background(), publisher.RulesObject, text, ""))
 }
 
+// Accepted waits until the rules file in the store has become a version, and
+// returns its number. A file that is replaced before a publisher has read it
+// becomes none, so the number of files does not tell it.
+func (m *Mesh) Accepted() model.Version {
+	ctx, at := context.Background(), time.Now()
+	tag := report.Get(m.Store.Blobs.Head(ctx, publisher.RulesObject))
+	for time.Since(at) < awaitLimit {
+		var head model.VersionInfo
+		if row, err := m.Store.Rows.Get(ctx, "head"); err == nil {
+			report.Must(json.Unmarshal(row.Value, &head))
+		}
+		if head.ETag == tag {
+			return head.Number
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	report.Must(merry.Errorf("the rules file was not accepted within %s", awaitLimit))
+	return 0
+}
+
 // Alive returns the nodes whose process runs.
 func (m *Mesh) Alive() []*Node {
 	return slices.DeleteFunc(slices.Clone(m.Nodes), func(n *Node) bool { return !n.Alive() })
