Share the merge of waiting roster entries; drop an unused variable

Cause: the streams to children and the outbox to the parent kept the newest entry of each node by the same loop; the Makefile set MODULES and used it nowhere. Change: keepNewest serves both; the variable is gone. Behaviour stays.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 # Targets need Go, make and git only; Go fetches the pinned modules.
 .PHONY: build run test fmt lint unit race integration bench-distribution bench-path capacity clean
 
-MODULES := . ./test
 PACKAGES := ./... ./test/...
 
 build:
--- a/pkg/distribution/hub.go
+++ b/pkg/distribution/hub.go
@@ -129,11 +129,7 @@
 
 func (c *child) addEntries(entries []model.Entry) {
 	c.mu.Lock()
-	for _, e := range entries {
-		if old, ok := c.entries[e.Node]; !ok || e.Newer(&old) {
-			c.entries[e.Node] = e
-		}
-	}
+	keepNewest(c.entries, entries)
 	c.mu.Unlock()
 	wake(c.ready)
 }
--- a/pkg/distribution/spread.go
+++ b/pkg/distribution/spread.go
@@ -25,13 +25,18 @@
 	return &outbox{ready: make(chan struct{}, 1), entries: make(map[model.NodeID]model.Entry)}
 }
 
-func (o *outbox) add(entries []model.Entry) {
-	o.mu.Lock()
+// keepNewest adds entries that wait to be sent; of each node the newest stays.
+func keepNewest(waiting map[model.NodeID]model.Entry, entries []model.Entry) {
 	for _, e := range entries {
-		if old, ok := o.entries[e.Node]; !ok || e.Newer(&old) {
-			o.entries[e.Node] = e
+		if old, ok := waiting[e.Node]; !ok || e.Newer(&old) {
+			waiting[e.Node] = e
 		}
 	}
+}
+
+func (o *outbox) add(entries []model.Entry) {
+	o.mu.Lock()
+	keepNewest(o.entries, entries)
 	o.mu.Unlock()
 	wake(o.ready)
 }
