--- /dev/null
+++ b/cmd/lentilflow/serve/serve.go
@@ -0,0 +1,43 @@
+// Package serve is the command "lentilflow serve".
+package serve
+
+import (
+	"context"
+	"os"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/agent"
+	"github.com/lentilflow/lentilflow/pkg/logging"
+	"github.com/lentilflow/lentilflow/pkg/settings"
+	"github.com/lentilflow/lentilflow/platform"
+)
+
+// Command runs a node on the users' platform.
+type Command struct {
+	Settings string `help:"Settings file (docs/settings.md)." required:"" env:"LENTILFLOW_BOOT" placeholder:"FILE"`
+}
+
+// Run returns when the node has stopped gracefully, or when it has failed.
+func (c *Command) Run(ctx context.Context) error {
+	s, err := settings.LoadNode(c.Settings)
+	if err != nil {
+		return err
+	}
+	level, err := zap.ParseAtomicLevel(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	out := logging.NewWriter(os.Stdout)
+	defer out.Close()
+	log := logging.New(out, level, registry).With(zap.String("node", s.Name))
+	a := agent.New(agent.Config{
+		Settings: s, Path: c.Settings, Level: level, Log: log, Registry: registry,
+		Platform: platform.New(s, registry, log),
+	})
+	return a.Run(context.WithoutCancel(ctx)) // the node handles signals itself
+}
--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -30,6 +30,10 @@
 	Worth    int           // weight among the rules of one rank, at least 1
 	Target   time.Duration // latency target of the rule, 0 if none
 	Deadline time.Duration // on the clock of the now arguments
+	// Patience is the longest expected wait at which the call is queued; a
+	// call that would wait longer is refused as Full, because another upstream
+	// may take it sooner. 0 means any wait.
+	Patience time.Duration
 }
 
 // Verdict is the decision on an arriving call.
@@ -90,6 +94,9 @@
 		c.start(now, w)
 		return Admitted, nil
 	}
+	if w.Patience > 0 && c.expectedWait(now, w.Rank) > w.Patience {
+		return Full, nil
+	}
 	if c.waiting >= c.QueueLimit() {
 		if dropped = c.victim(w.Rank); dropped == nil {
 			return Full, nil
--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/balance"
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/gateway"
+	"github.com/lentilflow/lentilflow/pkg/gossip"
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/settings"
+	"github.com/lentilflow/lentilflow/pkg/upstream"
+)
+
+// Platform is what surrounds a node.
+type Platform interface {
+	// Headers returns the names of header fields.
+	Headers() gateway.HeaderNames
+	// Registry returns the rows of all nodes in the store.
+	Registry() fleet.Registry
+	// Operator returns what the operator put in force; it is offered to the
+	// holder.
+	Operator(h *config.Holder, onConfig func(config.Version, follow.Revision)) follow.Source
+	// ServeReports adds the calls of the upstream on this VM.
+	ServeReports(e *echo.Echo, u Upstream)
+	// ServeReadiness adds the question whether this node takes new callers.
+	ServeReadiness(e *echo.Echo, ready func() bool)
+}
+
+// Upstream takes what the upstream on this VM says of itself.
+type Upstream interface {
+	Report(upstream.Report) upstream.Verdict
+	Leave(id string, born int64) upstream.Verdict
+}
+
+// Agent is one node.
+type Agent struct {
+	settings *settings.Node
+	path     string // of the settings file
+	level    zap.AtomicLevel
+	log      *zap.Logger
+	platform Platform
+
+	holder   *config.Holder
+	view     *fleet.View
+	registry fleet.Registry
+	local    *gateway.Local
+	gateway  *gateway.Gateway
+	gossip   *gossip.Node
+	budgets  *gateway.Budgets
+	notices  *crashguard.Memory
+	self     fleet.Member
+
+	calls, peers *h1.Server
+	messages     *echo.Echo
+	reports      *echo.Echo
+	readiness    *echo.Echo
+
+	drain      atomic.Pointer[settings.NodeDrain]
+	stopping   atomic.Bool
+	announce   chan struct{} // the row of this node is missing or wrong
+	configLost atomic.Bool
+	fleetLost  atomic.Bool
+}
+
+// Config is what New needs.
+type Config struct {
+	Settings *settings.Node
+	// Path is the settings file, which is watched for changes.
+	Path     string
+	Level    zap.AtomicLevel
+	Log      *zap.Logger
+	Registry *prometheus.Registry
+	Platform Platform
+}
+
+// New wires a node.
+func New(c Config) *Agent {
+	s := c.Settings
+	a := &Agent{
+		settings: s, path: c.Path, level: c.Level, log: c.Log, platform: c.Platform,
+		holder: config.NewHolder(), view: fleet.NewView(), registry: c.Platform.Registry(),
+		budgets:  gateway.NewBudgets(float64(s.Retries.Ratio), float64(s.Retries.Extra)),
+		notices:  crashguard.NewMemory(time.Now),
+		announce: make(chan struct{}, 1),
+		self: fleet.Member{
+			Node: model.NodeID(s.Name), Location: s.Location(), Service: s.Upstream.Service,
+			CallAddress: string(s.Listeners.Peers), MessageAddress: string(s.Listeners.Messages),
+		},
+	}
+	a.drain.Store(&s.Drain)
+	names := c.Platform.Headers()
+	metrics := gateway.NewMetrics(c.Registry)
+	a.gossip = &gossip.Node{
+		Self: a.self, Config: a.holder, View: a.view, Notices: a.notices, Log: c.Log,
+		Serving: func() bool { return a.local.Serving() },
+		Client:  messageClient(),
+		OnConfig: func(v config.Version, from model.NodeID) {
+			a.inForce(v, zap.String("from_node", string(from)))
+		},
+	}
+	a.gossip.Start(time.Now())
+	a.local = gateway.NewLocal(&gateway.Local{
+		Node: a.self.Node, Service: a.self.Service, Names: names, Log: c.Log, Metrics: metrics, Config: a.holder, Notices: a.notices,
+		OnServing:   a.servingChanged,
+		OnCrash:     a.crashed,
+		OnCompleted: a.completed,
+	}, string(s.Upstream.Address))
+	a.gateway = gateway.New(&gateway.Gateway{
+		Names: names, Self: a.self, Config: a.holder, View: a.view, Local: a.local,
+		Remote: gateway.NewRemote(names, a.holder), Picker: balance.NewPicker(), Budgets: a.budgets,
+		Metrics: metrics, Log: c.Log, OnBehind: a.gossip.Hurry,
+	})
+	a.calls, a.peers = a.gateway.CallServer(), a.gateway.PeerServer()
+	a.messages, a.reports, a.readiness = newEcho(), newEcho(), newEcho()
+	a.gossip.Routes(a.messages)
+	a.messages.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(c.Registry, promhttp.HandlerOpts{})))
+	c.Platform.ServeReports(a.reports, a.local)
+	c.Platform.ServeReadiness(a.readiness, a.ready)
+	a.register(c.Registry)
+	return a
+}
+
+func newEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	return e
+}
+
+// messageClient returns the client for messages to other nodes. Connections
+// are not kept: each node is asked rarely.
+func messageClient() *http.Client {
+	live := h1.Liveness{Dial: messageDial, Probe: time.Second, Unacknowledged: messageDial}
+	return &http.Client{Transport: &http.Transport{DialContext: live.DialNetwork(), DisableKeepAlives: true, DisableCompression: true}}
+}
+
+// messageDial bounds a new connection to another node's message listener.
+const messageDial = 500 * time.Millisecond
+
+func (a *Agent) register(r *prometheus.Registry) {
+	gauge := func(name, help string, value func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "lentilflow", Name: name, Help: help}, value))
+	}
+	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(a.holder.Version()) })
+	gauge("fleet_revision", "Revision of the known fleet.", func() float64 { return float64(a.view.Current().Revision) })
+	gauge("fleet_nodes", "Nodes that are known.", func() float64 { return float64(len(a.view.Current().Members)) })
+	gauge("calls_active", "Calls without a complete answer.", func() float64 { return float64(a.calls.Active()) })
+	gauge("jobs_active", "Jobs of other nodes without a complete answer.", func() float64 { return float64(a.peers.Active()) })
+	gauge("ready", "1 while the node takes new callers.", func() float64 { return boolFloat(a.ready()) })
+	gauge("serving", "1 while the upstream of this node takes work.", func() float64 { return boolFloat(a.local.Serving()) })
+}
+
+func boolFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// ready reports whether this node can serve new callers.
+func (a *Agent) ready() bool {
+	return !a.stopping.Load() && a.holder.Current() != nil && a.view.Known()
+}
+
+// inForce notes that a new version is in force.
+func (a *Agent) inForce(v config.Version, source zap.Field) {
+	s := a.holder.Current()
+	a.log.Info("configuration is in force", zap.Stringer("version", v), source,
+		zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
+	a.local.Reconfigure()
+}
+
+// servingChanged tells the other nodes whether the upstream takes work.
+func (a *Agent) servingChanged(serving bool) {
+	a.view.SetServing(a.self.Node, serving, time.Now())
+	go a.gossip.Announce(context.Background())
+}
+
+func (a *Agent) crashed(f crashguard.Fingerprint, c crashguard.Crash) {
+	a.notices.Learn(f, a.self.Service, c)
+	a.gossip.ReportCrash(context.Background(), gossip.CrashNotice{Fingerprint: f, Service: a.self.Service, Crash: &c})
+}
+
+func (a *Agent) completed(f crashguard.Fingerprint) {
+	if err := a.notices.Completed(context.Background(), f); err != nil {
+		a.log.Warn("completion could not be noted", zap.Stringer("fingerprint", f), zap.Error(err))
+	}
+	go a.gossip.ReportCrash(context.Background(), gossip.CrashNotice{Fingerprint: f, Service: a.self.Service})
+}
--- /dev/null
+++ b/pkg/agent/reload.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/settings"
+)
+
+// watchSettings follows the settings file: at once after SIGHUP, and by a
+// regular look.
+func (a *Agent) watchSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticks := time.NewTicker(settingsPeriod)
+	defer ticks.Stop()
+	last, err := os.ReadFile(a.path)
+	if err != nil {
+		a.log.Warn("settings file cannot be read", zap.String("file", a.path), zap.Error(err))
+	}
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			signalled = true
+		case <-ticks.C:
+		}
+		text, err := os.ReadFile(a.path)
+		if err != nil {
+			a.log.Warn("settings file cannot be read", zap.String("file", a.path), zap.Error(err))
+			continue
+		}
+		if changed := !bytes.Equal(text, last); changed || signalled {
+			last = text
+			a.reload(text, signalled, changed)
+		}
+	}
+}
+
+// reload applies the settings that may change while the process runs. A file
+// with a fault changes nothing.
+func (a *Agent) reload(text []byte, signalled, changed bool) {
+	next, err := settings.ParseNode(a.path, text)
+	if err != nil {
+		a.log.Error("settings are refused; those in use stay", zap.Bool("signal", signalled), zap.Error(err))
+		return
+	}
+	level, err := zap.ParseAtomicLevel(next.Log.Level)
+	if err != nil {
+		a.log.Error("settings are refused; those in use stay", zap.Error(err))
+		return
+	}
+	a.level.SetLevel(level.Level())
+	a.budgets.Permit(float64(next.Retries.Ratio), float64(next.Retries.Extra))
+	a.drain.Store(&next.Drain)
+	restart := next.Listeners != a.settings.Listeners || next.Upstream != a.settings.Upstream || next.Store != a.settings.Store ||
+		next.Name != a.settings.Name || next.Location() != a.settings.Location()
+	a.log.Info("settings reloaded", zap.Bool("signal", signalled), zap.Bool("changed", changed), zap.Bool("needs_restart", restart))
+}
--- /dev/null
+++ b/pkg/agent/run.go
@@ -0,0 +1,231 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	// configPause and fleetPause are the least times between two answers of
+	// the store's watches, so that changes in quick succession share a call. A
+	// version must be in force 2 s after it was accepted.
+	configPause = 400 * time.Millisecond
+	fleetPause  = 300 * time.Millisecond
+	// exitMargin is kept of the longest stop, for what ends the process.
+	exitMargin = 500 * time.Millisecond
+	// idleSweep is the pause between two looks for idle connections while the
+	// node stops.
+	idleSweep = 50 * time.Millisecond
+	// settingsPeriod is the pause between two looks at the settings file,
+	// which may change without a signal.
+	settingsPeriod = 2 * time.Second
+	// tidyPeriod is the pause between two clean-ups of what was kept for nodes
+	// that are gone.
+	tidyPeriod = 10 * time.Second
+)
+
+// Run works until a signal to stop or until a part fails.
+func (a *Agent) Run(ctx context.Context) error {
+	calls, peers := a.settings.Listeners.Calls, a.settings.Listeners.Peers
+	callListener, err := net.Listen("tcp", string(calls))
+	if err != nil {
+		return merry.Prepend(err, "listeners.calls")
+	}
+	peerListener, err := net.Listen("tcp", string(peers))
+	if err != nil {
+		return merry.Prepend(err, "listeners.peers")
+	}
+	var g run.Group
+	a.addStop(ctx, &g, callListener)
+	addLoop(&g, a.follower("configuration", a.platform.Operator(a.holder, func(v config.Version, at follow.Revision) {
+		a.inForce(v, zap.Uint64("revision", uint64(at)))
+	}), configPause, func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
+	addLoop(&g, a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
+		func(ok bool) { a.fleetLost.Store(!ok); a.storeChanged() }))
+	addLoop(&g, a.gossip.Run)
+	addLoop(&g, a.keepRow)
+	addLoop(&g, a.watchSettings)
+	addLoop(&g, a.tidy)
+	a.addEcho(&g, a.messages, string(a.settings.Listeners.Messages))
+	a.addEcho(&g, a.reports, string(a.settings.Listeners.Reports))
+	a.addEcho(&g, a.readiness, string(a.settings.Listeners.Readiness))
+	addServer(&g, a.peers, peerListener)
+	addServer(&g, a.calls, callListener)
+	a.log.Info("node started", zap.String("service", a.self.Service), zap.Any("location", a.self.Location),
+		zap.String("calls", string(calls)), zap.String("peers", string(peers)),
+		zap.String("messages", a.self.MessageAddress), zap.String("store", string(a.settings.Store.Address)))
+	err = g.Run()
+	a.log.Info("node stopped", zap.Error(err))
+	return err
+}
+
+func (a *Agent) follower(name string, s follow.Source, pause time.Duration, onState func(bool)) func(context.Context) error {
+	f := &follow.Follower{Name: name, Source: s, Pause: pause, Log: a.log, OnState: onState}
+	return f.Run
+}
+
+func addServer(g *run.Group, s *h1.Server, l net.Listener) {
+	g.Add(func() error { return s.Serve(l) }, func(error) {
+		_ = l.Close()
+		s.CloseAll()
+	})
+}
+
+func (a *Agent) addEcho(g *run.Group, e *echo.Echo, address string) {
+	g.Add(func() error {
+		err := e.Start(address)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return merry.Prepend(err, address)
+	}, func(error) { _ = e.Close() })
+}
+
+// addLoop runs a loop that ends with the context it is given.
+func addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+// addStop ends the group after a graceful stop.
+func (a *Agent) addStop(parent context.Context, g *run.Group, calls net.Listener) {
+	ctx, cancel := context.WithCancel(parent)
+	g.Add(func() error {
+		term := make(chan os.Signal, 1)
+		signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+		defer signal.Stop(term)
+		select {
+		case <-term:
+		case <-ctx.Done():
+			return nil
+		}
+		a.stop(calls)
+		return nil
+	}, func(error) { cancel() })
+}
+
+// stop lets the platform, the callers and the other nodes know that this node
+// goes, serves on while they still come, and ends when nothing is left to
+// answer.
+func (a *Agent) stop(calls net.Listener) {
+	began := time.Now()
+	drain := a.drain.Load()
+	last := began.Add(time.Duration(drain.Finish) - exitMargin)
+	a.log.Info("node stops", zap.Int("calls", a.calls.Active()), zap.Int("jobs", a.peers.Active()), zap.Time("until", last))
+	a.stopping.Store(true)
+	a.local.Stop()
+	a.calls.Drain()
+	go a.withdraw()
+	time.Sleep(time.Duration(drain.Announce))
+	_ = calls.Close()
+	for time.Now().Before(last) {
+		a.calls.CloseIdle()
+		if a.calls.Active() == 0 && a.peers.Active() == 0 {
+			break
+		}
+		time.Sleep(idleSweep)
+	}
+	a.log.Info("node has answered what it could", zap.Duration("took", time.Since(began)),
+		zap.Int("calls_cut", a.calls.Active()), zap.Int("jobs_cut", a.peers.Active()))
+}
+
+// storeChanged passes on whether the store answers this node.
+func (a *Agent) storeChanged() { a.gossip.SetStore(!a.configLost.Load() && !a.fleetLost.Load()) }
+
+// fleetChanged follows a change of the fleet.
+func (a *Agent) fleetChanged(removed []model.NodeID) {
+	members := a.view.Current().Members
+	a.log.Info("fleet changed", zap.Uint64("revision", uint64(a.view.Current().Revision)),
+		zap.Int("nodes", len(members)), zap.Any("removed", removed))
+	a.budgets.Resize(len(members))
+	for _, id := range removed {
+		a.gossip.Forget(id)
+	}
+	if !a.stopping.Load() && members[a.self.Node] != a.self {
+		select {
+		case a.announce <- struct{}{}:
+		default:
+		}
+	}
+}
+
+const (
+	// rowTime bounds one write of the row of this node, and rowDelay is the
+	// pause after a failed one.
+	rowTime  = 3 * time.Second
+	rowDelay = time.Second
+)
+
+// keepRow writes the row of this node whenever the store does not have it.
+func (a *Agent) keepRow(ctx context.Context) error {
+	failing := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.announce:
+		}
+		for !a.stopping.Load() && ctx.Err() == nil {
+			write, cancel := context.WithTimeout(ctx, rowTime)
+			err := a.registry.Announce(write, a.self)
+			cancel()
+			if err == nil {
+				a.log.Info("row of this node is written")
+				failing = false
+				break
+			}
+			if !failing {
+				a.log.Warn("row of this node cannot be written", zap.Error(err))
+			}
+			failing = true
+			pause(ctx, rowDelay)
+		}
+	}
+}
+
+func (a *Agent) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), rowTime)
+	defer cancel()
+	if err := a.registry.Withdraw(ctx, a.self.Node); err != nil {
+		a.log.Warn("row of this node cannot be removed", zap.Error(err))
+	}
+}
+
+// tidy drops what was kept for nodes that are gone.
+func (a *Agent) tidy(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, tidyPeriod)
+		used := make(map[string]bool)
+		for _, m := range a.view.Current().Members {
+			used[m.CallAddress] = true
+		}
+		a.gateway.Remote.Forget(func(address string) bool { return used[address] })
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/config/configuration.go
@@ -0,0 +1,142 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Version numbers configurations. Versions increase, in uneven steps; 0 means
+// none.
+type Version uint64
+
+// String returns the version in hexadecimal digits.
+func (v Version) String() string { return fmt.Sprintf("%08x", uint64(v)) }
+
+// Configuration is one accepted version. It is immutable.
+type Configuration struct {
+	Version  Version   `json:"version"`
+	Services []Service `json:"services"`
+	Routes   []Route   `json:"routes"`
+	Callers  Callers   `json:"callers"`
+}
+
+// Service is a service that routes may name.
+type Service struct {
+	Name string `json:"name"`
+	// HealthPath answers 200 while an upstream is healthy and not leaving.
+	HealthPath string `json:"health_path,omitempty"`
+	// Connections is what one upstream accepts from all callers, 0 if not
+	// stated.
+	Connections int `json:"connections,omitempty"`
+}
+
+// Callers bound what a caller may send. Zero stands for a default.
+type Callers struct {
+	HeaderBytes int64         `json:"header_bytes,omitempty"`
+	BodyBytes   int64         `json:"body_bytes,omitempty"`
+	HeaderTime  time.Duration `json:"header_ns,omitempty"` // from the first byte of a head to its end
+	IdleTime    time.Duration `json:"idle_ns,omitempty"`   // between two requests of a connection
+}
+
+// Route decides the calls of one host below one path prefix.
+type Route struct {
+	Name   string `json:"name"`
+	Host   string `json:"host"`   // lower case, without port
+	Prefix string `json:"prefix"` // begins and ends with a slash
+	// Idempotent says that a call may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// Timeout is the longest time that a caller is kept waiting; 0 leaves it
+	// to the caller's deadline.
+	Timeout time.Duration `json:"timeout_ns,omitempty"`
+	// Target is the latency target, 0 if there is none.
+	Target time.Duration `json:"target_ns,omitempty"`
+	Rank   model.Rank    `json:"rank"`
+	// Attempts is the largest number of upstreams that one call may reach.
+	Attempts int     `json:"attempts"`
+	Split    []Share `json:"split"`
+}
+
+// Share is the part of a route's calls that one service gets.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"` // relative to the other shares of the route
+}
+
+// Fault is the reason why a configuration is refused as a whole.
+type Fault struct {
+	Version Version
+	Field   string // of the configuration, for example "route r-1 split"
+	Message string
+}
+
+// Error implements error.
+func (f *Fault) Error() string {
+	return fmt.Sprintf("configuration %s: %s: %s", f.Version, f.Field, f.Message)
+}
+
+// Check returns the first fault of c, or nil.
+func (c *Configuration) Check() *Fault {
+	fault := func(field, format string, args ...any) *Fault {
+		return &Fault{Version: c.Version, Field: field, Message: fmt.Sprintf(format, args...)}
+	}
+	if c.Version == 0 {
+		return fault("version", "must be above 0")
+	}
+	services := make(map[string]bool, len(c.Services))
+	for _, s := range c.Services {
+		switch {
+		case s.Name == "":
+			return fault("services", "a service has no name")
+		case services[s.Name]:
+			return fault("services", "service %q is stated twice", s.Name)
+		}
+		services[s.Name] = true
+	}
+	type place struct{ host, prefix string }
+	seen := make(map[place]string, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		at := place{r.Host, r.Prefix}
+		if other, ok := seen[at]; ok {
+			return fault("route "+r.Name, "same host and prefix as route %q", other)
+		}
+		seen[at] = r.Name
+		if message := r.check(services); message != "" {
+			return fault("route "+r.Name, "%s", message)
+		}
+	}
+	return nil
+}
+
+// check returns what is wrong with r, or "".
+func (r *Route) check(services map[string]bool) string {
+	switch {
+	case r.Host == "":
+		return "has no host"
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Sprintf("prefix %q does not begin and end with a slash", r.Prefix)
+	case r.Timeout < 0 || r.Target < 0:
+		return "has a negative time"
+	case r.Attempts < 1:
+		return "allows no attempt"
+	case len(r.Split) == 0:
+		return "names no service"
+	}
+	total := 0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return fmt.Sprintf("names the unknown service %q", s.Service)
+		}
+		if s.Weight < 0 {
+			return fmt.Sprintf("gives service %q a negative weight", s.Service)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return "gives all services the weight 0"
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/fleet/member.go
@@ -0,0 +1,21 @@
+package fleet
+
+import (
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Member is a node as its row in the store describes it.
+type Member struct {
+	Node     model.NodeID   `json:"node"`
+	Location model.Location `json:"location"`
+	Service  string         `json:"service"` // of the upstream on its VM
+	// CallAddress takes calls of other nodes, host:port.
+	CallAddress string `json:"call_address"`
+	// MessageAddress takes messages of other nodes, host:port.
+	MessageAddress string `json:"message_address"`
+}
+
+// Complete reports whether m has all fields that other nodes need.
+func (m *Member) Complete() bool {
+	return m.Node != "" && m.Service != "" && m.CallAddress != "" && m.MessageAddress != "" && m.Location.AvailabilityZone != ""
+}
--- /dev/null
+++ b/pkg/follow/follow.go
@@ -0,0 +1,99 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+)
+
+// Revision orders the states of the store.
+type Revision uint64
+
+// ErrHistoryLost means that the store no longer holds the changes after the
+// stated revision.
+var ErrHistoryLost = errors.New("the store no longer holds the changes asked for")
+
+// Source is what is followed.
+type Source interface {
+	// Load takes the whole state and returns its revision.
+	Load(ctx context.Context) (Revision, error)
+	// Wait takes the changes after a revision, blocking for a while until
+	// there is one, and returns the revision to go on from. It returns
+	// ErrHistoryLost where only Load helps.
+	Wait(ctx context.Context, after Revision) (Revision, error)
+}
+
+const (
+	// firstDelay and maxDelay bound the wait after a failed call of the store.
+	// A change must be in force 2 s after it was accepted, and the calls are
+	// shared by all nodes, so a store that is away gets about one call a
+	// second from each.
+	firstDelay = 100 * time.Millisecond
+	maxDelay   = 1200 * time.Millisecond
+)
+
+// Follower follows one Source.
+type Follower struct {
+	Name   string // in log lines
+	Source Source
+	// Pause is the least time between the answer to one Wait and the next, so
+	// that changes in quick succession share a call.
+	Pause time.Duration
+	Log   *zap.Logger
+	// OnState is told when the store is lost or regained.
+	OnState func(available bool)
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = firstDelay, maxDelay
+	var at Revision
+	loaded, failing := false, false
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, loaded, at)
+		switch {
+		case err == nil:
+			if failing || !loaded {
+				f.Log.Info("store is available", zap.String("follows", f.Name), zap.Uint64("revision", uint64(next)))
+				f.OnState(true)
+			}
+			at, loaded, failing = next, true, false
+			delays.Reset()
+			sleep(ctx, f.Pause)
+		case ctx.Err() != nil:
+		case errors.Is(err, ErrHistoryLost):
+			f.Log.Warn("store dropped its history; the whole state is read again",
+				zap.String("follows", f.Name), zap.Uint64("revision", uint64(at)))
+			loaded = false
+		default:
+			if !failing {
+				f.Log.Warn("store is not available", zap.String("follows", f.Name),
+					zap.Uint64("revision", uint64(at)), zap.Error(err))
+				f.OnState(false)
+			}
+			failing = true
+			sleep(ctx, delays.NextBackOff())
+		}
+	}
+	return nil
+}
+
+func (f *Follower) step(ctx context.Context, loaded bool, at Revision) (Revision, error) {
+	if !loaded {
+		return f.Source.Load(ctx)
+	}
+	return f.Source.Wait(ctx, at)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/gateway/budget.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/lentilflow/lentilflow/pkg/retry"
+)
+
+const (
+	// budgetShare is the part of the permitted ratio that a node spends: a
+	// repeated run repeats the calls that it makes, and those count too.
+	budgetShare = 0.5
+	// reserveShare is the part of the permitted extra retries that all nodes
+	// together may spend at once.
+	reserveShare = 0.7
+	// minReserve lets each node make a retry now and then.
+	minReserve = 1
+)
+
+// Budgets holds the retry budgets of a node, one for each service. All nodes
+// share what the platform permits in parts that need no agreement.
+type Budgets struct {
+	mu       sync.Mutex
+	ratio    float64
+	extra    float64
+	nodes    int
+	services atomic.Pointer[map[string]*retry.Budget]
+}
+
+// NewBudgets returns budgets for a permitted ratio of retries to calls and a
+// number of extra retries of all nodes.
+func NewBudgets(ratio, extra float64) *Budgets {
+	b := &Budgets{ratio: ratio, extra: extra, nodes: 1}
+	b.services.Store(&map[string]*retry.Budget{})
+	return b
+}
+
+// Of returns the budget of a service.
+func (b *Budgets) Of(service string) *retry.Budget {
+	if r, ok := (*b.services.Load())[service]; ok {
+		return r
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := *b.services.Load()
+	if r, ok := old[service]; ok {
+		return r
+	}
+	next := make(map[string]*retry.Budget, len(old)+1)
+	for k, r := range old {
+		next[k] = r
+	}
+	share, reserve := b.parts()
+	next[service] = retry.NewBudgetOf(share, reserve)
+	b.services.Store(&next)
+	return next[service]
+}
+
+// Resize divides the extra retries among a number of nodes.
+func (b *Budgets) Resize(nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if nodes = max(nodes, 1); nodes == b.nodes {
+		return
+	}
+	b.nodes = nodes
+	share, reserve := b.parts()
+	for _, r := range *b.services.Load() {
+		r.Set(share, reserve)
+	}
+}
+
+// Permit changes what the platform permits.
+func (b *Budgets) Permit(ratio, extra float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.extra = ratio, extra
+	share, reserve := b.parts()
+	for _, r := range *b.services.Load() {
+		r.Set(share, reserve)
+	}
+}
+
+func (b *Budgets) parts() (share, reserve float64) {
+	return b.ratio * budgetShare, max(b.extra*reserveShare/float64(b.nodes), minReserve)
+}
--- /dev/null
+++ b/pkg/gateway/call.go
@@ -0,0 +1,427 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/balance"
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/retry"
+)
+
+const (
+	// answerBuffer is how much of an answer is read before its head is sent to
+	// the caller, in bytes. An answer that breaks off within it can be replaced
+	// by that of another upstream, or by an honest failure.
+	answerBuffer = 64 << 10
+	// defaultDeadline is the time for a call that states none, on a route
+	// without a timeout.
+	defaultDeadline = 30 * time.Second
+	// startRetry is the Retry-After of a node that does not know the
+	// configuration yet: it usually has it a second after its start.
+	startRetry = 500 * time.Millisecond
+	// patienceShare is the part of the latency target that a call may be
+	// expected to wait for a slot while another upstream may be free.
+	patienceShare = 0.25
+	// patientAfter is how many nodes may turn a call away before it queues
+	// wherever it is taken.
+	patientAfter = 2
+)
+
+// Gateway is the path of calls at one node.
+type Gateway struct {
+	Names   HeaderNames
+	Self    fleet.Member
+	Config  *config.Holder
+	View    *fleet.View
+	Local   *Local
+	Remote  *Remote
+	Picker  *balance.Picker
+	Budgets *Budgets
+	Metrics *Metrics
+	Log     *zap.Logger
+	// OnBehind is told when another node has a newer configuration.
+	OnBehind func()
+
+	log   *callLog
+	epoch time.Time
+}
+
+// New completes g.
+func New(g *Gateway) *Gateway {
+	g.epoch = time.Now()
+	g.log = newCallLog(g.Log)
+	return g
+}
+
+// CallServer returns the server for calls of the VM.
+func (g *Gateway) CallServer() *h1.Server {
+	return &h1.Server{
+		Handle:     g.handleCall,
+		Concurrent: g.concurrent,
+		Limits:     g.callerLimits,
+		OnFault:    g.onFault("caller"),
+	}
+}
+
+func (g *Gateway) callerLimits() h1.Limits {
+	s := g.Config.Current()
+	if s == nil {
+		return h1.Limits{}
+	}
+	c := s.Callers
+	return h1.Limits{HeaderBytes: c.HeaderBytes, BodyBytes: c.BodyBytes, HeaderTime: c.HeaderTime, IdleTime: c.IdleTime}
+}
+
+// concurrent reports whether a pipelined request may run before its turn.
+func (g *Gateway) concurrent(x *h1.Exchange) bool {
+	s := g.Config.Current()
+	if s == nil {
+		return false
+	}
+	t, ok := s.Match(x.Request.Host, x.Request.URL.Path)
+	return ok && t.Idempotent
+}
+
+// call is a request of a caller on its way.
+type call struct {
+	x       *h1.Exchange
+	job     *Job
+	version config.Version
+	route   *config.Target
+	budget  *retry.Budget
+
+	asked    []model.NodeID // in this order
+	avoid    []model.NodeID
+	made     int // attempts that reached an upstream, without the first
+	moves    int // attempts that reached none
+	possible bool
+	last     *Refusal      // of the attempt before
+	failed   *failedAnswer // answer of an upstream that a retry may better
+	waited   time.Duration
+	ran      time.Duration
+	verdict  retry.Verdict
+}
+
+// failedAnswer is a complete answer with a failure status.
+type failedAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (g *Gateway) handleCall(x *h1.Exchange) {
+	c := &call{x: x}
+	r := g.prepare(c)
+	if r == nil {
+		r = g.serve(c)
+	}
+	if r != nil {
+		g.refuseCall(c, r)
+	}
+}
+
+// prepare decides by which route a call goes. It returns a refusal if none
+// does.
+func (g *Gateway) prepare(c *call) *Refusal {
+	req := c.x.Request
+	s := g.Config.Current()
+	if s == nil {
+		r := refuse(model.NoConfiguration)
+		r.RetryAfter = startRetry
+		return r
+	}
+	c.version = s.Version
+	t, ok := s.Match(req.Host, req.URL.Path)
+	if !ok {
+		return refuse(model.NoRule)
+	}
+	c.route = t
+	h1.StripHop(req.Header)
+	stripOwn(req.Header)
+	deadline := g.deadline(c)
+	req.Header[g.Names.Caller] = []string{g.Self.Service}
+	delete(req.Header, g.Names.Deadline)
+	delete(req.Header, g.Names.ExpectedBoot)
+	c.job = &Job{
+		ID: req.Header.Get(g.Names.RequestID), Method: req.Method, Target: req.RequestURI, Host: req.Host,
+		Header: req.Header, Body: c.x.Body, Rest: c.x.Rest, Length: c.x.Length,
+		Service: t.Choose(), Rank: min(t.Rank, model.MaxRank), Idempotent: t.Idempotent, Latency: t.Target, Deadline: deadline,
+		Patience: time.Duration(patienceShare * float64(t.Target)),
+	}
+	c.budget = g.Budgets.Of(c.job.Service)
+	c.budget.Earn()
+	return nil
+}
+
+// deadline returns when the final answer of a call is due: when its caller
+// leaves, or at the timeout of its route.
+func (g *Gateway) deadline(c *call) time.Time {
+	wait := defaultDeadline
+	if c.route.Timeout > 0 {
+		wait = c.route.Timeout
+	}
+	if d, ok := parseMillis(c.x.Request.Header.Get(g.Names.Deadline)); ok {
+		wait = min(wait, d)
+	}
+	return c.x.Arrived.Add(wait)
+}
+
+// serve runs a call until it has an answer. It returns the refusal if there is
+// none.
+func (g *Gateway) serve(c *call) *Refusal {
+	for {
+		r := g.attempt(c)
+		if r == nil {
+			return nil
+		}
+		if r.Run != model.NotRun {
+			c.possible = true
+		}
+		f := retry.Failure{Reason: r.Reason, Run: r.Run, Unreached: r.Unreached}
+		if c.failed != nil {
+			f.Run = model.Unknown // it ran and may run again
+		}
+		verdict, delay := retry.Decide(f, retry.Call{
+			Idempotent: c.job.Idempotent, Retries: c.route.Attempts - 1, Made: c.made, Moves: c.moves,
+			Remaining: time.Until(c.job.Deadline), Replayable: c.job.Rest == nil,
+		}, c.budget, rand.Float64())
+		c.verdict = verdict
+		g.Metrics.verdict(verdict)
+		if verdict != retry.Retry {
+			return g.settle(c, r)
+		}
+		g.logRetry(c, r)
+		if r.Unreached {
+			c.moves++
+		} else {
+			c.made++
+		}
+		if !g.pause(c, delay) {
+			return g.settle(c, refuse(model.CallerGone))
+		}
+	}
+}
+
+// settle delivers a failed answer that no retry has bettered.
+func (g *Gateway) settle(c *call, r *Refusal) *Refusal {
+	if c.failed == nil || r.Reason == model.CallerGone {
+		return r
+	}
+	f := c.failed
+	g.deliver(c, f.status, f.header, f.body, nil, 0)
+	return nil
+}
+
+func (g *Gateway) pause(c *call, d time.Duration) bool {
+	if d > 0 {
+		time.Sleep(d)
+	}
+	return c.x.Context().Err() == nil
+}
+
+// attempt sends a call to one node and delivers the answer. It returns the
+// refusal if there is none to deliver.
+func (g *Gateway) attempt(c *call) *Refusal {
+	now := time.Since(g.epoch)
+	entries := g.View.Current().Entries(c.job.Service)
+	if c.moves >= patientAfter || len(entries) == 1 {
+		c.waitAnywhere()
+	}
+	choice, found := g.pick(c, entries, now)
+	if found == balance.NoEntry && c.job.Patience > 0 {
+		c.waitAnywhere()
+		choice, found = g.pick(c, entries, now)
+	}
+	switch found {
+	case balance.NoEntry:
+		return g.exhausted(c)
+	case balance.Overloaded:
+		r := refuse(model.Overloaded)
+		r.RetryAfter = overloadedRetry/2 + rand.N(overloadedRetry)
+		c.moves = maxAsked // no node would take it
+		return r
+	}
+	entry := &entries[choice.Index]
+	c.asked = append(c.asked, entry.Node)
+	c.avoid = append(c.avoid, entry.Node)
+	choice.Evidence.Begin(now)
+	res, r := g.dispatch(c, entry)
+	if r == nil {
+		r = g.receive(c, res)
+	}
+	g.learn(entry, choice.Evidence, c.job.Rank, now, r)
+	c.last = r
+	return r
+}
+
+func (g *Gateway) pick(c *call, entries []model.Entry, now time.Duration) (balance.Choice, balance.Result) {
+	return g.Picker.Pick(balance.Request{
+		Entries: entries, From: g.Self.Location, Prefer: model.PreferZone, Rank: c.job.Rank,
+		Avoid: c.avoid, Now: now, Random: rand.Uint64(),
+	})
+}
+
+// waitAnywhere lets every node queue the call, those included that turned it
+// away because another upstream might take it sooner.
+func (c *call) waitAnywhere() {
+	if c.job.Patience > 0 {
+		c.job.Patience = 0
+		c.avoid = nil
+	}
+}
+
+const (
+	// overloadedRetry is the mean of Retry-After when this node knows that all
+	// upstreams refuse calls of the rank. Refusals are forgotten by half every
+	// 250 ms, so a return before that meets the same verdict.
+	overloadedRetry = 400 * time.Millisecond
+	// maxAsked ends the search for a node.
+	maxAsked = 1 << 10
+)
+
+// exhausted returns the refusal when no further node can be asked.
+func (g *Gateway) exhausted(c *call) *Refusal {
+	c.moves = maxAsked
+	if c.last != nil {
+		return c.last
+	}
+	r := refuse(model.NoUpstream)
+	r.RetryAfter = startRetry
+	return r
+}
+
+func (g *Gateway) dispatch(c *call, entry *model.Entry) (*Result, *Refusal) {
+	ctx := c.x.Context()
+	if entry.Node == g.Self.Node {
+		return g.Local.Run(ctx, c.job)
+	}
+	return g.Remote.Run(ctx, entry.Address, c.job)
+}
+
+// learn records what an attempt shows about the node that was asked.
+func (g *Gateway) learn(entry *model.Entry, e *balance.Evidence, rank model.Rank, began time.Duration, r *Refusal) {
+	now := time.Since(g.epoch)
+	outcome := balance.Accepted
+	if r != nil {
+		switch r.Reason {
+		case model.Overloaded, model.DeadlineUnreachable, model.UpstreamShed:
+			outcome = balance.Refused
+		case model.UpstreamUnreachable, model.UpstreamLost:
+			outcome = balance.Failed
+		default:
+			outcome = balance.Neutral
+		}
+		if r.Reason == model.NoUpstream || r.Reason == model.NodeDraining {
+			g.View.SetServing(entry.Node, false, time.Now())
+		}
+	}
+	e.End(now, rank, outcome, now-began)
+}
+
+// receive reads the start of an answer and delivers it, unless a retry may
+// bring a better one.
+func (g *Gateway) receive(c *call, res *Result) *Refusal {
+	c.waited, c.ran = res.Waited, res.Ran
+	head, whole, err := readStart(res)
+	if err == nil && !g.genuine(res) {
+		err = errNotGenuine
+	}
+	if err != nil {
+		res.Finish(false)
+		r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
+		switch {
+		case c.x.Context().Err() != nil:
+			r.Reason = model.CallerGone
+		case time.Until(c.job.Deadline) <= 0:
+			r.Reason = model.DeadlineExceeded
+		}
+		return r
+	}
+	if whole && c.job.Idempotent && res.Status >= http.StatusInternalServerError && res.Status != http.StatusGatewayTimeout {
+		res.Finish(true)
+		c.failed = &failedAnswer{status: res.Status, header: res.Header, body: head}
+		return &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: errFailedAnswer}
+	}
+	var rest io.Reader
+	if !whole {
+		rest = res
+	}
+	err = g.deliver(c, res.Status, res.Header, head, rest, res.Length)
+	res.Finish(err == nil)
+	return nil
+}
+
+var (
+	// errNotGenuine means that a successful answer lacks the upstream's
+	// signature.
+	errNotGenuine = errors.New("answer lacks the signature of an upstream")
+	// errFailedAnswer means that an upstream answered with a failure status.
+	errFailedAnswer = errors.New("upstream answered with a failure")
+)
+
+// genuine reports whether an answer is that of an upstream.
+func (g *Gateway) genuine(res *Result) bool {
+	return res.Header.Get(g.Names.Signature) != "" || res.Status >= http.StatusMultipleChoices
+}
+
+// readStart reads up to answerBuffer bytes of an answer; whole says that this
+// was all of it.
+func readStart(res *Result) (head []byte, whole bool, err error) {
+	if res.Length == 0 {
+		return nil, true, drained(res)
+	}
+	size := res.Length + 1
+	if res.Length == h1.Chunked || size > answerBuffer {
+		size = answerBuffer
+	}
+	buf := make([]byte, 0, min(size, firstRead))
+	for int64(len(buf)) < size {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := res.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return buf, false, nil
+}
+
+// firstRead is the first part of an answer's buffer, in bytes; most answers
+// have a few KB.
+const firstRead = 8 << 10
+
+// drained reads the end of an answer without a body.
+func drained(res *Result) error {
+	var b [1]byte
+	if _, err := res.Read(b[:]); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
+// deliver sends an answer of an upstream to the caller.
+func (g *Gateway) deliver(c *call, status int, h http.Header, head []byte, rest io.Reader, length int64) error {
+	h[headerRoute] = []string{c.route.Name}
+	h[headerVersion] = []string{c.version.String()}
+	err := c.x.Reply(&h1.Reply{Status: status, Header: h, Body: head, Rest: rest, Length: length})
+	g.logAnswer(c, status, err)
+	return err
+}
+
+// gone reports whether the caller of a request has left.
+func gone(ctx context.Context) bool { return h1.Gone(ctx) }
--- /dev/null
+++ b/pkg/gateway/crash.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/upstream"
+)
+
+// runningJob is a job that was sent to the upstream.
+type runningJob struct {
+	job   *Job
+	boot  *upstream.Boot
+	since time.Time
+}
+
+// inFlight is the set of jobs at the upstream.
+type inFlight struct {
+	mu   sync.Mutex
+	jobs map[*runningJob]struct{}
+}
+
+func (f *inFlight) add(j *Job, boot *upstream.Boot) *runningJob {
+	e := &runningJob{job: j, boot: boot, since: time.Now()}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.jobs == nil {
+		f.jobs = make(map[*runningJob]struct{})
+	}
+	f.jobs[e] = struct{}{}
+	return e
+}
+
+func (f *inFlight) remove(e *runningJob) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.jobs, e)
+}
+
+// count returns the jobs at one boot.
+func (f *inFlight) count(boot *upstream.Boot) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for e := range f.jobs {
+		if e.boot.ID == boot.ID && e.boot.Born == boot.Born {
+			n++
+		}
+	}
+	return n
+}
+
+// inspectWait is the pause before the look at an upstream that lost a
+// connection: a process that ends may close its connections before its
+// listener.
+const inspectWait = 20 * time.Millisecond
+
+// inspect looks whether the upstream has crashed after it lost the connection
+// of a job, and holds the job responsible if so. Every job that was at the
+// upstream is, so the blame is shared until one of them crashes another.
+func (l *Local) inspect(e *runningJob, alone bool) {
+	time.Sleep(inspectWait)
+	nc, err := l.pool.Dial(context.Background(), l.pool.Address)
+	if err == nil {
+		_ = nc.Close()
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		l.Log.Warn("upstream that lost a connection cannot be examined", zap.String("boot", e.boot.ID), zap.Error(err))
+		return
+	}
+	l.lost(e.boot, "crashed")
+	now := time.Now()
+	f := e.job.fingerprint(&l.Names)
+	c := crashguard.Crash{
+		ID: string(l.Node) + "/" + e.boot.ID, Upstream: l.Node, At: now, Ran: now.Sub(e.since), Alone: alone,
+	}
+	l.Log.Warn("upstream crashed while it ran a request", zap.String("request", e.job.ID), zap.String("boot", e.boot.ID),
+		zap.Stringer("fingerprint", f), zap.Duration("ran", c.Ran), zap.Bool("alone", alone))
+	l.OnCrash(f, c)
+}
+
+// suspect reports whether a job is known to crash upstreams. Without any
+// record it costs one atomic load.
+func (l *Local) suspect(j *Job) bool {
+	if l.Notices.Empty() {
+		return false
+	}
+	r, ok := l.Notices.Lookup(j.fingerprint(&l.Names))
+	return ok && r.Refused(time.Now())
+}
+
+// completed clears a request that ran to its end.
+func (l *Local) completed(j *Job) {
+	if l.Notices.Empty() {
+		return
+	}
+	f := j.fingerprint(&l.Names)
+	if _, ok := l.Notices.Lookup(f); ok {
+		l.OnCompleted(f)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/headers.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Headers between nodes, and on answers to callers.
+const (
+	headerPrefix  = "Lentilflow-"
+	headerCall    = "Lentilflow-Call"
+	headerAnswer  = "Lentilflow-Answer"
+	headerRefusal = "Lentilflow-Refusal"
+	// headerRoute and headerVersion tell a caller what decided its call.
+	headerRoute   = "Lentilflow-Route"
+	headerVersion = "Lentilflow-Version"
+)
+
+// HeaderNames are the names that the platform gives to header fields, in
+// canonical form.
+type HeaderNames struct {
+	// RequestID identifies one try of a caller. Upstreams echo it.
+	RequestID string
+	// Deadline is how many milliseconds the sender will wait.
+	Deadline string
+	// Signature is on every answer that an upstream made.
+	Signature string
+	// ExpectedBoot names the boot of the upstream that may run a request.
+	ExpectedBoot string
+	// Boot names the boot of the upstream that answered.
+	Boot string
+	// NotRun says that the upstream did not run the request.
+	NotRun string
+	// Caller is the service of the VM on which a request began.
+	Caller string
+}
+
+// stripOwn removes the fields of this package.
+func stripOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// millis formats a length of time in whole milliseconds, never negative.
+func millis(d time.Duration) string { return strconv.FormatInt(max(d.Milliseconds(), 0), 10) }
+
+// parseMillis reads a number of milliseconds, which may have a fraction.
+func parseMillis(s string) (time.Duration, bool) {
+	f, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
+	if err != nil || f != f || f > float64(maxWait/time.Millisecond) || f < -float64(maxWait/time.Millisecond) {
+		return 0, false
+	}
+	return time.Duration(f * float64(time.Millisecond)), true
+}
+
+// callFields is the content of Lentilflow-Call.
+type callFields struct {
+	service    string
+	rank       model.Rank
+	remaining  time.Duration
+	target     time.Duration
+	patience   time.Duration
+	idempotent bool
+	version    config.Version
+}
+
+func (f *callFields) String() string {
+	idempotent := "0"
+	if f.idempotent {
+		idempotent = "1"
+	}
+	return strings.Join([]string{
+		f.service, strconv.Itoa(int(f.rank)), millis(f.remaining), millis(f.target), millis(f.patience), idempotent, f.version.String(),
+	}, " ")
+}
+
+func parseCallFields(s string) (f callFields, ok bool) {
+	part := strings.Fields(s)
+	if len(part) != 7 {
+		return f, false
+	}
+	rank, err := strconv.ParseUint(part[1], 10, 8)
+	version, verr := strconv.ParseUint(part[6], 16, 64)
+	if err != nil || verr != nil || rank > uint64(model.MaxRank) {
+		return f, false
+	}
+	f = callFields{service: part[0], rank: model.Rank(rank), idempotent: part[5] == "1", version: config.Version(version)}
+	for i, d := range []*time.Duration{&f.remaining, &f.target, &f.patience} {
+		if *d, ok = parseMillis(part[2+i]); !ok {
+			return f, false
+		}
+	}
+	return f, true
+}
+
+// Refusal is an attempt, or a call, without an answer of an upstream.
+type Refusal struct {
+	Reason model.Reason
+	Run    model.RunState
+	// RetryAfter is when a return is worthwhile, 0 if unknown.
+	RetryAfter time.Duration
+	// Unreached says that no upstream saw the request.
+	Unreached bool
+	Cause     error // for the log; may be nil
+}
+
+// refuse returns a refusal by a node, before an upstream saw the request.
+func refuse(reason model.Reason) *Refusal {
+	return &Refusal{Reason: reason, Run: model.NotRun, Unreached: true}
+}
+
+// String returns the content of Lentilflow-Refusal.
+func (r *Refusal) String() string {
+	unreached := "0"
+	if r.Unreached {
+		unreached = "1"
+	}
+	return strings.Join([]string{string(r.Reason), string(r.Run), millis(r.RetryAfter), unreached}, " ")
+}
+
+func parseRefusal(s string) (*Refusal, bool) {
+	part := strings.Fields(s)
+	if len(part) != 4 {
+		return nil, false
+	}
+	wait, ok := parseMillis(part[2])
+	r := &Refusal{Reason: model.Reason(part[0]), Run: model.RunState(part[1]), RetryAfter: wait, Unreached: part[3] == "1"}
+	switch r.Run {
+	case model.NotRun, model.Ran, model.Unknown:
+		return r, ok
+	}
+	return nil, false
+}
--- /dev/null
+++ b/pkg/gateway/job.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Job is one attempt to run a request on an upstream.
+type Job struct {
+	ID                   string // of the request
+	Method, Target, Host string
+	Header               http.Header // what the upstream receives, but for deadline and boot
+	Body                 []byte
+	Rest                 io.Reader
+	Length               int64
+
+	Service    string
+	Rank       model.Rank
+	Idempotent bool
+	// Latency is the latency target, 0 if there is none.
+	Latency time.Duration
+	// Patience bounds the expected wait for a slot, 0 for any wait.
+	Patience time.Duration
+	Deadline time.Time
+}
+
+// fingerprint identifies the request among those that crash upstreams. The
+// request id is left out: a request that comes again has a new one.
+func (j *Job) fingerprint(names *HeaderNames) crashguard.Fingerprint {
+	return crashguard.Of(crashguard.Request{
+		Method: j.Method, Rule: j.Header.Get(names.Caller), Target: j.Host + j.Target, Body: j.Body,
+	})
+}
+
+// outgoing returns the request to send, with additional fields.
+func (j *Job) outgoing(echo func(http.Header) bool, fields ...h1.Field) *h1.Outgoing {
+	o := &h1.Outgoing{
+		Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header, Fields: fields,
+		Body: j.Body, Rest: j.Rest, Length: j.Length, Echo: echo,
+	}
+	if !j.Idempotent {
+		o.MaxUnused = maxUnusedOnce
+	}
+	return o
+}
+
+// Result is an answer of an upstream, with its body still to be read.
+type Result struct {
+	*h1.Answer
+	// Waited and Ran are the times spent waiting for a slot and at the
+	// upstream, as its node tells.
+	Waited, Ran time.Duration
+	finish      func(complete bool)
+}
+
+// Finish ends the attempt; complete says that the whole body was read.
+func (r *Result) Finish(complete bool) {
+	r.Answer.Close()
+	if r.finish != nil {
+		r.finish(complete)
+	}
+}
+
+const (
+	// maxUnusedOnce bounds how long a connection that carries a non-idempotent
+	// request may have been unused. Servers close idle connections after
+	// seconds; a request that crosses the close may have run.
+	maxUnusedOnce = time.Second
+	// maxWait bounds every stated length of time.
+	maxWait = time.Hour
+)
--- /dev/null
+++ b/pkg/gateway/local.go
@@ -0,0 +1,340 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/admission"
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/upstream"
+)
+
+const (
+	// rankFloor is the percentage of the slots that each rank with a route to
+	// the service keeps: no kind of call may be starved (a quarter of the mean
+	// share is the least that the users accept).
+	rankFloor = 10
+	// upstreamIdle closes unused connections to the upstream before it does,
+	// unless its Keep-Alive field states less. Common servers keep them for
+	// 5 s or longer.
+	upstreamIdle = 4 * time.Second
+	// upstreamDial bounds a new connection to the process on the same VM.
+	upstreamDial = 300 * time.Millisecond
+	// upstreamProbe and upstreamSilence find connections that went silent.
+	upstreamProbe   = time.Second
+	upstreamSilence = 2 * time.Second
+	// answerGrace is how long an answer at the deadline is waited for: the
+	// upstream ends its work at the same moment.
+	answerGrace = 40 * time.Millisecond
+)
+
+// Local runs jobs on the upstream of this VM.
+type Local struct {
+	Node    model.NodeID
+	Service string
+	Names   HeaderNames
+	Log     *zap.Logger
+	Metrics *Metrics
+	Config  *config.Holder
+	Notices crashguard.Notices
+	// OnServing is told when the upstream begins or ends to take work.
+	OnServing func(serving bool)
+	// OnCrash shares a crash with other nodes.
+	OnCrash func(f crashguard.Fingerprint, c crashguard.Crash)
+	// OnCompleted shares that a suspected request ran to its end.
+	OnCompleted func(f crashguard.Fingerprint)
+
+	pool     *h1.Pool
+	gate     *admission.Gate
+	stopping atomic.Bool
+	running  inFlight
+
+	mu          sync.Mutex
+	tracker     upstream.Tracker
+	unreachable bool
+	boot        atomic.Pointer[upstream.Boot] // takes work; nil if none does
+}
+
+// NewLocal completes l for the upstream at an address.
+func NewLocal(l *Local, address string) *Local {
+	live := h1.Liveness{Dial: upstreamDial, Probe: upstreamProbe, Unacknowledged: upstreamSilence}
+	l.pool = &h1.Pool{Address: address, Idle: upstreamIdle, MaxIdle: maxIdleConns, Dial: live.Dialer()}
+	l.gate = admission.NewGate(admission.Limits{Slots: 1})
+	return l
+}
+
+// Serving reports whether the upstream takes work now.
+func (l *Local) Serving() bool { return l.boot.Load() != nil && !l.stopping.Load() }
+
+// Stop refuses all further jobs.
+func (l *Local) Stop() {
+	if !l.stopping.Swap(true) && l.boot.Load() != nil {
+		l.OnServing(false)
+	}
+}
+
+// Report takes a report of the upstream. When it returns, the report binds all
+// further jobs.
+func (l *Local) Report(r upstream.Report) upstream.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.tracker.Report(time.Now(), r)
+	if v == upstream.Stale {
+		return v
+	}
+	l.unreachable = false
+	l.publish(string(v))
+	return v
+}
+
+// Leave notes that a boot of the upstream is going. When it returns, that
+// boot gets no further jobs.
+func (l *Local) Leave(id string, born int64) upstream.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.tracker.Leave(id, born)
+	if v == upstream.Changed {
+		l.publish("left")
+	}
+	return v
+}
+
+// publish replaces the boot that takes work. The mutex is held.
+func (l *Local) publish(why string) {
+	old := l.boot.Load()
+	b, ok := l.tracker.Current()
+	ok = ok && !l.unreachable
+	if ok {
+		l.boot.Store(&b)
+		l.gate.SetLimits(l.limits(b.Slots))
+	} else {
+		l.boot.Store(nil)
+	}
+	if old != nil && (!ok || old.ID != b.ID || old.Born != b.Born) {
+		l.pool.Close()
+	}
+	if (old != nil) == ok && (old == nil || old.ID == b.ID && old.Born == b.Born) {
+		return
+	}
+	newest, known := l.tracker.Newest()
+	l.Log.Info("upstream changed", zap.String("why", why), zap.Bool("serving", ok), zap.Bool("known", known),
+		zap.String("boot", newest.ID), zap.Int64("born_ms", newest.Born), zap.Int("slots", newest.Slots),
+		zap.Bool("draining", newest.Draining), zap.Bool("unreachable", l.unreachable))
+	if (old != nil) != ok && !l.stopping.Load() {
+		l.OnServing(ok)
+	}
+}
+
+// limits returns the capacity of the upstream; every rank with a route to its
+// service keeps a part.
+func (l *Local) limits(slots int) admission.Limits {
+	limits := admission.Limits{Slots: slots}
+	s := l.Config.Current()
+	if s == nil {
+		return limits
+	}
+	for i := range s.Routes {
+		for _, share := range s.Routes[i].Split {
+			if share.Service == l.Service {
+				limits.Floors[s.Routes[i].Rank] = rankFloor
+			}
+		}
+	}
+	return limits
+}
+
+// Reconfigure follows a new configuration.
+func (l *Local) Reconfigure() {
+	if b := l.boot.Load(); b != nil {
+		l.gate.SetLimits(l.limits(b.Slots))
+	}
+}
+
+// lost notes that the upstream does not answer connections, or that another
+// boot answers at its address. Its next report ends that.
+func (l *Local) lost(boot *upstream.Boot, why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := l.boot.Load()
+	if current == nil || current.ID != boot.ID || current.Born != boot.Born {
+		return
+	}
+	l.unreachable = true
+	l.publish(why)
+}
+
+// available returns the boot that may run a job of a service, or a refusal.
+func (l *Local) available(service string) (*upstream.Boot, *Refusal) {
+	if l.stopping.Load() {
+		return nil, refuse(model.NodeDraining)
+	}
+	b := l.boot.Load()
+	if b == nil || service != l.Service {
+		return nil, refuse(model.NoUpstream)
+	}
+	return b, nil
+}
+
+// Run admits a job and runs it. The request is sent at most once.
+func (l *Local) Run(ctx context.Context, j *Job) (*Result, *Refusal) {
+	if _, r := l.available(j.Service); r != nil {
+		return nil, r
+	}
+	if l.suspect(j) {
+		return nil, refuse(model.CrashSuspected)
+	}
+	arrived := time.Now()
+	slot, refused := l.gate.Acquire(ctx, admission.Call{
+		Rank: j.Rank, Worth: 1, Target: j.Latency, Patience: j.Patience,
+	}, j.Deadline)
+	if refused != nil {
+		r := refuse(refused.Reason)
+		r.RetryAfter = refused.RetryAfter
+		return nil, r
+	}
+	admitted := time.Now()
+	l.Metrics.waited(j.Rank, admitted.Sub(arrived))
+	boot, r := l.available(j.Service) // it may have left while the job waited
+	if r == nil && l.suspect(j) {
+		r = refuse(model.CrashSuspected)
+	}
+	if r != nil {
+		slot.Release(admission.Other)
+		return nil, r
+	}
+	res, r := l.exchange(ctx, j, boot)
+	if r != nil {
+		slot.Release(endOf(r))
+		return nil, r
+	}
+	l.Metrics.ran(j.Rank, time.Since(admitted))
+	res.Waited, res.Ran = admitted.Sub(arrived), time.Since(admitted)
+	done := res.finish
+	res.finish = func(complete bool) {
+		done(complete)
+		end := admission.Other
+		if complete {
+			end = admission.Answered
+		}
+		slot.Release(end)
+	}
+	return res, nil
+}
+
+func endOf(r *Refusal) admission.End {
+	switch r.Reason {
+	case model.UpstreamShed, model.UpstreamLost, model.UpstreamUnreachable:
+		return admission.Shed
+	case model.DeadlineExceeded:
+		return admission.TimedOut
+	}
+	return admission.Other
+}
+
+// exchange sends a job to the upstream and judges the answer.
+func (l *Local) exchange(ctx context.Context, j *Job, boot *upstream.Boot) (*Result, *Refusal) {
+	remaining := time.Until(j.Deadline)
+	if remaining < time.Millisecond {
+		return nil, refuse(model.DeadlineExceeded)
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(answerGrace))
+	entry := l.running.add(j, boot)
+	end := func() {
+		l.running.remove(entry)
+		cancel()
+	}
+	a, err := l.pool.Do(ctx, j.outgoing(l.echoes(j.ID),
+		h1.Field{Name: l.Names.Deadline, Value: millis(remaining)},
+		h1.Field{Name: l.Names.ExpectedBoot, Value: boot.ID},
+	))
+	if err != nil {
+		r := l.failure(ctx, entry, err)
+		end()
+		return nil, r
+	}
+	if r := l.notRun(a, boot); r != nil {
+		discard(a)
+		end()
+		return nil, r
+	}
+	stripOwn(a.Header)
+	return &Result{Answer: a, finish: func(complete bool) {
+		if complete {
+			l.completed(j)
+		}
+		end()
+	}}, nil
+}
+
+// echoes returns whether an answer belongs to the request with an id. Answers
+// that name no request are taken: they come where one is due.
+func (l *Local) echoes(id string) func(http.Header) bool {
+	return func(h http.Header) bool {
+		got := h.Get(l.Names.RequestID)
+		return got == "" || got == id
+	}
+}
+
+// notRun returns the refusal for an answer that says that the request was not
+// run, or nil.
+func (l *Local) notRun(a *h1.Answer, boot *upstream.Boot) *Refusal {
+	if a.Status == http.StatusMisdirectedRequest {
+		l.lost(boot, "another boot answers at its address")
+		r := refuse(model.NoUpstream)
+		r.Unreached = false
+		return r
+	}
+	if a.Header.Get(l.Names.NotRun) == "" {
+		return nil
+	}
+	return &Refusal{Reason: model.UpstreamShed, Run: model.NotRun}
+}
+
+// failure judges an exchange without an answer.
+func (l *Local) failure(ctx context.Context, e *runningJob, err error) *Refusal {
+	var f *h1.Failure
+	run := model.Unknown
+	if errors.As(err, &f) && !f.Sent {
+		run = model.NotRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &Refusal{Reason: model.DeadlineExceeded, Run: run, Unreached: run == model.NotRun, Cause: err}
+	case ctx.Err() != nil:
+		return &Refusal{Reason: model.CallerGone, Run: run, Unreached: run == model.NotRun, Cause: err}
+	case run == model.NotRun:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.lost(e.boot, "refuses connections")
+		}
+		return &Refusal{Reason: model.UpstreamUnreachable, Run: run, Unreached: true, Cause: err}
+	}
+	go l.inspect(e, l.running.count(e.boot) == 1)
+	return &Refusal{Reason: model.UpstreamLost, Run: run, Cause: err}
+}
+
+// discard reads the short rest of an answer that is not passed on, so that its
+// connection can be used again.
+func discard(a *h1.Answer) {
+	var buf [maxDiscard]byte
+	for left := maxDiscard; left > 0; {
+		n, err := a.Read(buf[:left])
+		left -= n
+		if err != nil {
+			break
+		}
+	}
+	a.Close()
+}
+
+// maxDiscard bounds what is read of an answer that is not passed on, in bytes.
+const maxDiscard = 2 << 10
--- /dev/null
+++ b/pkg/gateway/metrics.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/retry"
+)
+
+// Metrics are the counters and histograms of the path of a call.
+type Metrics struct {
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	verdicts *prometheus.CounterVec
+	faults   *prometheus.CounterVec
+	total    *prometheus.HistogramVec
+	queue    *prometheus.HistogramVec
+	upstream *prometheus.HistogramVec
+}
+
+// latencyBuckets span from a call within a zone to the longest time limits, in
+// seconds.
+var latencyBuckets = prometheus.ExponentialBuckets(0.001, 2, 14)
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	counter := func(name, help, label string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "lentilflow", Name: name, Help: help}, []string{label})
+		r.MustRegister(v)
+		return v
+	}
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		v := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "lentilflow", Name: name, Help: help, Buckets: latencyBuckets,
+		}, []string{"rank"})
+		r.MustRegister(v)
+		return v
+	}
+	return &Metrics{
+		answers:  counter("answers_total", "Answers of upstreams that were delivered to callers, by status class.", "class"),
+		refusals: counter("refusals_total", "Calls that ended without an answer of an upstream, by reason.", "reason"),
+		verdicts: counter("retry_verdicts_total", "Decisions after a failed attempt.", "verdict"),
+		faults:   counter("connection_faults_total", "Requests that ended before they were handled.", "fault"),
+		total:    histogram("call_seconds", "From the arrival of a call to its whole answer."),
+		queue:    histogram("queue_seconds", "Wait for a slot of the upstream."),
+		upstream: histogram("upstream_seconds", "From admission to the head of the upstream's answer."),
+	}
+}
+
+// rankLabels spare the conversion of each observation.
+var rankLabels = func() (labels [model.MaxRank + 1]string) {
+	for i := range labels {
+		labels[i] = strconv.Itoa(i)
+	}
+	return labels
+}()
+
+func (m *Metrics) waited(r model.Rank, d time.Duration) {
+	m.queue.WithLabelValues(rankLabels[min(r, model.MaxRank)]).Observe(d.Seconds())
+}
+
+func (m *Metrics) ran(r model.Rank, d time.Duration) {
+	m.upstream.WithLabelValues(rankLabels[min(r, model.MaxRank)]).Observe(d.Seconds())
+}
+
+func (m *Metrics) answered(r model.Rank, status int, d time.Duration) {
+	m.answers.WithLabelValues(strconv.Itoa(status/100) + "xx").Inc()
+	m.total.WithLabelValues(rankLabels[min(r, model.MaxRank)]).Observe(d.Seconds())
+}
+
+func (m *Metrics) refused(r model.Reason)  { m.refusals.WithLabelValues(string(r)).Inc() }
+func (m *Metrics) verdict(v retry.Verdict) { m.verdicts.WithLabelValues(string(v)).Inc() }
+func (m *Metrics) fault(f string)          { m.faults.WithLabelValues(f).Inc() }
--- /dev/null
+++ b/pkg/gateway/refusal.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/problem"
+)
+
+// status returns the status that tells the truth about a refusal: 503 promises
+// that the request has not run and will not, 502 and 504 promise nothing.
+func status(reason model.Reason, run model.RunState) int {
+	s := reason.Status()
+	switch {
+	case run == model.NotRun && (s == http.StatusBadGateway || s == http.StatusGatewayTimeout):
+		return http.StatusServiceUnavailable
+	case run != model.NotRun && (s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests):
+		return http.StatusBadGateway
+	}
+	return s
+}
+
+// refuseCall sends the final refusal of a call.
+func (g *Gateway) refuseCall(c *call, r *Refusal) {
+	if c.possible && r.Run == model.NotRun {
+		r.Run = model.Unknown // an earlier attempt may have run
+	}
+	if gone(c.x.Context()) {
+		r.Reason = model.CallerGone
+	}
+	g.Metrics.refused(r.Reason)
+	if r.Reason == model.CallerGone {
+		g.logRefusal(c, r, model.StatusCallerGone)
+		return
+	}
+	d := problem.New(r.Reason, r.Run)
+	d.Status = status(r.Reason, r.Run)
+	d.Version = model.Version(c.version)
+	if c.route != nil {
+		d.Rule = c.route.Name
+	}
+	h := http.Header{"Content-Type": {problem.ContentType}}
+	if r.RetryAfter > 0 && r.Run == model.NotRun {
+		h["Retry-After"] = []string{seconds(r.RetryAfter)}
+	}
+	body, err := json.Marshal(d)
+	if err != nil {
+		g.Log.Error("refusal cannot be encoded", zap.Error(err))
+	}
+	g.logRefusal(c, r, d.Status)
+	if err := c.x.Reply(&h1.Reply{Status: d.Status, Header: h, Body: body}); err != nil {
+		g.Log.Debug("refusal could not be sent", zap.Error(err))
+	}
+}
+
+// seconds formats a wait for Retry-After, with a fraction: the callers of this
+// platform have time limits of a few seconds and read fractions.
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
--- /dev/null
+++ b/pkg/gateway/remote.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	// maxIdleConns bounds the unused connections to one address. It covers the
+	// jobs in flight to one upstream.
+	maxIdleConns = 32
+	// peerIdle closes unused connections to other nodes long before they do
+	// (peerServerIdle).
+	peerIdle       = 20 * time.Second
+	peerServerIdle = time.Minute
+	// peerDial bounds a new connection to another node: 24 ms between regions.
+	peerDial = 250 * time.Millisecond
+	// peerProbe and peerSilence find connections to nodes that have vanished.
+	peerProbe   = time.Second
+	peerSilence = 1500 * time.Millisecond
+	// verdictGrace is how long past the deadline the node beside the upstream
+	// is waited for: it knows whether the request has run. A round trip between
+	// regions takes 24 ms.
+	verdictGrace = answerGrace + 60*time.Millisecond
+)
+
+// Remote runs jobs through the nodes beside other upstreams.
+type Remote struct {
+	Names  HeaderNames
+	Config *config.Holder
+
+	mu    sync.Mutex
+	pools map[string]*h1.Pool
+	dial  h1.Liveness
+}
+
+// NewRemote returns a Remote without connections.
+func NewRemote(names HeaderNames, c *config.Holder) *Remote {
+	return &Remote{
+		Names: names, Config: c, pools: make(map[string]*h1.Pool),
+		dial: h1.Liveness{Dial: peerDial, Probe: peerProbe, Unacknowledged: peerSilence},
+	}
+}
+
+// Forget closes the unused connections to nodes that are not in use any more.
+func (r *Remote) Forget(used func(address string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for address, p := range r.pools {
+		if !used(address) {
+			p.Close()
+			delete(r.pools, address)
+		}
+	}
+}
+
+func (r *Remote) pool(address string) *h1.Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.pools[address]
+	if !ok {
+		p = &h1.Pool{Address: address, Idle: peerIdle, MaxIdle: maxIdleConns, Dial: r.dial.Dialer()}
+		r.pools[address] = p
+	}
+	return p
+}
+
+// Run sends a job to the node at an address. The request is sent at most once.
+func (r *Remote) Run(ctx context.Context, address string, j *Job) (*Result, *Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(verdictGrace))
+	f := callFields{
+		service: j.Service, rank: j.Rank, remaining: time.Until(j.Deadline), target: j.Latency,
+		patience: j.Patience, idempotent: j.Idempotent, version: r.Config.Version(),
+	}
+	a, err := r.pool(address).Do(ctx, j.outgoing(nil, h1.Field{Name: headerCall, Value: f.String()}))
+	if err != nil {
+		refusal := remoteFailure(ctx, err)
+		cancel()
+		return nil, refusal
+	}
+	if text := a.Header.Get(headerRefusal); text != "" {
+		discard(a)
+		cancel()
+		if refusal, ok := parseRefusal(text); ok {
+			return nil, refusal
+		}
+		return nil, &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: errNoNode}
+	}
+	times, ok := strings.CutPrefix(a.Header.Get(headerAnswer), "upstream ")
+	if !ok {
+		a.Close()
+		cancel()
+		return nil, &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: errNoNode}
+	}
+	stripOwn(a.Header)
+	res := &Result{Answer: a, finish: func(bool) { cancel() }}
+	if waited, ran, ok := strings.Cut(times, " "); ok {
+		res.Waited, _ = parseMillis(waited)
+		res.Ran, _ = parseMillis(ran)
+	}
+	return res, nil
+}
+
+// errNoNode means that an answer is not that of a node.
+var errNoNode = errors.New("answer is not that of a node")
+
+// answerField returns the content of Lentilflow-Answer.
+func answerField(r *Result) string { return "upstream " + millis(r.Waited) + " " + millis(r.Ran) }
+
+func remoteFailure(ctx context.Context, err error) *Refusal {
+	var f *h1.Failure
+	r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
+	if errors.As(err, &f) && !f.Sent {
+		r.Reason, r.Run, r.Unreached = model.UpstreamUnreachable, model.NotRun, true
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.Reason = model.DeadlineExceeded
+	case ctx.Err() != nil:
+		r.Reason = model.CallerGone
+	}
+	return r
+}
+
+// PeerServer returns the server for jobs of other nodes.
+func (g *Gateway) PeerServer() *h1.Server {
+	return &h1.Server{
+		Handle:  g.handleJob,
+		Limits:  g.peerLimits,
+		OnFault: g.onFault("peer"),
+	}
+}
+
+func (g *Gateway) peerLimits() h1.Limits {
+	l := g.callerLimits()
+	l.HeaderBytes += peerHeaderSpace
+	l.IdleTime = peerServerIdle
+	return l
+}
+
+// peerHeaderSpace is what a node adds to the head of a request, in bytes.
+const peerHeaderSpace = 4 << 10
+
+// handleJob runs a job of another node.
+func (g *Gateway) handleJob(x *h1.Exchange) {
+	f, ok := parseCallFields(x.Request.Header.Get(headerCall))
+	if !ok {
+		g.log.Warn("request of another node lacks its fields")
+		_ = x.Reply(&h1.Reply{Status: http.StatusBadRequest})
+		return
+	}
+	if f.version > g.Config.Version() {
+		g.OnBehind()
+	}
+	h1.StripHop(x.Request.Header)
+	stripOwn(x.Request.Header)
+	j := &Job{
+		ID: x.Request.Header.Get(g.Names.RequestID), Method: x.Request.Method, Target: x.Request.RequestURI, Host: x.Request.Host,
+		Header: x.Request.Header, Body: x.Body, Rest: x.Rest, Length: x.Length,
+		Service: f.service, Rank: f.rank, Idempotent: f.idempotent, Latency: f.target, Patience: f.patience,
+		Deadline: x.Arrived.Add(f.remaining),
+	}
+	res, refusal := g.Local.Run(x.Context(), j)
+	if refusal != nil {
+		g.logJob(j, refusal)
+		g.sendRefusal(x, refusal)
+		return
+	}
+	res.Header[headerAnswer] = []string{answerField(res)}
+	err := x.Reply(&h1.Reply{Status: res.Status, Header: res.Header, Rest: res, Length: res.Length})
+	res.Finish(err == nil)
+	if err != nil {
+		g.logJob(j, &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err})
+	}
+}
+
+func (g *Gateway) sendRefusal(x *h1.Exchange, r *Refusal) {
+	err := x.Reply(&h1.Reply{Status: http.StatusServiceUnavailable, Header: http.Header{headerRefusal: {r.String()}}})
+	if err != nil && !h1.Gone(x.Context()) {
+		g.log.Debug("refusal could not be sent to another node", zapError(err))
+	}
+}
--- /dev/null
+++ b/pkg/gossip/gossip.go
@@ -0,0 +1,287 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	// calmPeriod is the time between two digests while the store answers. It
+	// bounds how long a node that the store turns away stays behind; a version
+	// must be in force after 2 s.
+	calmPeriod = 2 * time.Second
+	// urgentPeriod is the same while this node has no answer from the store.
+	urgentPeriod = 300 * time.Millisecond
+	// messageTime bounds one exchange: 24 ms between regions, and a node with
+	// a third of a core may be busy.
+	messageTime = time.Second
+	// tellers bounds the messages that one announcement sends at a time.
+	tellers = 16
+	// maxMessage bounds a message, in bytes: a configuration of 1,000 routes
+	// takes about 300 KB, a fleet of 2,800 nodes about 600 KB.
+	maxMessage = 4 << 20
+)
+
+// Node sends and answers messages.
+type Node struct {
+	Self    fleet.Member
+	Config  *config.Holder
+	View    *fleet.View
+	Notices crashguard.Notices
+	// Serving reports whether this node takes work.
+	Serving func() bool
+	Client  *http.Client
+	Log     *zap.Logger
+	// OnConfig is told of versions that came from another node.
+	OnConfig func(v config.Version, from model.NodeID)
+
+	started   int64
+	sequence  atomic.Uint64
+	storeAway atomic.Bool
+	hurry     chan struct{}
+	mu        sync.Mutex
+	heard     map[model.NodeID]heard
+}
+
+type heard struct {
+	started  int64
+	sequence uint64
+}
+
+// Start prepares n for use.
+func (n *Node) Start(now time.Time) {
+	n.started = now.UnixNano()
+	n.hurry = make(chan struct{}, 1)
+	n.heard = make(map[model.NodeID]heard)
+}
+
+// SetStore notes whether the store answers this node.
+func (n *Node) SetStore(available bool) {
+	n.storeAway.Store(!available)
+	if !available {
+		n.Hurry()
+	}
+}
+
+// Hurry asks another node soon, because something is missing.
+func (n *Node) Hurry() {
+	select {
+	case n.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// Routes adds the message handlers to e.
+func (n *Node) Routes(e *echo.Echo) {
+	e.POST(pathSync, n.handleSync)
+	e.POST(pathCrash, n.handleCrash)
+}
+
+func (n *Node) digest() Digest {
+	return Digest{
+		From: n.Self, Serving: n.Serving(), Config: n.Config.Version(), Fleet: n.View.Current().Revision,
+		Started: n.started, Sequence: n.sequence.Add(1),
+	}
+}
+
+func (n *Node) handleSync(c echo.Context) error {
+	var d Digest
+	if err := readMessage(c, &d); err != nil || !d.From.Complete() {
+		n.Log.Warn("message of another node cannot be used", zap.String("remote", c.RealIP()), zap.Error(err))
+		return c.NoContent(http.StatusBadRequest)
+	}
+	n.learn(d)
+	u := Update{Digest: n.digest()}
+	if s := n.Config.Current(); s != nil && s.Version > d.Config {
+		u.Configuration = s.Configuration
+	}
+	if f := n.View.Current(); n.View.Known() && f.Revision > d.Fleet {
+		for _, m := range f.Members {
+			u.Members = append(u.Members, m)
+		}
+	}
+	if d.Config > u.Config || d.Fleet > u.Fleet {
+		go n.ask(context.Background(), d.From)
+	}
+	return c.JSON(http.StatusOK, u)
+}
+
+func (n *Node) handleCrash(c echo.Context) error {
+	var notice CrashNotice
+	if err := readMessage(c, &notice); err != nil {
+		n.Log.Warn("crash notice cannot be used", zap.String("remote", c.RealIP()), zap.Error(err))
+		return c.NoContent(http.StatusBadRequest)
+	}
+	if notice.Crash == nil {
+		if err := n.Notices.Completed(c.Request().Context(), notice.Fingerprint); err != nil {
+			n.Log.Warn("completion could not be noted", zap.Stringer("fingerprint", notice.Fingerprint), zap.Error(err))
+		}
+		return c.NoContent(http.StatusNoContent)
+	}
+	n.Notices.Learn(notice.Fingerprint, notice.Service, *notice.Crash)
+	n.Log.Info("crash of an upstream was reported by another node", zap.Stringer("fingerprint", notice.Fingerprint),
+		zap.String("service", notice.Service), zap.String("at", string(notice.Crash.Upstream)))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func readMessage(c echo.Context, into any) error {
+	return json.NewDecoder(io.LimitReader(c.Request().Body, maxMessage)).Decode(into)
+}
+
+// learn takes what a node says about itself, unless a newer digest came first.
+func (n *Node) learn(d Digest) {
+	n.mu.Lock()
+	last, ok := n.heard[d.From.Node]
+	if ok && (d.Started < last.started || d.Started == last.started && d.Sequence <= last.sequence) {
+		n.mu.Unlock()
+		return
+	}
+	n.heard[d.From.Node] = heard{d.Started, d.Sequence}
+	n.mu.Unlock()
+	n.View.SetServing(d.From.Node, d.Serving, time.Now())
+}
+
+// Forget drops what was heard of a node that has left the fleet.
+func (n *Node) Forget(id model.NodeID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.heard, id)
+}
+
+// Run exchanges digests with random nodes until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	for {
+		period := calmPeriod
+		if n.storeAway.Load() || n.Config.Current() == nil {
+			period = urgentPeriod
+		}
+		// Jitter keeps nodes that started together apart.
+		t := time.NewTimer(period/2 + rand.N(period))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil
+		case <-t.C:
+		case <-n.hurry:
+			t.Stop()
+		}
+		n.View.Expire(time.Now())
+		if m, ok := n.random(); ok {
+			n.ask(ctx, m)
+		}
+	}
+}
+
+// random returns a node to ask. Nodes of other regions are asked rarely while
+// the store answers, because their bytes are paid by volume.
+func (n *Node) random() (fleet.Member, bool) {
+	const remoteShare = 8 // one in so many digests goes to any region
+	anywhere := n.storeAway.Load() || rand.IntN(remoteShare) == 0
+	var chosen fleet.Member
+	seen := 0
+	for id, m := range n.View.Current().Members {
+		if id == n.Self.Node || !anywhere && m.Location.Region != n.Self.Location.Region {
+			continue
+		}
+		if seen++; rand.IntN(seen) == 0 {
+			chosen = m
+		}
+	}
+	return chosen, seen > 0
+}
+
+// ask sends a digest to a node and takes what it has.
+func (n *Node) ask(ctx context.Context, m fleet.Member) {
+	var u Update
+	if err := n.post(ctx, m, pathSync, n.digest(), &u); err != nil {
+		n.Log.Debug("node did not answer a message", zap.String("to", string(m.Node)), zap.Error(err))
+		return
+	}
+	n.learn(u.Digest)
+	if u.Configuration != nil {
+		taken, err := n.Config.Offer(u.Configuration)
+		if err != nil {
+			n.Log.Error("configuration of another node is refused", zap.String("from", string(m.Node)), zap.Error(err))
+		}
+		if taken {
+			n.OnConfig(u.Configuration.Version, m.Node)
+		}
+	}
+	if len(u.Members) > 0 && n.View.Replace(u.Members, u.Fleet) {
+		n.Log.Info("fleet was taken from another node", zap.String("from", string(m.Node)),
+			zap.Uint64("revision", uint64(u.Fleet)), zap.Int("nodes", len(u.Members)))
+	}
+}
+
+// Announce tells all nodes what this node has and whether it takes work.
+func (n *Node) Announce(ctx context.Context) {
+	n.tell(ctx, func(ctx context.Context, m fleet.Member) { n.ask(ctx, m) })
+}
+
+// ReportCrash tells all nodes of a crash, or of a completed request.
+func (n *Node) ReportCrash(ctx context.Context, notice CrashNotice) {
+	n.tell(ctx, func(ctx context.Context, m fleet.Member) {
+		if err := n.post(ctx, m, pathCrash, notice, nil); err != nil {
+			n.Log.Warn("crash notice was not delivered", zap.String("to", string(m.Node)),
+				zap.Stringer("fingerprint", notice.Fingerprint), zap.Error(err))
+		}
+	})
+}
+
+func (n *Node) tell(ctx context.Context, send func(context.Context, fleet.Member)) {
+	var wait sync.WaitGroup
+	places := make(chan struct{}, tellers)
+	for id, m := range n.View.Current().Members {
+		if id == n.Self.Node {
+			continue
+		}
+		places <- struct{}{}
+		wait.Go(func() {
+			send(ctx, m)
+			<-places
+		})
+	}
+	wait.Wait()
+}
+
+func (n *Node) post(ctx context.Context, m fleet.Member, path string, message, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, messageTime)
+	defer cancel()
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.MessageAddress+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", echo.MIMEApplicationJSON)
+	resp, err := n.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("node %s answered %s", m.Node, resp.Status)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, maxMessage)).Decode(answer)
+}
--- /dev/null
+++ b/pkg/gossip/message.go
@@ -0,0 +1,42 @@
+package gossip
+
+import (
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
+)
+
+// Paths of messages, below the message listener.
+const (
+	pathSync  = "/v1/sync"
+	pathCrash = "/v1/crash"
+)
+
+// Digest says what a node has.
+type Digest struct {
+	From    fleet.Member    `json:"from"`
+	Serving bool            `json:"serving"`
+	Config  config.Version  `json:"config"`
+	Fleet   follow.Revision `json:"fleet"`
+	// Started is the start of the sender in Unix nanoseconds, and Sequence
+	// increases with each digest of one start; they order digests of a sender.
+	Started  int64  `json:"started"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Update answers a Digest: the digest of the answering node, and what the
+// asking node lacks.
+type Update struct {
+	Digest
+	Configuration *config.Configuration `json:"configuration,omitempty"`
+	Members       []fleet.Member        `json:"members,omitempty"`
+}
+
+// CrashNotice says that a request was running when an upstream crashed, or,
+// without a crash, that it ran to its end.
+type CrashNotice struct {
+	Fingerprint crashguard.Fingerprint `json:"fingerprint"`
+	Service     string                 `json:"service"`
+	Crash       *crashguard.Crash      `json:"crash,omitempty"`
+}
--- /dev/null
+++ b/pkg/h1/message.go
@@ -0,0 +1,135 @@
+package h1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Lengths of message bodies that are no number of bytes.
+const (
+	// Chunked is the length of a body that is sent in chunks.
+	Chunked = -1
+)
+
+// copyBuffer is the memory that one streamed body takes, in bytes.
+const copyBuffer = 16 << 10
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// StripHop removes the fields that concern one connection only, those that
+// Connection names included.
+func StripHop(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// closes reports whether the header asks for the end of the connection.
+func closes(h http.Header) bool {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(textproto.TrimString(name), "close") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// errShortBody means that a body ended before its stated length.
+var errShortBody = errors.New("body ended before its stated length")
+
+// writeBody sends head, which is already in memory, and then rest until it
+// ends. With a length other than Chunked it sends exactly that many bytes or
+// fails.
+func writeBody(w *bufio.Writer, head []byte, rest io.Reader, length int64) error {
+	if length == Chunked {
+		return writeChunks(w, head, rest)
+	}
+	if int64(len(head)) > length || rest == nil && int64(len(head)) < length {
+		return errShortBody
+	}
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	if rest == nil {
+		return nil
+	}
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	n, err := io.CopyBuffer(struct{ io.Writer }{flushing{w}}, struct{ io.Reader }{io.LimitReader(rest, length-int64(len(head)))}, *buf)
+	if err == nil && n < length-int64(len(head)) {
+		err = errShortBody
+	}
+	return err
+}
+
+func writeChunks(w *bufio.Writer, head []byte, rest io.Reader) error {
+	if err := writeChunk(w, head); err != nil {
+		return err
+	}
+	if rest != nil {
+		buf := copyBuffers.Get().(*[]byte)
+		defer copyBuffers.Put(buf)
+		if _, err := io.CopyBuffer(chunking{w}, struct{ io.Reader }{rest}, *buf); err != nil {
+			return err
+		}
+	}
+	_, err := w.WriteString("0\r\n\r\n")
+	return err
+}
+
+func writeChunk(w *bufio.Writer, b []byte) error {
+	if len(b) == 0 {
+		return nil // an empty chunk would end the body
+	}
+	var size [16]byte
+	if _, err := w.Write(append(strconv.AppendInt(size[:0], int64(len(b)), 16), "\r\n"...)); err != nil {
+		return err
+	}
+	if _, err := w.Write(b); err != nil {
+		return err
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// flushing sends each part of a streamed body as soon as it arrives.
+type flushing struct{ w *bufio.Writer }
+
+// Write implements io.Writer.
+func (f flushing) Write(b []byte) (int, error) {
+	n, err := f.w.Write(b)
+	if err == nil {
+		err = f.w.Flush()
+	}
+	return n, err
+}
+
+type chunking struct{ w *bufio.Writer }
+
+// Write implements io.Writer.
+func (c chunking) Write(b []byte) (int, error) {
+	if err := writeChunk(c.w, b); err != nil {
+		return 0, err
+	}
+	return len(b), c.w.Flush()
+}
--- /dev/null
+++ b/pkg/h1/server.go
@@ -0,0 +1,156 @@
+package h1
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxPipelined bounds the requests of one connection that wait for their
+	// answer. Beyond it the connection is no longer read.
+	maxPipelined = 64
+	// bodyBuffer is the longest request body that is held in memory, in bytes.
+	// Longer bodies are streamed and cannot be sent twice.
+	bodyBuffer = 256 << 10
+	// writeTime bounds the time in which a peer must take a part of an answer.
+	writeTime = 10 * time.Second
+	// bodyStall bounds the time between two parts of a request body.
+	bodyStall = 10 * time.Second
+	// acceptPause is the wait after a failed accept, such as for lack of
+	// descriptors.
+	acceptPause = 20 * time.Millisecond
+)
+
+// Limits bound what a client may send. A zero value of a field stands for the
+// default.
+type Limits struct {
+	HeaderBytes int64         // of a request head
+	BodyBytes   int64         // of a request body
+	HeaderTime  time.Duration // from the first byte of a head to its end
+	IdleTime    time.Duration // between two requests
+}
+
+// Defaults of Limits, used until a configuration states its own.
+var defaultLimits = Limits{HeaderBytes: 32 << 10, BodyBytes: 64 << 20, HeaderTime: 5 * time.Second, IdleTime: time.Minute}
+
+func (l Limits) orDefaults() Limits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultLimits.HeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultLimits.BodyBytes
+	}
+	if l.HeaderTime <= 0 {
+		l.HeaderTime = defaultLimits.HeaderTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = defaultLimits.IdleTime
+	}
+	return l
+}
+
+// Fault is a request that ended before the handler saw it.
+type Fault string
+
+// Faults.
+const (
+	Malformed    Fault = "malformed"
+	HeadTooLarge Fault = "head_too_large"
+	HeadTooSlow  Fault = "head_too_slow"
+	BodyTooLarge Fault = "body_too_large"
+)
+
+// Server serves connections of one listener.
+type Server struct {
+	// Handle answers one exchange by Reply or Abort. It runs in its own
+	// goroutine.
+	Handle func(*Exchange)
+	// Concurrent reports whether a pipelined request may be handled before
+	// the answers to those in front of it were sent. A client sends a request
+	// again when the connection closes before it, so only idempotent ones may.
+	Concurrent func(*Exchange) bool
+	// Limits returns the limits in force.
+	Limits func() Limits
+	// OnFault is told of requests that the handler does not see.
+	OnFault func(remote net.Addr, f Fault, err error)
+
+	draining atomic.Bool
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	active   atomic.Int64
+}
+
+// Active returns the number of requests that have no complete answer.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newConn(s, nc)
+		s.track(c, true)
+		go c.serve()
+	}
+}
+
+func (s *Server) track(c *conn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[*conn]struct{})
+	}
+	if open {
+		s.conns[c] = struct{}{}
+	} else {
+		delete(s.conns, c)
+	}
+}
+
+// Drain makes every answer from now on the last one of its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseIdle closes the connections without a request. It follows Drain.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.waiting.Load() == 0 {
+			_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// CloseAll closes all connections, whatever they are doing.
+func (s *Server) CloseAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancel(errServerClosed)
+		_ = c.nc.Close()
+	}
+}
+
+// Causes of a cancelled exchange.
+var (
+	// ErrClientGone means that the client closed its connection.
+	ErrClientGone   = errors.New("client closed its connection")
+	errServerClosed = errors.New("server was closed")
+	errLastAnswer   = errors.New("an earlier answer ended the connection")
+)
+
+// Gone reports whether ctx of an exchange ended because its client left.
+func Gone(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, ErrClientGone) || errors.Is(cause, errLastAnswer) || errors.Is(cause, errServerClosed)
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -3,33 +3,52 @@
 import "sync/atomic"
 
 const (
-	// tokenUnit is one retry token; one call earns callEarns of it, so that
-	// retries add at most 10% to the calls.
-	tokenUnit = 10
-	callEarns = 1
-	// budgetReserve is the number of retries that a quiet node may make before
-	// its calls have earned any, and the most that it can save up.
-	budgetReserve = 10
+	// tokenUnit is one retry token, in the unit of the level.
+	tokenUnit = 1000
+	// defaultShare and defaultReserve are the retry budget of a node that is
+	// told nothing else: 10% of its calls (Site Reliability Engineering,
+	// O'Reilly 2016, chapter 21) and what a quiet node may spend before its
+	// calls have earned any.
+	defaultShare   = 0.1
+	defaultReserve = 10
 )
 
-// Budget limits the retries of one node to 10% of its calls plus a reserve of
-// 10. It is safe for concurrent use.
+// Budget limits the retries of one node to a share of its calls plus a
+// reserve. It is safe for concurrent use.
 type Budget struct {
-	level atomic.Int64 // in tenths of a token
+	level   atomic.Int64 // in thousandths of a token
+	earns   atomic.Int64 // of one call
+	reserve atomic.Int64 // most that can be saved up
 }
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget {
+// NewBudget returns a full budget of 10% of the calls and a reserve of 10.
+func NewBudget() *Budget { return NewBudgetOf(defaultShare, defaultReserve) }
+
+// NewBudgetOf returns a full budget: retries may be the stated share of the
+// calls, and as many more as the reserve says.
+func NewBudgetOf(share, reserve float64) *Budget {
 	b := &Budget{}
-	b.level.Store(budgetReserve * tokenUnit)
+	b.Set(share, reserve)
+	b.level.Store(b.reserve.Load())
 	return b
 }
 
+// Set changes share and reserve; a lower reserve takes effect as tokens are
+// spent.
+func (b *Budget) Set(share, reserve float64) {
+	b.earns.Store(int64(share * tokenUnit))
+	b.reserve.Store(int64(reserve * tokenUnit))
+}
+
 // Earn credits one call that was taken from a caller.
 func (b *Budget) Earn() {
+	limit := b.reserve.Load()
 	for {
 		l := b.level.Load()
-		if l >= budgetReserve*tokenUnit || b.level.CompareAndSwap(l, l+callEarns) {
+		if l >= limit {
+			return
+		}
+		if b.level.CompareAndSwap(l, min(l+b.earns.Load(), limit)) {
 			return
 		}
 	}
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -16,12 +16,18 @@
 	// "draining" even when its rule states fewer retries: a planned stop is no
 	// failure of the call.
 	leavingResends = 1
+	// maxMoves bounds the nodes that are asked for one call without an upstream
+	// seeing it. Each costs a round trip, 24 ms between regions.
+	maxMoves = 4
 )
 
 // Failure is an attempt that brought no answer of an upstream.
 type Failure struct {
 	Reason model.Reason
 	Run    model.RunState
+	// Unreached says that no upstream saw the attempt, only the node beside
+	// one. Another node may then be asked without use of the budget.
+	Unreached bool
 }
 
 // Call is what the decision needs to know about a call.
@@ -29,6 +35,7 @@
 	Idempotent bool
 	Retries    int           // of the rule
 	Made       int           // retries made so far
+	Moves      int           // attempts so far that no upstream saw
 	Remaining  time.Duration // until the deadline
 	Replayable bool          // the request body can be sent again from its start
 }
@@ -77,12 +84,14 @@
 		return PossibleRun, 0
 	case f.Run == model.Ran || !elsewhere(f.Reason):
 		return NotRetryable, 0
-	case c.Made >= allowed:
+	case f.Unreached && c.Moves >= maxMoves, !f.Unreached && c.Made >= allowed:
 		return NoMore, 0
 	case !c.Replayable:
 		return BodyConsumed, 0
 	case c.Remaining < delay+minAttemptTime:
 		return NoTime, 0
+	case f.Unreached:
+		return Retry, 0
 	case !b.Spend():
 		return NoBudget, 0
 	}
--- a/pkg/settings/assign.go
+++ b/pkg/settings/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"reflect"
 	"slices"
 	"strconv"
@@ -25,6 +26,16 @@
 	case string:
 		v.SetString(text)
 		return checkWord(text, tag)
+	case Ratio:
+		r, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(r) {
+			return errors.New("not a number")
+		}
+		if r < 0 || r > 1 {
+			return errRange
+		}
+		v.SetFloat(r)
+		return nil
 	}
 	n, err := number(v, text)
 	if err != nil {
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -50,6 +50,8 @@
 		s = acceptedAddress
 	case reflect.TypeFor[URL]():
 		s = acceptedURL
+	case reflect.TypeFor[Ratio]():
+		s = acceptedRatio
 	case reflect.TypeFor[Duration]():
 		s = acceptedDuration
 	case reflect.TypeFor[Size]():
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -103,6 +103,39 @@
 	return nil
 }
 
+// LoadNode reads and checks the settings file of a node on the users'
+// platform. The error is a *Fault when the file could be read but is not
+// acceptable.
+func LoadNode(path string) (*Node, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, merry.Prependf(err, "read settings file")
+	}
+	return ParseNode(path, text)
+}
+
+// ParseNode checks text as the settings file called name.
+func ParseNode(name string, text []byte) (*Node, error) {
+	d := &decoder{file: name, lines: make(map[string]int)}
+	root, fault := d.parse(text)
+	if fault != nil {
+		return nil, fault
+	}
+	var n Node
+	if fault := d.value(root, "", reflect.ValueOf(&n).Elem(), ""); fault != nil {
+		return nil, fault
+	}
+	seen := map[Address]string{n.Upstream.Address: "upstream.address"}
+	for _, l := range n.Listeners.all() {
+		if other, ok := seen[l.address]; ok {
+			field := "listeners." + l.name
+			return nil, d.fault(d.lines[field], field, "same address as "+other, "an address of its own")
+		}
+		seen[l.address] = "listeners." + l.name
+	}
+	return &n, nil
+}
+
 // Default returns settings that hold the defaults only. Required fields are
 // empty.
 func Default() Settings {
--- /dev/null
+++ b/pkg/settings/node.go
@@ -0,0 +1,81 @@
+package settings
+
+import "github.com/lentilflow/lentilflow/pkg/model"
+
+// Node are the settings of a node on the users' platform. Retries, Drain and
+// Log follow the file while the process runs; a change of the others needs a
+// new start.
+type Node struct {
+	Name             string        `yaml:"node" required:"yes" unit:"name"`
+	Region           string        `yaml:"region" required:"yes" unit:"name"`
+	AvailabilityZone string        `yaml:"availability_zone" required:"yes" unit:"name"`
+	Listeners        NodeListeners `yaml:"listeners" required:"yes"`
+	Upstream         NodeUpstream  `yaml:"upstream" required:"yes"`
+	Store            Store         `yaml:"store" required:"yes"`
+	Retries          Retries       `yaml:"retries"`
+	Drain            NodeDrain     `yaml:"drain"`
+	Log              NodeLog       `yaml:"log"`
+}
+
+// NodeListeners are the addresses that a node listens on.
+type NodeListeners struct {
+	// Calls takes the requests of callers and of the upstream on the VM.
+	Calls Address `yaml:"calls" required:"yes" unit:"address"`
+	// Peers takes requests of other nodes for the upstream on the VM.
+	Peers Address `yaml:"peers" required:"yes" unit:"address"`
+	// Messages takes messages of other nodes and serves the metrics.
+	Messages Address `yaml:"messages" required:"yes" unit:"address"`
+	// Reports takes the reports of the upstream on the VM.
+	Reports Address `yaml:"reports" required:"yes" unit:"address"`
+	// Readiness answers whether the node takes new callers.
+	Readiness Address `yaml:"readiness" required:"yes" unit:"address"`
+}
+
+type namedAddress struct {
+	name    string
+	address Address
+}
+
+func (l *NodeListeners) all() []namedAddress {
+	return []namedAddress{
+		{"calls", l.Calls}, {"peers", l.Peers}, {"messages", l.Messages}, {"reports", l.Reports}, {"readiness", l.Readiness},
+	}
+}
+
+// NodeUpstream names the upstream on the same VM.
+type NodeUpstream struct {
+	Service string  `yaml:"service" required:"yes" unit:"name"`
+	Address Address `yaml:"address" required:"yes" unit:"address"`
+}
+
+// Store says where the platform's store is.
+type Store struct {
+	Address Address `yaml:"address" required:"yes" unit:"address"`
+}
+
+// Retries bound the repeated runs of all nodes together.
+type Retries struct {
+	// Ratio of repeated runs to calls of a service.
+	Ratio Ratio `yaml:"ratio" default:"0.1" unit:"ratio"`
+	// Extra repeated runs of a service in each window of some seconds.
+	Extra int `yaml:"extra" default:"10" min:"0" max:"1000000" unit:"runs"`
+}
+
+// NodeDrain bounds a graceful stop.
+type NodeDrain struct {
+	// Announce is how long callers are served after the node has said that it
+	// is not ready any more.
+	Announce Duration `yaml:"announce" default:"2500ms" min:"0s" max:"1m" unit:"duration"`
+	// Finish is the longest time from the signal to the end of the process.
+	Finish Duration `yaml:"finish" default:"6s" min:"0s" max:"10m" unit:"duration"`
+}
+
+// NodeLog selects what is written to standard output.
+type NodeLog struct {
+	Level string `yaml:"level" default:"info" enum:"debug,info,warn,error" unit:"word"`
+}
+
+// Location returns where the node runs.
+func (n *Node) Location() model.Location {
+	return model.Location{Region: model.Region(n.Region), AvailabilityZone: model.AvailabilityZone(n.AvailabilityZone)}
+}
--- a/pkg/settings/units.go
+++ b/pkg/settings/units.go
@@ -21,6 +21,9 @@
 // "500ms".
 type Duration time.Duration
 
+// Ratio is a number from 0 to 1, for example 0.2.
+type Ratio float64
+
 // Size is a number of bytes that is written with its unit, for example "8MiB".
 type Size int64
 
@@ -30,6 +33,7 @@
 	acceptedURL      = "http or https URL with host, such as http://10.0.0.9:7300"
 	acceptedDuration = "number with unit ms, s or m, such as 500ms"
 	acceptedSize     = "whole number with unit B, KiB, MiB or GiB, such as 64KiB"
+	acceptedRatio    = "number from 0 to 1, such as 0.2"
 	acceptedName     = "lower-case letters, digits, '-', '_' and '.', at most 63 characters"
 	acceptedPath     = "path that starts with '/'"
 )
--- /dev/null
+++ b/pkg/upstream/tracker.go
@@ -0,0 +1,134 @@
+package upstream
+
+import "time"
+
+// Report is what an upstream says of itself.
+type Report struct {
+	ID string
+	// Born is when this boot of the upstream started, in Unix milliseconds.
+	Born int64
+	// Sequence increases with each report of one boot.
+	Sequence uint64
+	Service  string
+	Address  string // host:port
+	Zone     string
+	Software string // version of the upstream's software
+	Slots    int    // requests that it processes at a time
+	Draining bool
+	// Cold is how much longer it is slow after its start.
+	Cold time.Duration
+}
+
+// Boot is one start of the upstream.
+type Boot struct {
+	ID        string
+	Born      int64
+	Slots     int
+	Draining  bool
+	ColdUntil time.Time
+}
+
+// Verdict is the decision on a report.
+type Verdict string
+
+// Verdicts.
+const (
+	// Changed: the report changed what is known of the upstream.
+	Changed Verdict = "changed"
+	// Confirmed: the report is newer and says what is known.
+	Confirmed Verdict = "confirmed"
+	// Stale: the report is older than what is known, or its boot has left.
+	Stale Verdict = "stale"
+)
+
+// maxLeft bounds the memory of boots that have left. A VM sees a new boot
+// every few seconds at most, and late reports are seconds old.
+const maxLeft = 64
+
+// Tracker holds the newest boot of the upstream. It is not safe for concurrent
+// use.
+type Tracker struct {
+	boot     Boot
+	known    bool
+	sequence uint64
+	left     map[string]int64 // newest start by id among the boots that have left
+	order    []string
+}
+
+// Current returns the boot that takes work. It returns false if none is known,
+// or if it is leaving.
+func (t *Tracker) Current() (Boot, bool) { return t.boot, t.known && !t.boot.Draining }
+
+// Newest returns the newest boot that has not left.
+func (t *Tracker) Newest() (Boot, bool) { return t.boot, t.known }
+
+// Report takes a report. A boot that was said to be draining stays so.
+func (t *Tracker) Report(now time.Time, r Report) Verdict {
+	if born, ok := t.left[r.ID]; ok && r.Born <= born {
+		return Stale
+	}
+	same := t.known && t.boot.ID == r.ID && t.boot.Born == r.Born
+	switch {
+	case same && r.Sequence <= t.sequence && r.Draining && !t.boot.Draining:
+		// A boot never returns from draining, so this binds however late it is.
+		t.boot.Draining = true
+		return Changed
+	case same && r.Sequence <= t.sequence:
+		return Stale
+	case t.known && !same && r.Born < t.boot.Born:
+		return Stale
+	}
+	before, known := t.boot, t.known
+	next := Boot{ID: r.ID, Born: r.Born, Slots: r.Slots, Draining: r.Draining || same && t.boot.Draining}
+	if r.Cold > 0 {
+		next.ColdUntil = now.Add(r.Cold)
+	}
+	t.boot, t.known, t.sequence = next, true, r.Sequence
+	before.ColdUntil, next.ColdUntil = time.Time{}, time.Time{}
+	if known && before == next {
+		return Confirmed
+	}
+	return Changed
+}
+
+// Leave notes that a boot is going. The start is 0 if the message does not
+// state it; it then means the newest boot of that id.
+func (t *Tracker) Leave(id string, born int64) Verdict {
+	current := t.known && t.boot.ID == id
+	if current && born == 0 {
+		born = t.boot.Born
+	}
+	if old, ok := t.left[id]; ok && born <= old {
+		return Stale
+	}
+	t.remember(id, born)
+	if !current || t.boot.Born > born {
+		return Stale
+	}
+	t.known = false
+	return Changed
+}
+
+// Forget drops the boot with the given id because another one answers at its
+// address. The next report decides.
+func (t *Tracker) Forget(id string) bool {
+	if !t.known || t.boot.ID != id {
+		return false
+	}
+	t.known = false
+	return true
+}
+
+func (t *Tracker) remember(id string, born int64) {
+	if t.left == nil {
+		t.left = make(map[string]int64)
+	}
+	if _, ok := t.left[id]; !ok {
+		t.order = append(t.order, id)
+	}
+	t.left[id] = born
+	for len(t.order) > maxLeft {
+		delete(t.left, t.order[0])
+		t.order = t.order[1:]
+	}
+}
