Answer what was taken before a connection or the node ends

Cause: while a node drained, the answer to the first of several pipelined requests closed the connection although the next ones were running already; and closing the caller listener ended the run group, and with it all connections, 2.5 s after SIGTERM. Change: an answer ends the connection only if nothing was taken behind it; a closed listener no longer ends the group.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -29,7 +29,7 @@
 	configPause = 400 * time.Millisecond
 	fleetPause  = 300 * time.Millisecond
 	// exitMargin is kept of the longest stop, for what ends the process.
-	exitMargin = 500 * time.Millisecond
+	exitMargin = 800 * time.Millisecond
 	// idleSweep is the pause between two looks for idle connections while the
 	// node stops.
 	idleSweep = 50 * time.Millisecond
@@ -82,7 +82,15 @@
 }
 
 func addServer(g *run.Group, s *h1.Server, l net.Listener) {
-	g.Add(func() error { return s.Serve(l) }, func(error) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); err != nil {
+			return err
+		}
+		<-ended // a graceful stop closes the listener before the last answers
+		return nil
+	}, func(error) {
+		close(ended)
 		_ = l.Close()
 		s.CloseAll()
 	})
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -25,8 +26,10 @@
 	cancel  context.CancelCauseFunc
 	waiting atomic.Int64 // requests without a complete answer
 	slots   chan struct{}
-	last    chan struct{} // closed when the newest exchange has ended
-	ended   atomic.Bool   // the last answer was sent
+
+	mu    sync.Mutex
+	last  chan struct{} // closed when the newest exchange has ended
+	ended atomic.Bool   // no further request is taken; set with the mutex held
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -78,6 +81,9 @@
 		return c.refuse(BodyTooLarge, nil)
 	}
 	x := c.exchange(req)
+	if x == nil {
+		return c.linger()
+	}
 	if err := x.readBody(limits.BodyBytes); err != nil {
 		if errors.Is(err, errTooLarge) {
 			return c.refuseExchange(x, BodyTooLarge, nil)
@@ -154,7 +160,11 @@
 	if f == "" {
 		return c.lost()
 	}
-	return c.refuseExchange(c.exchange(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}), f, err)
+	x := c.exchange(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1})
+	if x == nil {
+		return c.linger()
+	}
+	return c.refuseExchange(x, f, err)
 }
 
 func (c *conn) refuseExchange(x *Exchange, f Fault, err error) bool {
@@ -165,8 +175,14 @@
 	return c.finish()
 }
 
-// exchange appends a request to those that wait for their answer.
+// exchange appends a request to those that wait for their answer. It returns
+// nil if the last answer of the connection is on its way already.
 func (c *conn) exchange(req *http.Request) *Exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended.Load() {
+		return nil
+	}
 	x := &Exchange{Request: req, Arrived: time.Now(), conn: c, turn: c.last, done: make(chan struct{})}
 	c.last = x.done
 	c.waiting.Add(1)
@@ -174,6 +190,26 @@
 	return x
 }
 
+// end takes no further request. It reports whether that is new.
+func (c *conn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.ended.Swap(true)
+}
+
+// endAfter takes no further request if the answer to x is the last one: it has
+// to be, or the server drains and nothing was taken behind x. What was taken is
+// answered, because it may be running already.
+func (c *conn) endAfter(x *Exchange, must bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if must || c.server.draining.Load() && c.last == x.done {
+		c.ended.Store(true)
+		return true
+	}
+	return false
+}
+
 func (c *conn) handle(x *Exchange) {
 	defer func() {
 		x.end()
@@ -295,7 +331,7 @@
 		return
 	}
 	<-x.turn
-	if !x.replied && !x.conn.ended.Swap(true) {
+	if !x.replied && x.conn.end() {
 		x.conn.lost()
 	}
 	x.conn.waiting.Add(-1)
@@ -326,19 +362,16 @@
 	}
 	c := x.conn
 	x.replied = true
-	last := x.CloseAfter || x.Request.Close || c.server.draining.Load() || x.Rest != nil || closes(x.Request.Header)
 	old := x.Request.ProtoMajor == 1 && x.Request.ProtoMinor == 0
-	if last || old {
-		c.ended.Store(true)
-	}
+	last := c.endAfter(x, x.CloseAfter || x.Request.Close || x.Rest != nil || old)
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTime))
-	err := c.write(x, r, last || old, old)
+	err := c.write(x, r, last, old)
 	if err != nil {
-		c.ended.Store(true)
+		c.end()
 		c.lost()
 		return errors.Join(errConnClosed, err)
 	}
-	if last || old {
+	if last {
 		c.closeWrite()
 	}
 	return nil
--- a/pkg/h1/message.go
+++ b/pkg/h1/message.go
@@ -42,18 +42,6 @@
 	}
 }
 
-// closes reports whether the header asks for the end of the connection.
-func closes(h http.Header) bool {
-	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(textproto.TrimString(name), "close") {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // errShortBody means that a body ended before its stated length.
 var errShortBody = errors.New("body ended before its stated length")
 
