--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -142,6 +142,7 @@
 	a.calls.Drain()
 	go a.withdraw()
 	time.Sleep(time.Duration(drain.Announce))
+	a.gateway.RefuseCalls()
 	_ = calls.Close()
 	for time.Now().Before(last) {
 		a.calls.CloseIdle()
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,10 +53,15 @@
 	// OnBehind is told when another node has a newer configuration.
 	OnBehind func()
 
-	log   *callLog
-	epoch time.Time
+	log     *callLog
+	epoch   time.Time
+	closing atomic.Bool
 }
 
+// RefuseCalls turns every further call away. It follows the time in which
+// callers are told that this node goes.
+func (g *Gateway) RefuseCalls() { g.closing.Store(true) }
+
 // New completes g.
 func New(g *Gateway) *Gateway {
 	g.epoch = time.Now()
@@ -133,6 +139,10 @@
 // prepare decides by which route a call goes. It returns a refusal if none
 // does.
 func (g *Gateway) prepare(c *call) *Refusal {
+	if g.closing.Load() {
+		c.x.CloseAfter = true
+		return refuse(model.NodeDraining)
+	}
 	req := c.x.Request
 	s := g.Config.Current()
 	if s == nil {
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -67,10 +67,13 @@
 
 func (c *conn) next() bool {
 	limits := c.server.Limits().orDefaults()
+	c.meter.limit(limits.HeaderBytes)
 	if !c.await(limits.IdleTime) {
 		return false
 	}
-	c.meter.limit(limits.HeaderBytes)
+	if c.server.draining.Load() && !c.settle() {
+		return c.linger()
+	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTime))
 	req, err := http.ReadRequest(c.br)
 	c.meter.unlimit()
@@ -122,6 +125,18 @@
 	}
 }
 
+// settle waits until every request that was taken has its answer. While the
+// server drains, no request is taken behind others: the last answer ends the
+// connection, and its client sends what was not read elsewhere. It returns
+// false if that answer was sent.
+func (c *conn) settle() bool {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	<-last
+	return !c.ended.Load()
+}
+
 // linger reads until the client closes its side after the last answer.
 // Closing with unread bytes would reset the connection and could destroy the
 // answer on its way.
