--- a/cmd/lentilctl/cli/cli.go
+++ b/cmd/lentilctl/cli/cli.go
@@ -6,19 +6,22 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/lentilflow/lentilflow/pkg/admin/client"
+	"github.com/lentilflow/lentilflow/pkg/operator"
+	"github.com/lentilflow/lentilflow/platform"
 )
 
 // Globals are the flags that every command takes.
 type Globals struct {
-	Admin   string        `help:"Administration listener of any node, as host:port; ${default} if not stated." env:"LENTILCTL_ADMIN" default:"127.0.0.1:7402" placeholder:"ADDRESS"`
+	Store   string        `help:"Address of the platform's store, as host:port; ${default} if not stated." env:"LENTILCTL_STORE" default:"127.0.0.1:7390" placeholder:"ADDRESS"`
 	Output  string        `help:"Form of the output: ${enum}." enum:"text,json" default:"text" short:"o"`
 	Timeout time.Duration `help:"Longest time for one request." default:"10s"`
 }
@@ -29,12 +32,12 @@
 	if g.Timeout <= 0 {
 		return merry.Errorf("--timeout: %s is not accepted (accepted: duration above 0s, such as 10s)", g.Timeout)
 	}
-	host, port, err := net.SplitHostPort(g.Admin)
+	host, port, err := net.SplitHostPort(g.Store)
 	if err == nil && host != "" {
 		_, err = strconv.ParseUint(port, 10, 16)
 	}
 	if err != nil || host == "" || strings.ContainsAny(host, "/ ") {
-		return merry.Errorf("--admin: address %q is not accepted (accepted: host:port, such as 127.0.0.1:7402)", g.Admin)
+		return merry.Errorf("--store: address %q is not accepted (accepted: host:port, such as 127.0.0.1:7390)", g.Store)
 	}
 	return nil
 }
@@ -49,9 +52,16 @@
 	Getenv  func(string) string
 }
 
-// Client returns a client of the chosen node.
-func (e *Env) Client() *client.Client {
-	return client.NewClient(e.Admin)
+// Commands returns what changes the deployment.
+func (e *Env) Commands() *operator.Commands { return &operator.Commands{Rulebook: e.rulebook()} }
+
+// Queries returns what reads from the deployment.
+func (e *Env) Queries() *operator.Queries {
+	return &operator.Queries{Rulebook: e.rulebook(), Client: http.DefaultClient}
+}
+
+func (e *Env) rulebook() *platform.Rulebook {
+	return &platform.Rulebook{Store: platform.NewStore(e.Store, prometheus.NewRegistry())}
 }
 
 // Request returns the context for one request.
--- a/cmd/lentilctl/dev/dev.go
+++ b/cmd/lentilctl/dev/dev.go
@@ -21,7 +21,7 @@
 	Deployment      string `help:"Deployment to run: ${enum}." enum:"bertolucci,haneul" default:"bertolucci"`
 	NodesPerService int    `help:"Upstreams of each service, 1 to 6, with a node each. Three are one in each region, six one in each availability zone." default:"6"`
 	FirstPort       int    `help:"First of the ports of the nodes; each node takes ten." default:"7400"`
-	PlatformPort    int    `help:"Port of the platform's stand-in." default:"7390"`
+	StorePort       int    `help:"Port of the stand-in of the platform's store." default:"7390"`
 	LogLevel        string `help:"Least severe level that is logged: ${enum}." enum:"debug,info,warn,error" default:"error"`
 }
 
@@ -39,7 +39,7 @@
 		Deployment:      deployment,
 		NodesPerService: c.NodesPerService,
 		FirstPort:       c.FirstPort,
-		PlatformPort:    c.PlatformPort,
+		StorePort:       c.StorePort,
 		Log:             log,
 	})
 	if err != nil {
@@ -75,13 +75,13 @@
 func write(w io.Writer, cluster *devcluster.Cluster) {
 	d := cluster.Deployment()
 	fmt.Fprintf(w, "deployment %s: version 1 in force on %d nodes\n\n", d.Name, len(cluster.Nodes()))
-	fmt.Fprintln(w, "NODE\tREGION\tZONE\tCALLS\tADMIN")
+	fmt.Fprintln(w, "NODE\tREGION\tZONE\tCALLS\tMESSAGES")
 	for _, n := range cluster.Nodes() {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Node, n.Location.Region, n.Location.AvailabilityZone, n.Calls, n.Admin)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Name, n.Region, n.AvailabilityZone, n.Listeners.Calls, n.Listeners.Messages)
 	}
-	first := cluster.Nodes()[0]
-	fmt.Fprintf(w, "\nplatform %s\n\ntry in another terminal:\n", cluster.PlatformURL())
-	fmt.Fprintf(w, "  curl -i -H 'Host: %s' http://%s%s\n", d.Try.Host, first.Calls, d.Try.Path)
-	fmt.Fprintf(w, "  EDITOR='sed -i s/%s/%s/' ./bin/lentilctl rules edit --admin %s\n", d.Try.Before, d.Try.After, first.Admin)
-	fmt.Fprintf(w, "  ./bin/lentilctl status --admin %s\n\nCtrl-C stops the deployment.\n", first.Admin)
+	store := cluster.StoreAddress()
+	fmt.Fprintf(w, "\nstore %s\n\ntry in another terminal:\n", store)
+	fmt.Fprintf(w, "  curl -i -H 'Host: %s' -H 'X-Request-Id: 1' http://%s%s\n", d.Try.Host, cluster.Nodes()[0].Listeners.Calls, d.Try.Path)
+	fmt.Fprintf(w, "  EDITOR='sed -i s/%s/%s/' ./bin/lentilctl rules edit --store %s\n", d.Try.Before, d.Try.After, store)
+	fmt.Fprintf(w, "  ./bin/lentilctl status --store %s\n\nCtrl-C stops the deployment.\n", store)
 }
--- a/cmd/lentilctl/execute.go
+++ b/cmd/lentilctl/execute.go
@@ -13,7 +13,7 @@
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/upstreams"
 )
 
-const description = `Operates a lentilflow deployment through the administration API of one of its nodes.
+const description = `Operates a lentilflow deployment through the platform's store.
 
 What changes routing is the rules file and nothing else: "rules edit" and "rules put" replace it, every other command
 only reads. The exit status is 0 if the command did all that it was asked to do.`
@@ -23,8 +23,8 @@
 
 	Dev       dev.Command       `cmd:"" help:"Run a whole deployment on loopback in this process, to try things out."`
 	Rules     rules.Command     `cmd:"" help:"Check, compare, replace and trace the rules file."`
-	Status    status.Command    `cmd:"" help:"Show versions, ages and faults by region, availability zone and node."`
-	Upstreams upstreams.Command `cmd:"" help:"List the upstreams that nodes have announced."`
+	Status    status.Command    `cmd:"" help:"Show which version is in force where, by region, availability zone and node."`
+	Upstreams upstreams.Command `cmd:"" help:"List the upstreams with their nodes and load."`
 	Explain   explain.Command   `cmd:"" help:"Show which rule decides a call, who asked for it, and where the call would go."`
 }
 
--- a/cmd/lentilctl/explain/explain.go
+++ b/cmd/lentilctl/explain/explain.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
-	"github.com/lentilflow/lentilflow/pkg/admin"
-	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/operator"
 )
 
 // Command explains how a call would be decided.
@@ -17,42 +17,50 @@
 	URL    string `arg:"" help:"URL of the call, for example http://api.bertolucci.example/status/42."`
 }
 
-// Run prints the rule that decides the call at the chosen node.
+// Run prints the route that decides the call under the version in force.
 func (c *Command) Run(env *cli.Env) error {
 	ctx, cancel := env.Request()
 	defer cancel()
-	x, err := env.Client().Explain(ctx, c.Method, c.URL)
+	x, err := env.Queries().Explain(ctx, c.Method, c.URL)
 	if err != nil {
 		return err
 	}
 	return env.Print(x, func(w io.Writer) { write(w, &x) })
 }
 
-func write(w io.Writer, x *admin.Explanation) {
-	r := &x.Rule
-	fmt.Fprintf(w, "version\t%d, in force in node %s\n", x.Version, x.Node)
-	fmt.Fprintf(w, "rule\t%s, line %d\n", r.Name, r.Line)
-	fmt.Fprintf(w, "asked by\t%s\n", askedBy(r))
-	fmt.Fprintf(w, "match\tmethod %s, host %s, path %s\n", methods(r.Match.Methods), r.Match.Host, r.Match.Path)
-	fmt.Fprintf(w, "rank\t%d, floor %d%%, worth %d\n", r.Rank, r.Floor, r.Worth)
-	fmt.Fprintf(w, "deadline\t%s\n", r.Deadline)
+func write(w io.Writer, x *operator.Explanation) {
+	fmt.Fprintf(w, "version\t%d\n", x.Version)
+	if x.Route == nil {
+		fmt.Fprintln(w, "route\tnone; the call is answered 404")
+		if x.Rules != nil {
+			fmt.Fprintf(w, "reason\t%s\n", x.Rules.Message)
+		}
+		return
+	}
+	r := x.Route
+	fmt.Fprintf(w, "route\t%s\n", r.Name)
+	if x.Rules != nil && x.Rules.Winner != nil {
+		fmt.Fprintf(w, "line\t%d of the rules file\n", x.Rules.Winner.Line)
+		fmt.Fprintf(w, "reason\t%s\n", x.Rules.Winner.Reason)
+	}
+	if r.AskedBy != "" {
+		fmt.Fprintf(w, "asked by\t%s\n", r.AskedBy)
+	}
+	fmt.Fprintf(w, "match\tmethod %s, host %s, path %s\n", methods(r.Methods), r.Host, r.Prefix)
+	fmt.Fprintf(w, "rank\t%d\n", r.Rank)
+	fmt.Fprintf(w, "timeout\t%s\n", r.Timeout)
 	if r.Target > 0 {
 		fmt.Fprintf(w, "target\t%s\n", r.Target)
 	}
-	fmt.Fprintf(w, "idempotent\t%s, retries %d\n", yesNo(r.Idempotent), r.Retries)
-	fmt.Fprintf(w, "service\t%s\n", r.Service)
-	fmt.Fprintf(w, "goes to\t%s\n", list(x.Nearest))
-	fmt.Fprintf(w, "otherwise\t%s\n", list(x.Others))
-	for _, p := range x.Passed {
-		fmt.Fprintf(w, "passed over\t%s, line %d: %s\n", p.Rule.Name, p.Rule.Line, p.Reason)
+	fmt.Fprintf(w, "idempotent\t%s, at most %d upstreams\n", yesNo(r.Idempotent), r.Attempts)
+	fmt.Fprintf(w, "service\t%s\n", services(r.Split))
+	fmt.Fprintf(w, "goes to\t%s\n", nodes(x))
+	if x.Rules == nil {
+		return
 	}
-}
-
-func askedBy(r *model.Rule) string {
-	if r.Reason == "" {
-		return r.AskedBy
+	for _, l := range x.Rules.Others {
+		fmt.Fprintf(w, "passed over\t%s, line %d: %s\n", l.Rule.Name, l.Rule.Line, l.Reason)
 	}
-	return r.AskedBy + ": " + r.Reason
 }
 
 // yesNo writes a value as the rules file does.
@@ -70,13 +78,24 @@
 	return strings.Join(m, ",")
 }
 
-func list(candidates []admin.Candidate) string {
-	if len(candidates) == 0 {
+func services(split []config.Share) string {
+	if len(split) == 1 {
+		return split[0].Service
+	}
+	parts := make([]string, len(split))
+	for i, s := range split {
+		parts[i] = fmt.Sprintf("%s (weight %d)", s.Service, s.Weight)
+	}
+	return strings.Join(parts, ", ")
+}
+
+func nodes(x *operator.Explanation) string {
+	if len(x.Upstreams) == 0 {
 		return "no upstream"
 	}
-	names := make([]string, len(candidates))
-	for i, c := range candidates {
-		names[i] = fmt.Sprintf("%s (%s, %s)", c.Node, c.Location.AvailabilityZone, c.State)
+	names := make([]string, len(x.Upstreams))
+	for i, m := range x.Upstreams {
+		names[i] = fmt.Sprintf("%s (%s)", m.Node, m.Location.AvailabilityZone)
 	}
 	return strings.Join(names, ", ")
 }
--- a/cmd/lentilctl/rules/edit.go
+++ b/cmd/lentilctl/rules/edit.go
@@ -9,8 +9,8 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
-	"github.com/lentilflow/lentilflow/pkg/admin"
-	"github.com/lentilflow/lentilflow/pkg/delta"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/operator"
 	"github.com/lentilflow/lentilflow/pkg/rules"
 )
 
@@ -29,7 +29,7 @@
 	}
 	ctx, cancel := env.Request()
 	defer cancel()
-	current, err := env.Client().Rules(ctx)
+	current, err := env.Queries().Rules(ctx)
 	if err != nil {
 		return err
 	}
@@ -48,28 +48,28 @@
 		env.Say("no change")
 		return os.Remove(path)
 	}
-	etag, err := c.replace(env, path, text, current)
+	version, err := c.replace(env, path, string(text), current)
 	if err != nil {
 		return kept(err, path)
 	}
 	if err := os.Remove(path); err != nil {
 		return merry.Prepend(err, "remove the draft")
 	}
-	return c.follow(env, etag, delta.Digest(text))
+	return c.follow(env, version)
 }
 
-func (c *Edit) replace(env *cli.Env, path string, text []byte, current admin.RulesFile) (string, error) {
-	after, faults := rules.Parse(path, text)
+func (c *Edit) replace(env *cli.Env, path, text string, current operator.RulesFile) (model.Version, error) {
+	after, faults := rules.Parse(path, []byte(text))
 	if len(faults) > 0 {
 		writeFaults(env.Stderr, faults)
-		return "", faultsError(path, faults)
+		return 0, faultsError(path, faults)
 	}
 	if before, faults := rules.Parse("rules", []byte(current.Text)); len(faults) == 0 {
 		for _, change := range rules.Diff(before, after) {
 			env.Say("%s", change)
 		}
 	}
-	return put(env, text, current.ETag)
+	return put(env, path, text, current.Tag)
 }
 
 func kept(err error, path string) error {
--- a/cmd/lentilctl/rules/put.go
+++ b/cmd/lentilctl/rules/put.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
-	"github.com/lentilflow/lentilflow/pkg/admin"
-	"github.com/lentilflow/lentilflow/pkg/delta"
 	"github.com/lentilflow/lentilflow/pkg/model"
-	"github.com/lentilflow/lentilflow/pkg/rules"
+	"github.com/lentilflow/lentilflow/pkg/operator"
 )
 
 // Wait says how long a command follows the file that it has put.
@@ -37,55 +34,50 @@
 type Put struct {
 	Wait
 	File    string `arg:"" help:"Rules file."`
-	IfMatch string `help:"Entity tag of the file that this one replaces, as printed by \"rules get\"; \"none\" for the first file. The put fails if someone else has changed the file since." required:"" placeholder:"ETAG"`
+	IfMatch string `help:"Tag of the file that this one replaces, as printed by \"rules get\"; \"none\" for the first file. The put fails if someone else has changed the file since." required:"" placeholder:"TAG"`
 }
 
 // Run checks the file, puts it and waits until it is in force.
 func (c *Put) Run(env *cli.Env) error {
+	tag := uint64(0)
+	if c.IfMatch != "none" {
+		var err error
+		if tag, err = strconv.ParseUint(c.IfMatch, 10, 64); err != nil {
+			return merry.Errorf("--if-match: %q is not accepted (accepted: number that \"rules get\" prints, or none)", c.IfMatch)
+		}
+	}
 	text, err := readFile(c.File)
 	if err != nil {
 		return err
 	}
-	if _, faults := rules.Parse(c.File, text); len(faults) > 0 {
-		writeFaults(env.Stderr, faults)
-		return faultsError(c.File, faults)
-	}
-	etag, err := put(env, text, c.IfMatch)
+	version, err := put(env, c.File, string(text), tag)
 	if err != nil {
 		return err
 	}
-	return c.follow(env, etag, delta.Digest(text))
+	return c.follow(env, version)
 }
 
-func put(env *cli.Env, text []byte, ifMatch string) (string, error) {
+func put(env *cli.Env, file, text string, tag uint64) (model.Version, error) {
 	ctx, cancel := env.Request()
 	defer cancel()
-	result, err := env.Client().PutRules(ctx, text, ifMatch)
-	var p *admin.Problem
-	if errors.As(err, &p) {
-		if len(p.Faults) > 0 {
-			writeFaults(env.Stderr, p.Faults)
-		}
-		if p.Status == http.StatusPreconditionFailed {
-			return "", merry.Errorf("%s; its entity tag is now %s", p.Detail, p.ETag)
-		}
+	version, faults, err := env.Commands().Put(ctx, file, text, tag)
+	if len(faults) > 0 {
+		writeFaults(env.Stderr, faults)
+		return 0, faultsError(file, faults)
 	}
-	return result.ETag, err
+	return version, err
 }
 
-// putOutcome is the result of a put that was followed.
+// putOutcome is the result of a put.
 type putOutcome struct {
-	ETag    string        `json:"etag"`
-	Version model.Version `json:"version,omitempty"` // 0 if the command did not wait
+	Version model.Version `json:"version"`
 	Nodes   int           `json:"nodes,omitempty"`
 	InForce int           `json:"in_force,omitempty"`
-	digest  string
 }
 
-// follow waits until the file with the given tag is in force on every node
-// that answers.
-func (w Wait) follow(env *cli.Env, etag, digest string) error {
-	outcome := putOutcome{ETag: etag, digest: digest}
+// follow waits until a version is in force on every node that answers.
+func (w Wait) follow(env *cli.Env, version model.Version) error {
+	outcome := putOutcome{Version: version}
 	if w.Wait > 0 {
 		ctx, cancel := context.WithTimeout(env.Context, w.Wait)
 		defer cancel()
@@ -94,81 +86,42 @@
 		}
 	}
 	return env.Print(outcome, func(out io.Writer) {
-		if outcome.Version == 0 {
-			fmt.Fprintf(out, "rules file stored with ETag %s\n", etag)
+		if w.Wait == 0 {
+			fmt.Fprintf(out, "version %d accepted\n", version)
 			return
 		}
-		fmt.Fprintf(out, "version %d in force on %d of %d nodes\n", outcome.Version, outcome.InForce, outcome.Nodes)
+		fmt.Fprintf(out, "version %d in force on %d of %d nodes\n", version, outcome.InForce, outcome.Nodes)
 	})
 }
 
 func await(ctx context.Context, env *cli.Env, outcome *putOutcome) error {
-	var last error
 	for {
-		done, err := look(ctx, env, outcome)
-		if done {
-			return err
-		}
-		if err != nil && ctx.Err() == nil {
-			last = err
+		s, err := env.Queries().Status(ctx)
+		if err == nil {
+			outcome.Nodes, outcome.InForce = len(s.Nodes), inForce(&s, outcome.Version)
+			if outcome.InForce+s.Silent == len(s.Nodes) {
+				return nil
+			}
 		}
 		select {
 		case <-ctx.Done():
-			return notInForce(outcome, last)
+			if err != nil && outcome.Nodes == 0 {
+				return merry.Prependf(err, "version %d is accepted, but its nodes cannot be seen", outcome.Version)
+			}
+			return merry.Errorf("version %d is accepted, but in force on %d of %d nodes only; see lentilctl status",
+				outcome.Version, outcome.InForce, outcome.Nodes)
 		case <-time.After(pollInterval):
 		}
 	}
 }
 
-func notInForce(outcome *putOutcome, last error) error {
-	switch {
-	case outcome.Version != 0:
-		return merry.Errorf("version %d is accepted, but in force on %d of %d nodes only; see lentilctl status", outcome.Version, outcome.InForce, outcome.Nodes)
-	case last != nil:
-		return merry.Prependf(last, "rules file is stored with ETag %s, but was not seen as accepted", outcome.ETag)
-	default:
-		return merry.Errorf("rules file is stored with ETag %s, but not accepted yet; see lentilctl status", outcome.ETag)
-	}
-}
-
-// look reads the status once. It is done when the file is in force everywhere
-// or was refused.
-func look(ctx context.Context, env *cli.Env, outcome *putOutcome) (done bool, err error) {
-	s, err := env.Client().Status(ctx)
-	if err != nil {
-		return false, err
-	}
-	if s.Rejected != nil && s.Rejected.ETag == outcome.ETag {
-		for _, f := range s.Rejected.Faults {
-			fmt.Fprintln(env.Stderr, f)
-		}
-		return true, merry.Errorf("the publisher has refused the rules file with ETag %s", outcome.ETag)
-	}
-	if outcome.Version == 0 {
-		if outcome.Version, err = accepted(ctx, env, outcome, s.Highest); err != nil || outcome.Version == 0 {
-			return false, err
-		}
-	}
-	outcome.Nodes, outcome.InForce = s.Summary.Nodes, s.Summary.InForce
-	return s.Summary.InForce+s.Summary.Unreachable == s.Summary.Nodes, nil
-}
-
-// lookBack is the number of versions among which a put file is looked for;
-// others may have put files since.
-const lookBack = 20
-
-// accepted returns the version that was accepted from the file that was put, 0
-// if there is none yet. A file with the text of the newest version gets no
-// number of its own.
-func accepted(ctx context.Context, env *cli.Env, put *putOutcome, highest model.Version) (model.Version, error) {
-	page, err := env.Client().Versions(ctx, highest-min(highest, lookBack), lookBack)
-	if err != nil {
-		return 0, err
-	}
-	for _, v := range page.Items {
-		if v.ETag == put.ETag || v.Number == highest && v.Digest == put.digest {
-			return v.Number, nil
+// inForce counts the nodes that have a version or a later one.
+func inForce(s *operator.Status, v model.Version) int {
+	n := 0
+	for _, node := range s.Nodes {
+		if node.State != nil && node.State.Version >= v {
+			n++
 		}
 	}
-	return 0, nil
+	return n
 }
--- a/cmd/lentilctl/rules/rules.go
+++ b/cmd/lentilctl/rules/rules.go
@@ -16,9 +16,9 @@
 
 // Command groups what concerns the rules file.
 type Command struct {
-	Check   Check   `cmd:"" help:"Check a local rules file without a node."`
+	Check   Check   `cmd:"" help:"Check a local rules file without a deployment."`
 	Diff    Diff    `cmd:"" help:"Show which statements of a local file differ from the deployment's rules file."`
-	Get     Get     `cmd:"" help:"Print the deployment's rules file, with its entity tag on standard error, or an accepted version."`
+	Get     Get     `cmd:"" help:"Print the deployment's rules file, with its tag on standard error, or an accepted version."`
 	Put     Put     `cmd:"" help:"Replace the deployment's rules file by a local file."`
 	Edit    Edit    `cmd:"" help:"Edit the deployment's rules file with $EDITOR and replace it."`
 	History History `cmd:"" help:"List accepted versions, the newest last."`
@@ -90,7 +90,7 @@
 	}
 	ctx, cancel := env.Request()
 	defer cancel()
-	current, err := env.Client().Rules(ctx)
+	current, err := env.Queries().Rules(ctx)
 	if err != nil {
 		return err
 	}
@@ -128,20 +128,20 @@
 	if c.Version > 0 {
 		return c.accepted(ctx, env)
 	}
-	f, err := env.Client().Rules(ctx)
+	f, err := env.Queries().Rules(ctx)
 	if err != nil {
 		return err
 	}
 	if env.Output == "json" {
 		return env.Print(f, nil)
 	}
-	env.Say("ETag %s", f.ETag)
+	env.Say("tag %d, version %d", f.Tag, f.Version)
 	_, err = io.WriteString(env.Stdout, f.Text)
 	return err
 }
 
 func (c *Get) accepted(ctx context.Context, env *cli.Env) error {
-	v, err := env.Client().Version(ctx, model.Version(c.Version))
+	v, err := env.Queries().Version(ctx, model.Version(c.Version))
 	if err != nil {
 		return err
 	}
--- a/cmd/lentilctl/status/status.go
+++ b/cmd/lentilctl/status/status.go
@@ -7,75 +7,80 @@
 	"time"
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
-	"github.com/lentilflow/lentilflow/pkg/admin"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/operator"
 )
 
 // Command shows the state of the deployment.
 type Command struct{}
 
-// Run prints the status that the chosen node gathers from all nodes.
+// Run prints which version is in force where.
 func (c *Command) Run(env *cli.Env) error {
 	ctx, cancel := env.Request()
 	defer cancel()
-	s, err := env.Client().Status(ctx)
+	s, err := env.Queries().Status(ctx)
 	if err != nil {
 		return err
 	}
 	return env.Print(s, func(w io.Writer) { write(w, &s) })
 }
 
-func write(w io.Writer, s *admin.Status) {
-	fmt.Fprintln(w, summary(s))
-	fmt.Fprintf(w, "publisher %s\n", orNone(string(s.Publisher)))
-	fmt.Fprintf(w, "store %s\n", store(s.Store))
-	if s.Rejected != nil {
-		fmt.Fprintf(w, "last refused rules file: ETag %s at %s\n", s.Rejected.ETag, s.Rejected.At.UTC().Format(time.RFC3339))
-		for _, f := range s.Rejected.Faults {
-			fmt.Fprintf(w, "  %s\n", f)
-		}
+func write(w io.Writer, s *operator.Status) {
+	if s.Version == 0 {
+		fmt.Fprintf(w, "no version in force; %d nodes\n", len(s.Nodes))
+	} else {
+		fmt.Fprintf(w, "version %d in force on %d of %d nodes (%d behind, %d without an answer)\n",
+			s.Version, s.InForce, len(s.Nodes), s.Behind, s.Silent)
 	}
-	for _, r := range s.Regions {
-		fmt.Fprintf(w, "\nregion %s, as of %s ago\n", r.Region, age(r.AsOfAgeMS))
-		fmt.Fprintln(w, "  ZONE\tNODE\tSERVICE\tSTATE\tVERSION\tAS OF\tPARENT\tREMARK")
-		for _, z := range r.Zones {
-			for _, n := range z.Nodes {
-				version, asOf := "-", "-"
-				if n.Answered {
-					version, asOf = fmt.Sprint(n.Version), age(n.AsOfAgeMS)
-				}
-				fmt.Fprintf(w, "  %s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", z.AvailabilityZone, n.Node, n.Service, n.State,
-					version, asOf, orNone(string(n.Parent)), n.Why)
-			}
+	region := model.Region("")
+	for _, n := range s.Nodes {
+		if n.Member.Location.Region != region {
+			region = n.Member.Location.Region
+			fmt.Fprintf(w, "\nregion %s\n", region)
+			fmt.Fprintln(w, "  ZONE\tNODE\tSERVICE\tVERSION\tFOR\tUPSTREAM\tRUNNING\tWAITING\tREMARK")
 		}
+		writeNode(w, &n, s.Version)
 	}
 }
 
-func summary(s *admin.Status) string {
-	if s.Highest == 0 {
-		return fmt.Sprintf("no version in force on any of %d nodes (%d without an answer)", s.Summary.Nodes, s.Summary.Unreachable)
+func writeNode(w io.Writer, n *operator.Node, newest model.Version) {
+	m := &n.Member
+	if n.State == nil {
+		fmt.Fprintf(w, "  %s\t%s\t%s\t-\t-\t-\t-\t-\t%s\n", m.Location.AvailabilityZone, m.Node, m.Service, n.Error)
+		return
 	}
-	return fmt.Sprintf("version %d in force on %d of %d nodes (%d behind, %d without an answer)",
-		s.Highest, s.Summary.InForce, s.Summary.Nodes, s.Summary.Behind, s.Summary.Unreachable)
+	t := n.State
+	fmt.Fprintf(w, "  %s\t%s\t%s\t%d\t%s\t%s\t%d of %d\t%d\t%s\n", m.Location.AvailabilityZone, m.Node, m.Service, t.Version,
+		age(t.VersionAge), Upstream(t), t.Running, t.Limit, t.Waiting, remark(t, newest))
 }
 
-func store(s admin.Store) string {
-	if s.Reachable {
-		return "reachable"
+// Upstream names the state of the upstream beside a node.
+func Upstream(t *model.NodeState) string {
+	switch {
+	case t.Boot == "":
+		return "unknown"
+	case t.Draining:
+		return "draining"
+	case !t.Serving:
+		return "gone"
 	}
-	text := "unreachable"
-	if s.Since != nil {
-		text += " since " + s.Since.Format(time.RFC3339)
+	return "ready"
+}
+
+func remark(t *model.NodeState, newest model.Version) string {
+	switch {
+	case !t.StoreAvailable:
+		return "store does not answer"
+	case t.Version < newest:
+		return "behind"
+	case !t.Ready:
+		return "not ready"
+	case t.Slots > 0 && t.Waiting >= t.Slots:
+		return "overloaded"
 	}
-	return text + ": " + s.Error
+	return ""
 }
 
 func age(ms int64) string {
 	return (time.Duration(ms) * time.Millisecond).Round(10 * time.Millisecond).String()
 }
-
-func orNone(s string) string {
-	if s == "" {
-		return "-"
-	}
-	return s
-}
--- a/cmd/lentilctl/upstreams/upstreams.go
+++ b/cmd/lentilctl/upstreams/upstreams.go
@@ -8,45 +8,47 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
-	"github.com/lentilflow/lentilflow/pkg/admin"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/status"
+	"github.com/lentilflow/lentilflow/pkg/operator"
 )
 
-// pageSize is the number of upstreams read with one request.
-const pageSize = 500
-
-// Command lists the roster.
+// Command lists the upstreams.
 type Command struct {
 	Service string `help:"List the upstreams of this service only." placeholder:"NAME"`
 }
 
-// Run prints every entry of the roster of the chosen node.
+// Run prints every upstream with its load, as the node beside it tells.
 func (c *Command) Run(env *cli.Env) error {
-	all := []admin.Upstream{}
-	for after := ""; ; {
-		page, err := c.page(env, after)
-		if err != nil {
-			return err
-		}
-		all = append(all, page.Items...)
-		if page.Next == "" {
-			break
+	ctx, cancel := env.Request()
+	defer cancel()
+	s, err := env.Queries().Status(ctx)
+	if err != nil {
+		return err
+	}
+	all := []operator.Node{}
+	for _, n := range s.Nodes {
+		if c.Service == "" || n.Member.Service == c.Service {
+			all = append(all, n)
 		}
-		after = page.Next
 	}
 	if c.Service != "" && len(all) == 0 {
-		return merry.Errorf("no upstream of service %q is in the roster", c.Service)
+		return merry.Errorf("no upstream of service %q is known", c.Service)
 	}
 	return env.Print(all, func(w io.Writer) {
-		fmt.Fprintln(w, "NODE\tSERVICE\tREGION\tZONE\tSTATE\tSLOTS\tCALLS\tPEER\tADMIN")
-		for _, u := range all {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", u.Node, u.Service, u.Location.Region,
-				u.Location.AvailabilityZone, u.State, u.Slots, u.Calls, u.Address, u.Admin)
+		fmt.Fprintln(w, "NODE\tSERVICE\tREGION\tZONE\tSTATE\tBOOT\tSLOTS\tLIMIT\tRUNNING\tWAITING\tADDRESS")
+		for _, n := range all {
+			writeUpstream(w, &n)
 		}
 	})
 }
 
-func (c *Command) page(env *cli.Env, after string) (admin.Page[admin.Upstream], error) {
-	ctx, cancel := env.Request()
-	defer cancel()
-	return env.Client().Upstreams(ctx, c.Service, after, pageSize)
+func writeUpstream(w io.Writer, n *operator.Node) {
+	m := &n.Member
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t", m.Node, m.Service, m.Location.Region, m.Location.AvailabilityZone)
+	if t := n.State; t != nil {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t", status.Upstream(t), t.Boot, t.Slots, t.Limit, t.Running, t.Waiting)
+	} else {
+		fmt.Fprint(w, "no answer\t-\t-\t-\t-\t-\t")
+	}
+	fmt.Fprintln(w, m.CallAddress)
 }
--- a/cmd/lentilflow/checksettings/checksettings.go
+++ b/cmd/lentilflow/checksettings/checksettings.go
@@ -19,6 +19,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(out, "%s: settings of node %s are acceptable\n", c.File, s.Node)
+	_, err = fmt.Fprintf(out, "%s: settings of node %s are acceptable\n", c.File, s.Name)
 	return err
 }
--- a/cmd/lentilflow/main.go
+++ b/cmd/lentilflow/main.go
@@ -14,7 +14,6 @@
 
 	"github.com/lentilflow/lentilflow/cmd/lentilflow/checksettings"
 	"github.com/lentilflow/lentilflow/cmd/lentilflow/run"
-	"github.com/lentilflow/lentilflow/cmd/lentilflow/serve"
 )
 
 const description = `Runs the node of a lentilflow deployment that stands beside one upstream.
@@ -24,7 +23,6 @@
 
 type commands struct {
 	Run           run.Command           `cmd:"" help:"Run the node until SIGTERM."`
-	Serve         serve.Command         `cmd:"" help:"Run a node on the users' platform until SIGTERM."`
 	CheckSettings checksettings.Command `cmd:"" help:"Check a settings file without starting the node."`
 	Version       versionCommand        `cmd:"" help:"Print the version of the program."`
 }
--- a/cmd/lentilflow/run/run.go
+++ b/cmd/lentilflow/run/run.go
@@ -3,17 +3,21 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
 
-	"github.com/lentilflow/lentilflow/pkg/node"
+	"github.com/lentilflow/lentilflow/pkg/agent"
+	"github.com/lentilflow/lentilflow/pkg/logging"
 	"github.com/lentilflow/lentilflow/pkg/settings"
+	"github.com/lentilflow/lentilflow/platform"
 )
 
 // Command runs a node.
 type Command struct {
-	Settings string `help:"Settings file (docs/settings.md)." required:"" placeholder:"FILE"`
+	Settings string `help:"Settings file (docs/settings.md)." required:"" env:"LENTILFLOW_BOOT" placeholder:"FILE"`
 }
 
 // Run returns when ctx has ended and the node has stopped gracefully, or when
@@ -23,15 +27,18 @@
 	if err != nil {
 		return err
 	}
-	log, err := node.NewLog(s)
+	level, err := zap.ParseAtomicLevel(s.Log.Level)
 	if err != nil {
 		return err
 	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	n, err := node.New(node.Config{Settings: s, Log: log, Registry: registry})
-	if err != nil {
-		return err
-	}
-	return n.Run(ctx)
+	out := logging.NewWriter(os.Stdout)
+	defer out.Close()
+	log := logging.New(out, level, registry).With(zap.String("node", s.Name))
+	a := agent.New(agent.Config{
+		Settings: s, Path: c.Settings, Level: level, Log: log, Registry: registry,
+		Platform: platform.New(s, registry, log),
+	})
+	return a.Run(ctx)
 }
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -47,7 +47,7 @@
 
 // Agent is one node.
 type Agent struct {
-	settings *settings.Node
+	settings *settings.Settings
 	path     string // of the settings file
 	level    zap.AtomicLevel
 	log      *zap.Logger
@@ -68,16 +68,18 @@
 	reports      *echo.Echo
 	readiness    *echo.Echo
 
-	drain      atomic.Pointer[settings.NodeDrain]
+	drain      atomic.Pointer[settings.Drain]
 	stopping   atomic.Bool
 	announce   chan struct{} // the row of this node is missing or wrong
 	configLost atomic.Bool
 	fleetLost  atomic.Bool
+	// inForceSince is when the version in force began to be so.
+	inForceSince atomic.Pointer[time.Time]
 }
 
 // Config is what New needs.
 type Config struct {
-	Settings *settings.Node
+	Settings *settings.Settings
 	// Path is the settings file, which is watched for changes.
 	Path     string
 	Level    zap.AtomicLevel
@@ -126,6 +128,7 @@
 	a.calls, a.peers = a.gateway.CallServer(), a.gateway.PeerServer()
 	a.messages, a.reports, a.readiness = newEcho(), newEcho(), newEcho()
 	a.gossip.Routes(a.messages)
+	a.messages.GET(model.StatePath, a.serveState)
 	a.messages.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(c.Registry, promhttp.HandlerOpts{})))
 	c.Platform.ServeReports(a.reports, a.local)
 	c.Platform.ServeReadiness(a.readiness, a.ready)
@@ -176,8 +179,9 @@
 
 // inForce notes that a new version is in force.
 func (a *Agent) inForce(v config.Version, source zap.Field) {
-	s := a.holder.Current()
-	a.log.Info("configuration is in force", zap.Stringer("version", v), source,
+	s, now := a.holder.Current(), time.Now()
+	a.inForceSince.Store(&now)
+	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source,
 		zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
 	a.local.Reconfigure()
 }
--- a/pkg/agent/reload.go
+++ b/pkg/agent/reload.go
@@ -14,8 +14,12 @@
 )
 
 // watchSettings follows the settings file: at once after SIGHUP, and by a
-// regular look.
+// regular look. Settings that came from no file do not change.
 func (a *Agent) watchSettings(ctx context.Context) error {
+	if a.path == "" {
+		<-ctx.Done()
+		return nil
+	}
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -49,7 +53,7 @@
 // reload applies the settings that may change while the process runs. A file
 // with a fault changes nothing.
 func (a *Agent) reload(text []byte, signalled, changed bool) {
-	next, err := settings.ParseNode(a.path, text)
+	next, err := settings.Parse(a.path, text)
 	if err != nil {
 		a.log.Error("settings are refused; those in use stay", zap.Bool("signal", signalled), zap.Error(err))
 		return
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -5,9 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -41,7 +38,7 @@
 	tidyPeriod = 10 * time.Second
 )
 
-// Run works until a signal to stop or until a part fails.
+// Run works until ctx ends, then stops gracefully, or until a part fails.
 func (a *Agent) Run(ctx context.Context) error {
 	calls, peers := a.settings.Listeners.Calls, a.settings.Listeners.Peers
 	callListener, err := net.Listen("tcp", string(calls))
@@ -112,19 +109,15 @@
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
-// addStop ends the group after a graceful stop.
+// addStop ends the group after a graceful stop, which begins when parent ends.
 func (a *Agent) addStop(parent context.Context, g *run.Group, calls net.Listener) {
-	ctx, cancel := context.WithCancel(parent)
+	failed, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
-		term := make(chan os.Signal, 1)
-		signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-		defer signal.Stop(term)
 		select {
-		case <-term:
-		case <-ctx.Done():
-			return nil
+		case <-parent.Done():
+			a.stop(calls)
+		case <-failed.Done():
 		}
-		a.stop(calls)
 		return nil
 	}, func(error) { cancel() })
 }
--- /dev/null
+++ b/pkg/agent/state.go
@@ -0,0 +1,31 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+func (a *Agent) serveState(c echo.Context) error { return c.JSON(http.StatusOK, a.State()) }
+
+// State returns what this node says about itself.
+func (a *Agent) State() model.NodeState {
+	fleet := a.view.Current()
+	s := model.NodeState{
+		Node: a.self.Node, Service: a.self.Service, Location: a.self.Location, Version: a.holder.Version(),
+		FleetRevision: uint64(fleet.Revision), Nodes: len(fleet.Members),
+		StoreAvailable: !a.configLost.Load() && !a.fleetLost.Load(), Ready: a.ready(), Serving: a.local.Serving(),
+	}
+	if at := a.inForceSince.Load(); at != nil {
+		s.VersionAge = time.Since(*at).Milliseconds()
+	}
+	load, boot, known := a.local.State()
+	s.Slots, s.Limit, s.Running, s.Waiting = load.Slots, load.Limit, load.Running, load.Waiting
+	if known {
+		s.Boot, s.Draining = boot.ID, boot.Draining
+	}
+	return s
+}
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -8,12 +8,8 @@
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// Version numbers configurations. Versions increase, in uneven steps; 0 means
-// none.
-type Version uint64
-
-// String returns the version in hexadecimal digits.
-func (v Version) String() string { return fmt.Sprintf("%08x", uint64(v)) }
+// Version numbers configurations.
+type Version = model.Version
 
 // Configuration is one accepted version. It is immutable.
 type Configuration struct {
@@ -57,8 +53,29 @@
 	// Attempts is the largest number of upstreams that one call may reach.
 	Attempts int     `json:"attempts"`
 	Split    []Share `json:"split"`
+
+	// Methods restricts the route, in upper case; empty means every method.
+	Methods []string `json:"methods,omitempty"`
+	// Segments matches the prefix also without its last slash, and no path
+	// that an upstream may normalise to another one.
+	Segments bool `json:"segments,omitempty"`
+	// Floor is the percentage of an upstream's slots that the rank keeps; 0
+	// stands for the default.
+	Floor int `json:"floor,omitempty"`
+	// Worth is the weight among the routes of one rank; 0 stands for 1.
+	Worth int `json:"worth,omitempty"`
+	// MaxInFlight bounds the calls in flight at one node; 0 means no bound.
+	MaxInFlight int `json:"max_in_flight,omitempty"`
+	// Prefer is how far an upstream may be before the next distance is
+	// considered; empty stands for the availability zone.
+	Prefer model.Preference `json:"prefer,omitempty"`
+	// AskedBy is the person who asked for the rule, if it states one.
+	AskedBy string `json:"asked_by,omitempty"`
 }
 
+// AnyHost is the host of a route that decides calls to every host.
+const AnyHost = "*"
+
 // Share is the part of a route's calls that one service gets.
 type Share struct {
 	Service string `json:"service"`
@@ -74,7 +91,7 @@
 
 // Error implements error.
 func (f *Fault) Error() string {
-	return fmt.Sprintf("configuration %s: %s: %s", f.Version, f.Field, f.Message)
+	return fmt.Sprintf("configuration %d: %s: %s", f.Version, f.Field, f.Message)
 }
 
 // Check returns the first fault of c, or nil.
@@ -95,13 +112,13 @@
 		}
 		services[s.Name] = true
 	}
-	type place struct{ host, prefix string }
+	type place struct{ host, prefix, methods string }
 	seen := make(map[place]string, len(c.Routes))
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		at := place{r.Host, r.Prefix}
+		at := place{r.Host, r.Prefix, strings.Join(r.Methods, ",")}
 		if other, ok := seen[at]; ok {
-			return fault("route "+r.Name, "same host and prefix as route %q", other)
+			return fault("route "+r.Name, "same host, prefix and methods as route %q", other)
 		}
 		seen[at] = r.Name
 		if message := r.check(services); message != "" {
@@ -120,6 +137,8 @@
 		return fmt.Sprintf("prefix %q does not begin and end with a slash", r.Prefix)
 	case r.Timeout < 0 || r.Target < 0:
 		return "has a negative time"
+	case r.Floor < 0 || r.Floor > 100 || r.Worth < 0 || r.MaxInFlight < 0:
+		return "has a number out of range"
 	case r.Attempts < 1:
 		return "allows no attempt"
 	case len(r.Split) == 0:
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -4,6 +4,7 @@
 	"math/bits"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 )
@@ -12,17 +13,36 @@
 // concurrent use.
 type Snapshot struct {
 	*Configuration
-	hosts    map[string]map[string]*Target // by host and prefix
+	hosts    map[string]paths
 	services map[string]*Service
 }
 
-// Target is a route with the state of its traffic split.
+// paths holds the routes of one host: by prefix with its last slash, and by
+// prefix without it for routes that match segments. Routes that state the
+// method come first.
+type paths struct{ prefixes, bare map[string][]*Target }
+
+// Target is a route with its state at this node.
 type Target struct {
 	*Route
-	total uint64
-	drawn atomic.Uint64
+	total    uint64
+	drawn    atomic.Uint64
+	inFlight atomic.Int64
+}
+
+// Enter counts a call of the route in flight. It returns false if the route
+// allows no more. Exit must follow each Enter that returned true.
+func (t *Target) Enter() bool {
+	if n := t.inFlight.Add(1); t.MaxInFlight > 0 && n > int64(t.MaxInFlight) {
+		t.inFlight.Add(-1)
+		return false
+	}
+	return true
 }
 
+// Exit ends what Enter began.
+func (t *Target) Exit() { t.inFlight.Add(-1) }
+
 // Compile checks and indexes c. The error is a *Fault.
 func Compile(c *Configuration) (*Snapshot, error) {
 	if f := c.Check(); f != nil {
@@ -30,7 +50,7 @@
 	}
 	s := &Snapshot{
 		Configuration: c,
-		hosts:         make(map[string]map[string]*Target),
+		hosts:         make(map[string]paths),
 		services:      make(map[string]*Service, len(c.Services)),
 	}
 	for i := range c.Services {
@@ -42,36 +62,90 @@
 			t.total += uint64(share.Weight)
 		}
 		t.drawn.Store(rand.Uint64())
-		if s.hosts[t.Host] == nil {
-			s.hosts[t.Host] = make(map[string]*Target)
-		}
-		s.hosts[t.Host][t.Prefix] = t
+		s.add(t)
 	}
 	return s, nil
 }
 
+func (s *Snapshot) add(t *Target) {
+	p, ok := s.hosts[t.Host]
+	if !ok {
+		p = paths{prefixes: make(map[string][]*Target), bare: make(map[string][]*Target)}
+		s.hosts[t.Host] = p
+	}
+	p.prefixes[t.Prefix] = insert(p.prefixes[t.Prefix], t)
+	if t.Segments {
+		without := strings.TrimSuffix(t.Prefix, "/")
+		p.bare[without] = insert(p.bare[without], t)
+	}
+}
+
+// insert keeps routes that state the method before those that do not.
+func insert(list []*Target, t *Target) []*Target {
+	at := len(list)
+	for at > 0 && len(t.Methods) > 0 && len(list[at-1].Methods) == 0 {
+		at--
+	}
+	return slices.Insert(list, at, t)
+}
+
 // Service returns the service of the given name.
 func (s *Snapshot) Service(name string) (*Service, bool) {
 	v, ok := s.services[name]
 	return v, ok
 }
 
-// Match returns the route with the longest prefix of path among those of the
-// host, which may carry a port and be in any case.
-func (s *Snapshot) Match(host, path string) (*Target, bool) {
-	prefixes := s.hosts[HostName(host)]
-	if prefixes == nil {
-		return nil, false
+// Match returns the route of a call: exact host before any host, then the
+// longest prefix of the path, then a stated method before any. The host may
+// carry a port and be in any case.
+func (s *Snapshot) Match(method, host, path string) (*Target, bool) {
+	for _, name := range [...]string{HostName(host), AnyHost} {
+		p, ok := s.hosts[name]
+		if !ok {
+			continue
+		}
+		if t := p.match(method, path); t != nil {
+			return t, true
+		}
+	}
+	return nil, false
+}
+
+func (p *paths) match(method, path string) *Target {
+	if t := first(p.bare[path], method, path); t != nil {
+		return t
 	}
 	for i := len(path) - 1; i >= 0; i-- {
 		if path[i] != '/' {
 			continue
 		}
-		if t, ok := prefixes[path[:i+1]]; ok {
-			return t, true
+		if t := first(p.prefixes[path[:i+1]], method, path); t != nil {
+			return t
 		}
 	}
-	return nil, false
+	return nil
+}
+
+func first(list []*Target, method, path string) *Target {
+	for _, t := range list {
+		if len(t.Methods) > 0 && !slices.Contains(t.Methods, method) || t.Segments && !plain(path) {
+			continue
+		}
+		return t
+	}
+	return nil
+}
+
+// plain reports whether a path has no empty and no dot segment, apart from a
+// last slash.
+func plain(path string) bool {
+	path = strings.TrimSuffix(path, "/")
+	for segment := range strings.SplitSeq(strings.TrimPrefix(path, "/"), "/") {
+		if segment == "" && path != "" || segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
 }
 
 // HostName returns the host of a Host header value in lower case and without
@@ -80,7 +154,7 @@
 	if name, _, err := net.SplitHostPort(value); err == nil {
 		value = name
 	}
-	return strings.ToLower(value)
+	return strings.ToLower(strings.TrimSuffix(value, "."))
 }
 
 // goldenStep is 2^64 divided by the golden ratio. Its multiples spread evenly
--- a/pkg/crashguard/notices.go
+++ b/pkg/crashguard/notices.go
@@ -102,17 +102,3 @@
 	}
 	delete(records, victim)
 }
-
-// merge adds what another node wrote to what this node knows, which may include
-// crashes that could not be shared.
-func (m *Memory) merge(f Fingerprint, r Record) {
-	m.change(f, func(known Record) Record {
-		for _, c := range known.Crashes {
-			r = r.add(r.Service, c)
-		}
-		return r
-	})
-}
-
-// put replaces one record by what another node wrote; an empty one deletes it.
-func (m *Memory) put(f Fingerprint, r Record) { m.change(f, func(Record) Record { return r }) }
--- a/pkg/delta/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package delta encodes the difference between two rules files as compressed
-// line operations. It is pure.
-package delta
--- a/pkg/devcluster/cluster.go
+++ b/pkg/devcluster/cluster.go
@@ -3,47 +3,95 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
-	"github.com/lentilflow/lentilflow/pkg/admin"
-	"github.com/lentilflow/lentilflow/pkg/admin/client"
+	"github.com/lentilflow/lentilflow/pkg/agent"
 	"github.com/lentilflow/lentilflow/pkg/model"
-	"github.com/lentilflow/lentilflow/pkg/node"
+	"github.com/lentilflow/lentilflow/pkg/operator"
 	"github.com/lentilflow/lentilflow/pkg/settings"
-	standin "github.com/lentilflow/lentilflow/pkg/standin/platform"
+	"github.com/lentilflow/lentilflow/pkg/standin/store"
+	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
+	"github.com/lentilflow/lentilflow/platform"
 )
 
-// pollInterval separates two looks at the status while waiting.
-const pollInterval = 100 * time.Millisecond
+// Default ports of a development deployment on loopback.
+const (
+	DefaultStorePort = 7390
+	DefaultFirstPort = 7400 // of the first node; each node takes the next portsPerNode
+	portsPerNode     = 10
+)
+
+// Offsets of a node's ports.
+const (
+	callsPort = iota
+	peersPort
+	messagesPort
+	reportsPort
+	readinessPort
+	upstreamPort
+)
+
+const (
+	loopback = "127.0.0.1"
+	// stopAnnounce and stopFinish are short because a development deployment
+	// stops as a whole.
+	stopAnnounce = 100 * time.Millisecond
+	stopFinish   = 3 * time.Second
+	// workTime is how long an upstream runs a request.
+	workTime = 5 * time.Millisecond
+	// pollInterval separates two looks at the status while waiting.
+	pollInterval = 100 * time.Millisecond
+)
+
+// Config says what to run.
+type Config struct {
+	Deployment      Deployment
+	NodesPerService int
+	FirstPort       int
+	StorePort       int
+	Log             *zap.Logger
+}
+
+func (c *Config) check() error {
+	if c.NodesPerService < 1 || c.NodesPerService > NodesPerService {
+		return merry.Errorf("nodes per service: %d (accepted: 1 to %d)", c.NodesPerService, NodesPerService)
+	}
+	last := c.FirstPort + portsPerNode*c.NodesPerService*len(c.Deployment.Services)
+	for name, port := range map[string]int{"store port": c.StorePort, "first port": c.FirstPort, "last port": last} {
+		if port < 1 || port > 65535 {
+			return merry.Errorf("%s: %d (accepted: 1 to 65535)", name, port)
+		}
+	}
+	return nil
+}
 
 // Cluster is a running deployment.
 type Cluster struct {
-	cfg      Config
-	nodes    []*settings.Settings
-	platform *standin.Server
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
-	failed   chan error
-	stopOnce sync.Once
-	closers  []func()
+	cfg       Config
+	nodes     []*settings.Settings
+	store     *store.Endpoint
+	upstreams []*upstream.Upstream
+	ledger    upstream.Ledger
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	failed    chan error
+	stopOnce  sync.Once
 }
 
-// Start starts the platform with the example rules file, the upstreams and
-// the nodes. Stop must be called after a start without error.
+// Start starts the store with the example rules file, the upstreams and the
+// nodes. Stop must be called after a start without error.
 func Start(cfg Config) (*Cluster, error) {
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
 	c := &Cluster{cfg: cfg, nodes: cfg.plan()}
-	if err := checkPorts(cfg.PlatformPort, c.nodes); err != nil {
-		return nil, err
-	}
 	c.failed = make(chan error, len(c.nodes))
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
@@ -55,66 +103,63 @@
 }
 
 func (c *Cluster) start(ctx context.Context) error {
-	if err := c.startPlatform(ctx); err != nil {
-		return err
+	endpoint, err := store.New().Listen(address(c.cfg.StorePort))
+	if err != nil {
+		return merry.Prepend(err, "store")
 	}
-	if err := c.startUpstreams(); err != nil {
-		return err
+	c.store = endpoint
+	commands := operator.Commands{Rulebook: c.rulebook()}
+	_, faults, err := commands.Put(ctx, c.cfg.Deployment.Name, string(c.cfg.Deployment.Rules), 0)
+	if err != nil || len(faults) > 0 {
+		return merry.Errorf("example rules of %s: %v %w", c.cfg.Deployment.Name, faults, err)
 	}
 	for _, s := range c.nodes {
-		if err := c.startNode(ctx, s); err != nil {
+		if err := c.startUpstream(s); err != nil {
 			return err
 		}
+		c.startNode(ctx, s)
 	}
 	return nil
 }
 
-// startPlatform starts the stand-in with the example rules as the file that
-// operators edit.
-func (c *Cluster) startPlatform(ctx context.Context) error {
-	service := standin.NewService(standin.Config{})
-	server, err := standin.NewServer(string(address(c.cfg.PlatformPort)), service)
+func (c *Cluster) rulebook() *platform.Rulebook {
+	return &platform.Rulebook{Store: platform.NewStore(c.store.Address(), prometheus.NewRegistry())}
+}
+
+func (c *Cluster) startUpstream(s *settings.Settings) error {
+	u, err := upstream.Start(upstream.Config{
+		Service: s.Upstream.Service, Zone: s.AvailabilityZone, Slots: c.cfg.Deployment.Slots, Work: workTime,
+		Control: string(s.Listeners.Reports), Outbound: string(s.Listeners.Calls),
+	}, string(s.Upstream.Address), &c.ledger)
 	if err != nil {
-		return err
+		return merry.Prependf(err, "upstream of node %s", s.Name)
 	}
-	if err := server.Start(); err != nil {
-		return err
-	}
-	c.platform = server
-	return c.putFirstRules(ctx)
+	c.upstreams = append(c.upstreams, u)
+	return nil
 }
 
-func (c *Cluster) startNode(ctx context.Context, s *settings.Settings) error {
-	s.Platform.Tables = settings.URL(c.platform.URL())
-	s.Platform.Objects = settings.URL(c.platform.URL())
-	n, err := node.New(node.Config{
-		Settings: s,
-		Log:      c.cfg.Log.With(zap.String("node", s.Node)),
-		Registry: prometheus.NewRegistry(),
+func (c *Cluster) startNode(ctx context.Context, s *settings.Settings) {
+	log, registry := c.cfg.Log.With(zap.String("node", s.Name)), prometheus.NewRegistry()
+	a := agent.New(agent.Config{
+		Settings: s, Level: zap.NewAtomicLevel(), Log: log, Registry: registry, Platform: platform.New(s, registry, log),
 	})
-	if err != nil {
-		return err
-	}
-	c.running.Add(1)
-	go func() {
-		defer c.running.Done()
-		if err := n.Run(ctx); err != nil {
-			c.failed <- merry.Prependf(err, "node %s", s.Node)
+	c.running.Go(func() {
+		if err := a.Run(ctx); err != nil {
+			c.failed <- merry.Prependf(err, "node %s", s.Name)
 		}
-	}()
-	return nil
+	})
 }
 
-// Stop drains the nodes and then stops the upstreams and the platform.
+// Stop drains the nodes and then stops the upstreams and the store.
 func (c *Cluster) Stop() {
 	c.stopOnce.Do(func() {
 		c.cancel()
 		c.running.Wait()
-		for _, close := range c.closers {
-			close()
+		for _, u := range c.upstreams {
+			u.Crash()
 		}
-		if c.platform != nil {
-			c.platform.Stop()
+		if c.store != nil {
+			c.store.Close()
 		}
 	})
 }
@@ -125,73 +170,70 @@
 // Deployment returns what is running.
 func (c *Cluster) Deployment() *Deployment { return &c.cfg.Deployment }
 
-// PlatformURL returns the address of the platform's stand-in.
-func (c *Cluster) PlatformURL() string { return c.platform.URL() }
-
-// Nodes describes the running nodes.
-func (c *Cluster) Nodes() []Node {
-	nodes := make([]Node, len(c.nodes))
-	for i, s := range c.nodes {
-		nodes[i] = Node{
-			Node:     model.NodeID(s.Node),
-			Service:  s.Upstream.Service,
-			Location: s.Location(),
-			Calls:    string(s.Listeners.Calls),
-			Admin:    string(s.Listeners.Admin),
-		}
-	}
-	return nodes
-}
+// StoreAddress returns the address of the store's stand-in.
+func (c *Cluster) StoreAddress() string { return c.store.Address() }
+
+// Nodes returns the settings of the running nodes.
+func (c *Cluster) Nodes() []*settings.Settings { return c.nodes }
 
-// AwaitVersion waits until every node sees all nodes and has version v or a
-// later one in force.
+// AwaitVersion waits until every node has version v or a later one in force
+// and every upstream takes work.
 func (c *Cluster) AwaitVersion(ctx context.Context, v model.Version, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	queries := operator.Queries{Rulebook: c.rulebook(), Client: http.DefaultClient}
 	for {
-		missing := c.missing(ctx, v)
-		if missing == "" {
+		s, err := queries.Status(ctx)
+		if err == nil && c.complete(&s, v) {
 			return nil
 		}
 		select {
 		case err := <-c.failed:
 			return err
 		case <-ctx.Done():
-			return merry.Errorf("version %d is not in force everywhere after %s: %s", v, limit, missing)
+			return merry.Errorf("version %d is not in force everywhere after %s: %d of %d nodes have it: %w", v, limit, s.InForce, len(c.nodes), err)
 		case <-time.After(pollInterval):
 		}
 	}
 }
 
-// missing says which node is not there yet, empty if all are.
-func (c *Cluster) missing(ctx context.Context, v model.Version) string {
-	texts := make([]string, len(c.nodes))
-	var g errgroup.Group
-	for i, s := range c.nodes {
-		g.Go(func() error {
-			status, err := client.NewClient(string(s.Listeners.Admin)).Status(ctx)
-			texts[i] = c.judge(s.Node, status, err, v)
-			return nil
-		})
+func (c *Cluster) complete(s *operator.Status, v model.Version) bool {
+	if len(s.Nodes) < len(c.nodes) {
+		return false
 	}
-	_ = g.Wait() // judge keeps the errors
-	for _, text := range texts {
-		if text != "" {
-			return text
+	for _, n := range s.Nodes {
+		if n.State == nil || n.State.Version < v || !n.State.Serving || n.State.Nodes < len(c.nodes) {
+			return false
 		}
 	}
-	return ""
+	return true
 }
 
-func (c *Cluster) judge(name string, s admin.Status, err error, v model.Version) string {
-	switch {
-	case err != nil:
-		return err.Error()
-	case s.Summary.Nodes < len(c.nodes):
-		return fmt.Sprintf("node %s knows %d of %d nodes", name, s.Summary.Nodes, len(c.nodes))
-	case s.Highest < v || s.Summary.InForce < len(c.nodes):
-		return fmt.Sprintf("node %s sees version %d in force on %d of %d nodes", name, s.Highest, s.Summary.InForce, len(c.nodes))
-	default:
-		return ""
+// plan returns the settings of every node. The first upstream of each service
+// is in the first zone, the second one in the second zone, and so on.
+func (c *Config) plan() []*settings.Settings {
+	var nodes []*settings.Settings
+	for i := range c.NodesPerService {
+		for _, service := range c.Deployment.Services {
+			zone := c.Deployment.Zones[i%len(c.Deployment.Zones)]
+			nodes = append(nodes, c.settings(zone, service, c.FirstPort+portsPerNode*len(nodes)))
+		}
 	}
+	return nodes
 }
+
+func (c *Config) settings(zone model.Location, service string, base int) *settings.Settings {
+	s := settings.Default()
+	s.Name = fmt.Sprintf("%s-%s", zone.AvailabilityZone, service)
+	s.Region, s.AvailabilityZone = string(zone.Region), string(zone.AvailabilityZone)
+	at := func(offset int) settings.Address { return settings.Address(address(base + offset)) }
+	s.Listeners = settings.Listeners{
+		Calls: at(callsPort), Peers: at(peersPort), Messages: at(messagesPort), Reports: at(reportsPort), Readiness: at(readinessPort),
+	}
+	s.Upstream = settings.Upstream{Service: service, Address: at(upstreamPort)}
+	s.Store.Address = settings.Address(address(c.StorePort))
+	s.Drain = settings.Drain{Announce: settings.Duration(stopAnnounce), Finish: settings.Duration(stopFinish)}
+	return &s
+}
+
+func address(port int) string { return net.JoinHostPort(loopback, fmt.Sprint(port)) }
--- /dev/null
+++ b/pkg/follow/follow_test.go
@@ -0,0 +1,58 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// scripted plays a list of answers and then blocks.
+type scripted struct {
+	steps []error
+	calls []string
+	after []Revision
+	done  chan struct{}
+}
+
+func (s *scripted) next(ctx context.Context, call string, after Revision) (Revision, error) {
+	s.calls, s.after = append(s.calls, call), append(s.after, after)
+	if len(s.calls) > len(s.steps) {
+		close(s.done)
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return Revision(len(s.calls)), s.steps[len(s.calls)-1]
+}
+
+func (s *scripted) Load(ctx context.Context) (Revision, error) { return s.next(ctx, "load", 0) }
+
+func (s *scripted) Wait(ctx context.Context, after Revision) (Revision, error) {
+	return s.next(ctx, "wait", after)
+}
+
+// Guards the order of calls: after an outage a watch goes on from where it
+// was, and only a lost history reads everything again.
+func TestFollower(t *testing.T) {
+	is := is.New(t)
+	away := errors.New("away")
+	s := &scripted{steps: []error{away, nil, nil, away, nil, ErrHistoryLost, nil}, done: make(chan struct{})}
+	var states []bool
+	f := Follower{Name: "test", Source: s, Log: zap.NewNop(), OnState: func(ok bool) { states = append(states, ok) }}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- f.Run(ctx) }()
+	select {
+	case <-s.done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("follower stands still")
+	}
+	cancel()
+	is.NoErr(<-ended)
+	is.Equal(s.calls, []string{"load", "load", "wait", "wait", "wait", "wait", "load", "wait"})
+	is.Equal(s.after, []Revision{0, 0, 2, 3, 3, 5, 0, 7})
+	is.Equal(states, []bool{false, true, false, true, true})
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +96,7 @@
 	if s == nil {
 		return false
 	}
-	t, ok := s.Match(x.Request.Host, x.Request.URL.Path)
+	t, ok := s.Match(x.Request.Method, x.Request.Host, x.Request.URL.Path)
 	return ok && t.Idempotent
 }
 
@@ -129,7 +131,13 @@
 	c := &call{x: x}
 	r := g.prepare(c)
 	if r == nil {
-		r = g.serve(c)
+		if c.route.Enter() {
+			r = g.serve(c)
+			c.route.Exit()
+		} else {
+			r = refuse(model.RuleLimit)
+			r.RetryAfter = startRetry
+		}
 	}
 	if r != nil {
 		g.refuseCall(c, r)
@@ -151,7 +159,7 @@
 		return r
 	}
 	c.version = s.Version
-	t, ok := s.Match(req.Host, req.URL.Path)
+	t, ok := s.Match(req.Method, req.Host, req.URL.Path)
 	if !ok {
 		return refuse(model.NoRule)
 	}
@@ -159,6 +167,9 @@
 	h1.StripHop(req.Header)
 	stripOwn(req.Header)
 	deadline := g.deadline(c)
+	if req.Header.Get(g.Names.RequestID) == "" {
+		req.Header[g.Names.RequestID] = []string{newRequestID()}
+	}
 	req.Header[g.Names.Caller] = []string{g.Self.Service}
 	delete(req.Header, g.Names.Deadline)
 	delete(req.Header, g.Names.ExpectedBoot)
@@ -166,13 +177,16 @@
 		ID: req.Header.Get(g.Names.RequestID), Method: req.Method, Target: req.RequestURI, Host: req.Host,
 		Header: req.Header, Body: c.x.Body, Rest: c.x.Rest, Length: c.x.Length,
 		Service: t.Choose(), Rank: min(t.Rank, model.MaxRank), Idempotent: t.Idempotent, Latency: t.Target, Deadline: deadline,
-		Patience: time.Duration(patienceShare * float64(t.Target)),
+		Patience: time.Duration(patienceShare * float64(t.Target)), Worth: max(t.Worth, 1),
 	}
 	c.budget = g.Budgets.Of(c.job.Service)
 	c.budget.Earn()
 	return nil
 }
 
+// newRequestID names a request whose caller did not.
+func newRequestID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 // deadline returns when the final answer of a call is due: when its caller
 // leaves, or at the timeout of its route.
 func (g *Gateway) deadline(c *call) time.Time {
@@ -276,7 +290,7 @@
 
 func (g *Gateway) pick(c *call, entries []model.Entry, now time.Duration) (balance.Choice, balance.Result) {
 	return g.Picker.Pick(balance.Request{
-		Entries: entries, From: g.Self.Location, Prefer: model.PreferZone, Rank: c.job.Rank,
+		Entries: entries, From: g.Self.Location, Prefer: c.route.Prefer, Rank: c.job.Rank,
 		Avoid: c.avoid, Now: now, Random: rand.Uint64(),
 	})
 }
@@ -427,7 +441,7 @@
 // deliver sends an answer of an upstream to the caller.
 func (g *Gateway) deliver(c *call, status int, h http.Header, head []byte, rest io.Reader, length int64) error {
 	h[headerRoute] = []string{c.route.Name}
-	h[headerVersion] = []string{c.version.String()}
+	h[headerVersion] = []string{strconv.FormatUint(uint64(c.version), 10)}
 	err := c.x.Reply(&h1.Reply{Status: status, Header: h, Body: head, Rest: rest, Length: length})
 	g.logAnswer(c, status, err)
 	return err
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -17,7 +17,7 @@
 //
 // # Headers between nodes
 //
-//	Lentilflow-Call     service, rank, remaining milliseconds, latency target in
+//	Lentilflow-Call     service, rank, worth, remaining milliseconds, latency target in
 //	                    milliseconds, patience in milliseconds, 1 if idempotent,
 //	                    version in force where the call was taken
 //	Lentilflow-Answer   milliseconds waited for a slot, milliseconds at the upstream
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -65,6 +65,7 @@
 type callFields struct {
 	service    string
 	rank       model.Rank
+	worth      int
 	remaining  time.Duration
 	target     time.Duration
 	patience   time.Duration
@@ -78,23 +79,26 @@
 		idempotent = "1"
 	}
 	return strings.Join([]string{
-		f.service, strconv.Itoa(int(f.rank)), millis(f.remaining), millis(f.target), millis(f.patience), idempotent, f.version.String(),
+		f.service, strconv.Itoa(int(f.rank)), strconv.Itoa(f.worth), millis(f.remaining), millis(f.target), millis(f.patience), idempotent, strconv.FormatUint(uint64(f.version), 10),
 	}, " ")
 }
 
 func parseCallFields(s string) (f callFields, ok bool) {
 	part := strings.Fields(s)
-	if len(part) != 7 {
+	if len(part) != 8 {
 		return f, false
 	}
 	rank, err := strconv.ParseUint(part[1], 10, 8)
-	version, verr := strconv.ParseUint(part[6], 16, 64)
-	if err != nil || verr != nil || rank > uint64(model.MaxRank) {
+	worth, werr := strconv.ParseUint(part[2], 10, 16)
+	version, verr := strconv.ParseUint(part[7], 10, 64)
+	if err != nil || werr != nil || verr != nil || rank > uint64(model.MaxRank) || worth == 0 {
 		return f, false
 	}
-	f = callFields{service: part[0], rank: model.Rank(rank), idempotent: part[5] == "1", version: config.Version(version)}
+	f = callFields{
+		service: part[0], rank: model.Rank(rank), worth: int(worth), idempotent: part[6] == "1", version: config.Version(version),
+	}
 	for i, d := range []*time.Duration{&f.remaining, &f.target, &f.patience} {
-		if *d, ok = parseMillis(part[2+i]); !ok {
+		if *d, ok = parseMillis(part[3+i]); !ok {
 			return f, false
 		}
 	}
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -21,6 +21,7 @@
 
 	Service    string
 	Rank       model.Rank
+	Worth      int // weight among the routes of the rank
 	Idempotent bool
 	// Latency is the latency target, 0 if there is none.
 	Latency time.Duration
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -76,6 +76,14 @@
 // Serving reports whether the upstream takes work now.
 func (l *Local) Serving() bool { return l.boot.Load() != nil && !l.stopping.Load() }
 
+// State returns the load of the upstream and its newest boot, if one is known.
+func (l *Local) State() (admission.State, upstream.Boot, bool) {
+	l.mu.Lock()
+	boot, known := l.tracker.Newest()
+	l.mu.Unlock()
+	return l.gate.State(), boot, known
+}
+
 // Stop refuses all further jobs.
 func (l *Local) Stop() {
 	if !l.stopping.Swap(true) && l.boot.Load() != nil {
@@ -144,10 +152,16 @@
 		return limits
 	}
 	for i := range s.Routes {
-		for _, share := range s.Routes[i].Split {
-			if share.Service == l.Service {
-				limits.Floors[s.Routes[i].Rank] = rankFloor
+		r := &s.Routes[i]
+		for _, share := range r.Split {
+			if share.Service != l.Service {
+				continue
+			}
+			floor := rankFloor
+			if r.Floor > 0 {
+				floor = r.Floor
 			}
+			limits.Floors[r.Rank] = max(limits.Floors[r.Rank], floor)
 		}
 	}
 	return limits
@@ -195,7 +209,7 @@
 	}
 	arrived := time.Now()
 	slot, refused := l.gate.Acquire(ctx, admission.Call{
-		Rank: j.Rank, Worth: 1, Target: j.Latency, Patience: j.Patience,
+		Rank: j.Rank, Worth: j.Worth, Target: j.Latency, Patience: j.Patience,
 	}, j.Deadline)
 	if refused != nil {
 		r := refuse(refused.Reason)
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -57,7 +57,7 @@
 	f := make([]zap.Field, 0, 20)
 	f = append(f,
 		zap.String("request", c.x.Request.Header.Get(g.Names.RequestID)),
-		zap.Stringer("version", c.version),
+		zap.Uint64("version", uint64(c.version)),
 		zap.Duration("took", time.Since(c.x.Arrived)),
 	)
 	if c.route != nil {
--- a/pkg/model/version.go
+++ b/pkg/model/version.go
@@ -2,28 +2,51 @@
 
 import "time"
 
-// Version numbers the accepted rules files, starting at 1; 0 means none.
+// Version numbers configurations. Versions increase, in uneven steps; 0 means
+// none.
 type Version uint64
 
 // VersionInfo describes one accepted version. It is immutable.
 type VersionInfo struct {
 	Number     Version   `json:"number"`
 	Digest     string    `json:"digest"` // hexadecimal SHA-256 of the whole rules file
-	ETag       string    `json:"etag"`   // of the object that the version was accepted from
 	AcceptedAt time.Time `json:"accepted_at"`
-	Publisher  NodeID    `json:"publisher"`
-	Generation uint64    `json:"generation"` // of the publisher lease
 }
 
 // VersionedText is an accepted version together with its rules file.
 type VersionedText struct {
-	Info VersionInfo `json:"info"`
-	Text []byte      `json:"text"`
+	VersionInfo
+	Text string `json:"text"`
 }
 
-// Rejection records a rules file that did not pass the check.
-type Rejection struct {
-	ETag   string    `json:"etag"`
-	At     time.Time `json:"at"`
-	Faults []string  `json:"faults"` // one line each, with line number and field
+// NodeState is what a node says about itself.
+type NodeState struct {
+	Node     NodeID   `json:"node"`
+	Service  string   `json:"service"`
+	Location Location `json:"location"`
+	Version  Version  `json:"version"`
+	// VersionAge is how long the version has been in force at the node, in
+	// milliseconds.
+	VersionAge int64 `json:"version_age_ms"`
+	// FleetRevision is the revision of the store up to which the node knows
+	// the fleet, and Nodes how many nodes it knows.
+	FleetRevision uint64 `json:"fleet_revision"`
+	Nodes         int    `json:"nodes"`
+	// StoreAvailable says whether the store answers the node.
+	StoreAvailable bool `json:"store_available"`
+	// Ready says whether the node takes new callers, Serving whether its
+	// upstream takes work.
+	Ready   bool `json:"ready"`
+	Serving bool `json:"serving"`
+	// Boot is the newest boot of the upstream, empty if none is known.
+	Boot     string `json:"boot,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+	Slots    int    `json:"slots"`
+	// Limit is how many calls may run now, as measured.
+	Limit   int `json:"limit"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
 }
+
+// StatePath is where the message listener of a node serves its NodeState.
+const StatePath = "/v1/state"
--- /dev/null
+++ b/pkg/operator/commands.go
@@ -0,0 +1,59 @@
+package operator
+
+import (
+	"context"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/rules"
+)
+
+// Commands change what is in force.
+type Commands struct{ Rulebook Rulebook }
+
+// Put checks a rules file and puts it in force as the next version, if the tag
+// is that of what is in force. A file with the text in force changes nothing
+// and keeps its version.
+func (c *Commands) Put(ctx context.Context, name, text string, tag uint64) (model.Version, []rules.Fault, error) {
+	f, faults := rules.Parse(name, []byte(text))
+	if len(faults) > 0 {
+		return 0, faults, nil
+	}
+	version, now, err := c.Rulebook.Tag(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	if now != tag {
+		return 0, nil, merry.Wrap(ErrChanged, merry.AppendMessagef("its tag is now %d", now))
+	}
+	if same, err := c.same(ctx, version, text); err != nil || same {
+		return version, nil, err
+	}
+	next := f.Configuration(version + 1)
+	if _, err := config.Compile(next); err != nil {
+		return 0, nil, merry.Prepend(err, "rules file")
+	}
+	err = c.Rulebook.Accept(ctx, text, next, tag)
+	if errors.Is(err, ErrChanged) {
+		return 0, nil, err
+	}
+	if err != nil {
+		return 0, nil, merry.Prepend(err, "it is not known whether the rules file was put in force")
+	}
+	return next.Version, nil, nil
+}
+
+func (c *Commands) same(ctx context.Context, v model.Version, text string) (bool, error) {
+	if v == 0 {
+		return false, nil
+	}
+	all, err := c.Rulebook.Versions(ctx)
+	if err != nil || len(all) == 0 {
+		return false, err
+	}
+	last := all[len(all)-1]
+	return last.Number == v && last.Text == text, nil
+}
--- /dev/null
+++ b/pkg/operator/queries.go
@@ -0,0 +1,221 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/rules"
+)
+
+const (
+	// askAtOnce bounds the nodes that are asked for their state at a time.
+	askAtOnce = 32
+	// askTime bounds the answer of one node.
+	askTime = 2 * time.Second
+)
+
+// Queries tell what is in force where.
+type Queries struct {
+	Rulebook Rulebook
+	Client   *http.Client
+}
+
+// RulesFile is the rules file in force.
+type RulesFile struct {
+	Text    string        `json:"text"`
+	Version model.Version `json:"version"`
+	Tag     uint64        `json:"tag"`
+}
+
+// Rules returns the rules file in force with its tag, empty if there is none
+// yet.
+func (q *Queries) Rules(ctx context.Context) (RulesFile, error) {
+	v, tag, err := q.Rulebook.Tag(ctx)
+	if err != nil || v == 0 {
+		return RulesFile{Tag: tag}, err
+	}
+	text, err := q.Version(ctx, v)
+	if err != nil {
+		return RulesFile{}, err
+	}
+	return RulesFile{Text: text.Text, Version: v, Tag: tag}, nil
+}
+
+// Version returns one accepted rules file.
+func (q *Queries) Version(ctx context.Context, v model.Version) (model.VersionedText, error) {
+	all, err := q.Rulebook.Versions(ctx)
+	if err != nil {
+		return model.VersionedText{}, err
+	}
+	for _, t := range all {
+		if t.Number == v {
+			return t, nil
+		}
+	}
+	return model.VersionedText{}, merry.Errorf("version %d has no rules file: another program put it in force, or it does not exist", v)
+}
+
+// History returns the newest n accepted rules files, the oldest first.
+func (q *Queries) History(ctx context.Context, n uint) ([]model.VersionedText, error) {
+	all, err := q.Rulebook.Versions(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return all[len(all)-min(len(all), int(n)):], nil
+}
+
+// Node is a node as its row and its own answer describe it.
+type Node struct {
+	Member fleet.Member     `json:"member"`
+	State  *model.NodeState `json:"state,omitempty"` // nil if it did not answer
+	Error  string           `json:"error,omitempty"`
+}
+
+// Status is the state of a deployment.
+type Status struct {
+	// Version is the one that the store has in force.
+	Version model.Version `json:"version"`
+	Nodes   []Node        `json:"nodes"` // by region, availability zone and name
+	// InForce, Behind and Silent count the nodes that have the version, that
+	// have an older one, and that did not answer.
+	InForce int `json:"in_force"`
+	Behind  int `json:"behind"`
+	Silent  int `json:"silent"`
+}
+
+// Status asks all nodes for their state.
+func (q *Queries) Status(ctx context.Context) (Status, error) {
+	v, _, err := q.Rulebook.Tag(ctx)
+	if err != nil {
+		return Status{}, err
+	}
+	members, err := q.Rulebook.Members(ctx)
+	if err != nil {
+		return Status{}, err
+	}
+	s := Status{Version: v, Nodes: q.ask(ctx, members)}
+	for _, n := range s.Nodes {
+		switch {
+		case n.State == nil:
+			s.Silent++
+		case n.State.Version >= v:
+			s.InForce++
+		default:
+			s.Behind++
+		}
+	}
+	return s, nil
+}
+
+func (q *Queries) ask(ctx context.Context, members []fleet.Member) []Node {
+	nodes := make([]Node, len(members))
+	var g errgroup.Group
+	g.SetLimit(askAtOnce)
+	for i, m := range members {
+		g.Go(func() error {
+			state, err := q.state(ctx, m)
+			nodes[i] = Node{Member: m, State: state}
+			if err != nil {
+				nodes[i].Error = err.Error()
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // the nodes hold the errors
+	slices.SortFunc(nodes, func(a, b Node) int {
+		return cmp.Or(
+			cmp.Compare(a.Member.Location.Region, b.Member.Location.Region),
+			cmp.Compare(a.Member.Location.AvailabilityZone, b.Member.Location.AvailabilityZone),
+			cmp.Compare(a.Member.Node, b.Member.Node),
+		)
+	})
+	return nodes
+}
+
+func (q *Queries) state(ctx context.Context, m fleet.Member) (*model.NodeState, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.MessageAddress+model.StatePath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := q.Client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("node answered %s", resp.Status)
+	}
+	var s model.NodeState
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return nil, fmt.Errorf("decode the state of the node: %w", err)
+	}
+	return &s, nil
+}
+
+// Explanation says which route decides a call, and who asked for it.
+type Explanation struct {
+	Version model.Version `json:"version"`
+	Route   *config.Route `json:"route,omitempty"` // nil if none matches
+	// Rules explains the choice where a rules file is in force, nil otherwise.
+	Rules *rules.Explanation `json:"rules,omitempty"`
+	// Upstreams are the nodes beside upstreams of the route's services.
+	Upstreams []fleet.Member `json:"upstreams,omitempty"`
+}
+
+// Explain returns how the configuration in force decides a call.
+func (q *Queries) Explain(ctx context.Context, method, address string) (Explanation, error) {
+	u, err := url.Parse(address)
+	if err != nil || u.Host == "" {
+		return Explanation{}, merry.Errorf("URL %q is not accepted (accepted: absolute URL, such as http://api.example/status/42)", address)
+	}
+	path := u.Path
+	if path == "" {
+		path = "/"
+	}
+	c, err := q.Rulebook.InForce(ctx)
+	if err != nil {
+		return Explanation{}, err
+	}
+	s, err := config.Compile(c)
+	if err != nil {
+		return Explanation{}, err
+	}
+	x := Explanation{Version: c.Version}
+	if text, err := q.Version(ctx, c.Version); err == nil {
+		if f, faults := rules.Parse("rules", []byte(text.Text)); len(faults) == 0 {
+			e := rules.Explain(f, method, u.Host, path)
+			x.Rules = &e
+		}
+	}
+	t, ok := s.Match(method, u.Host, path)
+	if !ok {
+		return x, nil
+	}
+	x.Route = t.Route
+	members, err := q.Rulebook.Members(ctx)
+	if err != nil {
+		return x, err
+	}
+	for _, m := range members {
+		for _, share := range t.Split {
+			if m.Service == share.Service {
+				x.Upstreams = append(x.Upstreams, m)
+			}
+		}
+	}
+	return x, nil
+}
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -47,15 +47,9 @@
 	model.UpstreamShed:        "The upstream sheds load",
 	model.CrashSuspected:      "The request is suspected to crash upstreams",
 	model.NodeDraining:        "The node is leaving",
-	model.KeyMissing:          "The Idempotency-Key header is missing",
-	model.KeyReused:           "The idempotency key belongs to another request",
-	model.KeyInProgress:       "A call with this idempotency key is in progress",
-	model.KeyOutcomeUnknown:   "The outcome of the call with this idempotency key is unknown",
-	model.ClaimUnavailable:    "The idempotency key cannot be reserved",
 	model.BadRequest:          "The request is not valid",
 	model.BodyTooLarge:        "The request body is too large",
 	model.HeadersTooLarge:     "The request headers are too large",
-	model.TooDeep:             "The call chain is too deep",
 	model.CallerGone:          "The caller has left",
 }
 
--- a/pkg/routing/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package routing turns a checked rules file into an immutable snapshot that
-// matches calls to rules.
-package routing
--- a/pkg/rules/blame.go
+++ b/pkg/rules/blame.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"github.com/lentilflow/lentilflow/pkg/delta"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/text"
 )
 
 // Revision is the text of one accepted version.
@@ -60,7 +60,7 @@
 	for i := range next {
 		next[i] = now
 	}
-	for _, r := range delta.CommonLines(before, after) {
+	for _, r := range text.CommonLines(before, after) {
 		copy(next[r.After:r.After+r.Length], origins[r.Before:r.Before+r.Length])
 	}
 	return next
--- /dev/null
+++ b/pkg/rules/compile.go
@@ -0,0 +1,27 @@
+package rules
+
+import (
+	"strings"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// Configuration returns the configuration that the rules of f state, in file
+// order. It passes config.Compile.
+func (f *File) Configuration(v model.Version) *config.Configuration {
+	c := &config.Configuration{Version: v}
+	for _, s := range f.Services {
+		c.Services = append(c.Services, config.Service{Name: s.Name, Connections: s.Connections})
+	}
+	for i := range f.Rules {
+		r := &f.Rules[i]
+		c.Routes = append(c.Routes, config.Route{
+			Name: r.Name, Host: r.Match.Host, Prefix: strings.TrimSuffix(r.Match.Path, "/") + "/", Methods: r.Match.Methods,
+			Segments: true, Idempotent: r.Idempotent, Timeout: r.Deadline, Target: r.Target, Rank: r.Rank,
+			Attempts: r.Retries + 1, Split: []config.Share{{Service: r.Service, Weight: 1}},
+			Floor: r.Floor, Worth: r.Worth, MaxInFlight: r.MaxInFlight, Prefer: r.Prefer, AskedBy: r.AskedBy,
+		})
+	}
+	return c
+}
--- a/pkg/settings/assign.go
+++ b/pkg/settings/assign.go
@@ -19,10 +19,6 @@
 		a, err := parseAddress(text)
 		v.SetString(string(a))
 		return err
-	case URL:
-		u, err := parseURL(text)
-		v.SetString(string(u))
-		return err
 	case string:
 		v.SetString(text)
 		return checkWord(text, tag)
@@ -45,16 +41,13 @@
 	return checkBounds(v, n, tag)
 }
 
-// number returns text in the base unit of v's type: nanoseconds, bytes or a
-// plain count.
+// number returns text in the base unit of v's type: nanoseconds or a plain
+// count.
 func number(v reflect.Value, text string) (int64, error) {
 	switch v.Interface().(type) {
 	case Duration:
 		d, err := parseDuration(text)
 		return int64(d), err
-	case Size:
-		s, err := parseSize(text)
-		return int64(s), err
 	default:
 		n, err := strconv.ParseInt(text, 10, 32)
 		if err != nil {
--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -50,10 +50,6 @@
 	switch v.Kind() {
 	case reflect.Struct:
 		return d.mapping(n, path, v)
-	case reflect.Slice:
-		return d.list(n, path, v, tag)
-	case reflect.Map:
-		return d.byRegion(n, path, v)
 	default:
 		return d.scalar(n, path, v, tag)
 	}
@@ -124,38 +120,6 @@
 	}
 }
 
-func (d *decoder) list(n ast.Node, path string, v reflect.Value, tag reflect.StructTag) *Fault {
-	s, ok := n.(*ast.SequenceNode)
-	if !ok {
-		return d.fault(lineOf(n), path, "wrong type", accepted(v.Type(), tag))
-	}
-	for i, item := range s.Values {
-		e := reflect.New(v.Type().Elem()).Elem()
-		if f := d.value(item, path+"["+strconv.Itoa(i)+"]", e, tag); f != nil {
-			return f
-		}
-		v.Set(reflect.Append(v, e))
-	}
-	return nil
-}
-
-func (d *decoder) byRegion(n ast.Node, path string, v reflect.Value) *Fault {
-	entries, ok := entriesOf(n)
-	if !ok {
-		return d.fault(lineOf(n), path, "wrong type", accepted(v.Type(), ""))
-	}
-	v.Set(reflect.MakeMap(v.Type()))
-	for _, e := range entries {
-		item := reflect.New(v.Type().Elem()).Elem()
-		key := e.Key.String()
-		if f := d.value(e.Value, join(path, key), item, ""); f != nil {
-			return f
-		}
-		v.SetMapIndex(reflect.ValueOf(key), item)
-	}
-	return nil
-}
-
 func (d *decoder) scalar(n ast.Node, path string, v reflect.Value, tag reflect.StructTag) *Fault {
 	s, ok := n.(ast.ScalarNode)
 	if !ok || n.Type() == ast.NullType || n.Type() == ast.BoolType {
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -48,14 +48,10 @@
 	switch t {
 	case reflect.TypeFor[Address]():
 		s = acceptedAddress
-	case reflect.TypeFor[URL]():
-		s = acceptedURL
 	case reflect.TypeFor[Ratio]():
 		s = acceptedRatio
 	case reflect.TypeFor[Duration]():
 		s = acceptedDuration
-	case reflect.TypeFor[Size]():
-		s = acceptedSize
 	default:
 		s = acceptedKind(t, tag)
 	}
@@ -67,10 +63,6 @@
 
 func acceptedKind(t reflect.Type, tag reflect.StructTag) string {
 	switch t.Kind() {
-	case reflect.Slice:
-		return "list of: " + accepted(t.Elem(), tag)
-	case reflect.Map:
-		return "mapping from region to: " + accepted(t.Elem(), "")
 	case reflect.Struct:
 		return "mapping with the fields " + strings.Join(fieldNames(t), ", ")
 	case reflect.Int:
--- a/pkg/standin/upstream/doc.go
+++ b/pkg/standin/upstream/doc.go
@@ -1,6 +1,5 @@
-// Package upstream is a stand-in for an upstream: a service program with a
-// fixed number of slots that sheds load, drains, starts cold, honours
-// deadlines and cancellation, can crash on a request, and keeps a ledger of
-// its runs that tests compare with the answers of callers. The process
-// variant is in the folder process.
+// Package upstream is a stand-in for an application server of the users,
+// written to their published protocol: it runs requests in slots, reports to
+// the node on its VM, drains and leaves. It keeps a ledger of its runs, so that
+// tests can judge what the system did from the server's side.
 package upstream
--- a/pkg/delta/compress.go
+++ b/pkg/text/compress.go
@@ -1,18 +1,38 @@
-package delta
+package text
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/klauspost/compress/zstd"
 )
 
+// MaxSize is the largest text in bytes that is compressed.
+const MaxSize = 1 << 20
+
+// ErrMalformed means that a compressed text cannot be decoded, or would exceed
+// its size limit.
+var ErrMalformed = merry.Sentinel("malformed compressed text")
+
+func malformed(format string, args ...any) error {
+	return merry.Wrap(ErrMalformed, merry.AppendMessage(fmt.Sprintf(format, args...)))
+}
+
+// Digest returns the hexadecimal SHA-256 of a text.
+func Digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
+
 // windowSize limits the memory of encoder and decoder. Rules lines repeat
 // within a few kilobytes, so a larger window saves little.
 const windowSize = 128 << 10
 
 // maxWindow bounds what a hostile frame can make the decoder allocate.
-const maxWindow = 2 * MaxText
+const maxWindow = 2 * MaxSize
 
 // unstatedSize is the content size in bytes below which the encoder leaves
 // the size out of the frame header.
--- /dev/null
+++ b/pkg/text/doc.go
@@ -0,0 +1,2 @@
+// Package text compares and compresses rules files. It is pure.
+package text
--- a/pkg/delta/lines.go
+++ b/pkg/text/lines.go
@@ -1,4 +1,4 @@
-package delta
+package text
 
 import "bytes"
 
@@ -9,12 +9,6 @@
 	Before, After, Length int
 }
 
-// SplitLines cuts text into lines that keep their line feed. The lines share
-// the memory of text.
-func SplitLines(text []byte) [][]byte {
-	return bytes.SplitAfter(text, []byte{'\n'})
-}
-
 // CommonLines returns runs of equal lines in order of After, without overlap
 // in the newer text. A moved block is found too, so Before need not ascend.
 // Time and memory are linear in the number of lines: the common prefix and
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -45,14 +45,23 @@
 // every few seconds at most, and late reports are seconds old.
 const maxLeft = 64
 
+// challengerReports is how many reports in rising order a boot must send that
+// claims an older start than one that is known. Late reports are single; a
+// clock that was set back would otherwise shut a new boot out for ever.
+const challengerReports = 3
+
 // Tracker holds the newest boot of the upstream. It is not safe for concurrent
 // use.
 type Tracker struct {
 	boot     Boot
 	known    bool
 	sequence uint64
+	newest   int64            // start of the newest boot seen
 	left     map[string]int64 // newest start by id among the boots that have left
 	order    []string
+
+	challenger      Report // last report of a boot with an older start
+	challengerCount int
 }
 
 // Current returns the boot that takes work. It returns false if none is known,
@@ -64,20 +73,33 @@
 
 // Report takes a report. A boot that was said to be draining stays so.
 func (t *Tracker) Report(now time.Time, r Report) Verdict {
-	if born, ok := t.left[r.ID]; ok && r.Born <= born {
-		return Stale
-	}
 	same := t.known && t.boot.ID == r.ID && t.boot.Born == r.Born
+	born, left := t.left[r.ID]
 	switch {
+	case !same && left && r.Born <= born:
+		return Stale
 	case same && r.Sequence <= t.sequence && r.Draining && !t.boot.Draining:
 		// A boot never returns from draining, so this binds however late it is.
 		t.boot.Draining = true
 		return Changed
 	case same && r.Sequence <= t.sequence:
 		return Stale
-	case t.known && !same && r.Born < t.boot.Born:
+	case !same && r.Draining:
+		// Nothing runs on it, and its acknowledgement binds for later reports.
+		t.remember(r.ID, r.Born)
+		if r.Born <= t.newest {
+			return Stale
+		}
+		t.newest, t.known, t.challengerCount = r.Born, false, 0 // a boot that was known is gone
+		return Changed
+	case !same && r.Born < t.newest && !t.challenge(r):
 		return Stale
 	}
+	if t.known && !same {
+		t.remember(t.boot.ID, t.boot.Born) // one process at a time has the address
+	}
+	t.challengerCount = 0
+	t.newest = r.Born
 	before, known := t.boot, t.known
 	next := Boot{ID: r.ID, Born: r.Born, Slots: r.Slots, Draining: r.Draining || same && t.boot.Draining}
 	if r.Cold > 0 {
@@ -91,6 +113,22 @@
 	return Changed
 }
 
+// challenge counts the reports of a boot that claims an older start, and
+// reports whether it is to be believed.
+func (t *Tracker) challenge(r Report) bool {
+	last := &t.challenger
+	switch {
+	case t.challengerCount == 0 || last.ID != r.ID || last.Born != r.Born:
+		t.challengerCount = 1
+	case r.Sequence > last.Sequence:
+		t.challengerCount++
+	default:
+		return false
+	}
+	*last = r
+	return t.challengerCount >= challengerReports
+}
+
 // Leave notes that a boot is going. The start is 0 if the message does not
 // state it; it then means the newest boot of that id.
 func (t *Tracker) Leave(id string, born int64) Verdict {
@@ -98,10 +136,9 @@
 	if current && born == 0 {
 		born = t.boot.Born
 	}
-	if old, ok := t.left[id]; ok && born <= old {
-		return Stale
+	if born > t.left[id] {
+		t.remember(id, born)
 	}
-	t.remember(id, born)
 	if !current || t.boot.Born > born {
 		return Stale
 	}
@@ -126,7 +163,7 @@
 	if _, ok := t.left[id]; !ok {
 		t.order = append(t.order, id)
 	}
-	t.left[id] = born
+	t.left[id] = max(t.left[id], born)
 	for len(t.order) > maxLeft {
 		delete(t.left, t.order[0])
 		t.order = t.order[1:]
--- /dev/null
+++ b/pkg/upstream/tracker_test.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func ready(id string, born int64, sequence uint64) Report {
+	return Report{ID: id, Born: born, Sequence: sequence, Slots: 3}
+}
+
+// Guards the order of reports: late ones, stale boots and rebirths.
+func TestReportOrder(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	is.Equal(tr.Report(t0, ready("a", 100, 5)), Changed)
+	is.Equal(tr.Report(t0, ready("a", 100, 6)), Confirmed)
+	is.Equal(tr.Report(t0, ready("a", 100, 4)), Stale)
+	is.Equal(tr.Report(t0, ready("old", 90, 99)), Stale) // delayed by a partition
+	is.Equal(tr.Report(t0, ready("a", 200, 1)), Changed) // the same id starts anew
+	is.Equal(tr.Report(t0, ready("a", 100, 7)), Stale)
+	is.Equal(tr.Leave("a", 100), Stale) // the older boot of that id
+	_, ok := tr.Current()
+	is.True(ok)
+	is.Equal(tr.Leave("a", 200), Changed)
+	_, ok = tr.Current()
+	is.True(!ok)
+	is.Equal(tr.Report(t0, ready("a", 200, 9)), Stale) // a late report of a boot that left
+	is.Equal(tr.Report(t0, ready("a", 300, 1)), Changed)
+}
+
+// Guards the binding of a draining report that arrives behind newer ones.
+func TestLateDrainingBinds(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	tr.Report(t0, ready("a", 1, 5))
+	late := ready("a", 1, 4)
+	late.Draining = true
+	is.Equal(tr.Report(t0, late), Changed)
+	_, ok := tr.Current()
+	is.True(!ok)
+	tr.Report(t0, ready("a", 1, 6))
+	_, ok = tr.Current()
+	is.True(!ok)
+}
+
+// tracker is the decision under test; broken variants replace it.
+type tracker interface {
+	Report(time.Time, Report) Verdict
+	Leave(string, int64) Verdict
+	Current() (Boot, bool)
+}
+
+// checkTracker sends reports of a few boots in any order and returns the first
+// property that does not hold.
+func checkTracker(t *rapid.T, tr tracker) string {
+	type boot struct {
+		id   string
+		born int64
+	}
+	left := map[boot]bool{}
+	newest := int64(0)
+	reports := map[boot]int{}
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		b := boot{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 4).Draw(t, "born")}
+		if rapid.IntRange(0, 4).Draw(t, "leave") == 0 {
+			tr.Leave(b.id, b.born)
+			left[b] = true
+		} else {
+			r := ready(b.id, b.born, rapid.Uint64Range(1, 9).Draw(t, "sequence"))
+			if r.Draining = rapid.IntRange(0, 5).Draw(t, "draining") == 0; r.Draining {
+				left[b] = true
+			}
+			reports[b]++
+			if tr.Report(t0, r) != Stale {
+				if b.born < newest && reports[b] < challengerReports {
+					return "an older boot takes work"
+				}
+				newest = b.born
+			}
+		}
+		current, ok := tr.Current()
+		if ok && left[boot{current.ID, current.Born}] {
+			return "a boot that drains or has left takes work"
+		}
+	}
+	return ""
+}
+
+// Guards the binding of every acknowledged drain and departure, and against
+// the return of an older boot.
+func TestAcknowledgedDeparturesBind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := checkTracker(t, &Tracker{}); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// lax takes every report as the newest one.
+type lax struct{ Tracker }
+
+func (l *lax) Report(now time.Time, r Report) Verdict {
+	l.boot, l.known = Boot{ID: r.ID, Born: r.Born, Draining: r.Draining}, true
+	return Changed
+}
+
+// Proves that checkTracker notices a tracker without order.
+func TestCheckNoticesBrokenTracker(t *testing.T) {
+	seen := false
+	rapid.Check(t, func(t *rapid.T) { seen = seen || checkTracker(t, &lax{}) != "" })
+	is.New(t).True(seen)
+}
+
+// Guards against a boot that is shut out for ever because the clock was set
+// back before it started.
+func TestBootWithOlderStartIsBelievedInTheEnd(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	tr.Report(t0, ready("a", 2000, 7))
+	tr.Leave("a", 2000)
+	is.Equal(tr.Report(t0, ready("b", 1000, 1)), Stale)
+	is.Equal(tr.Report(t0, ready("b", 1000, 1)), Stale) // the same report again
+	is.Equal(tr.Report(t0, ready("b", 1000, 2)), Stale)
+	is.Equal(tr.Report(t0, ready("b", 1000, 3)), Changed)
+	boot, ok := tr.Current()
+	is.True(ok)
+	is.Equal(boot.ID, "b")
+	is.Equal(tr.Report(t0, ready("b", 1000, 4)), Confirmed)
+}
+
+// Guards the bound of the memory of boots that have left.
+func TestMemoryOfDeparturesIsBounded(t *testing.T) {
+	var tr Tracker
+	for i := range 10 * maxLeft {
+		tr.Leave(string(rune('a'+i%26))+string(rune('0'+i/26)), int64(i+1))
+	}
+	is.New(t).True(len(tr.left) <= maxLeft && len(tr.order) <= maxLeft)
+}
--- a/test/doc.go
+++ b/test/doc.go
@@ -1,3 +1,3 @@
-// Package test holds the integration tests and benchmarks that run the built
-// binaries as real processes.
+// Package test holds the integration tests that run the built node as real
+// processes, between stand-ins of the platform that run in the test process.
 package test
