Run as many calls as the upstream states slots; remove the adaptive limit

The test of the load pattern failed first: 6 of 12 slots in use, 32 calls waiting. TestLimitFollowsLatency tested the removed limiter; TestNoSlotIsIdleAfterAReturn asks for the contrary, which is what callers need.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -28,7 +28,6 @@
 	Rank     model.Rank
 	Rule     string
 	Worth    int           // weight among the rules of one rank, at least 1
-	Target   time.Duration // latency target of the rule, 0 if none
 	Deadline time.Duration // on the clock of the now arguments
 	// Patience is the longest expected wait at which the call is queued; a
 	// call that would wait longer is refused as Full, because another upstream
@@ -52,7 +51,6 @@
 // Next until it returns nil.
 type Core struct {
 	limits  Limits
-	limiter limiter
 	service serviceTimes
 	ranks   [Ranks]rankQueue
 	running int
@@ -70,14 +68,12 @@
 func (c *Core) SetLimits(l Limits) {
 	l.Slots = max(l.Slots, 1)
 	c.limits = l
-	if !c.limiter.measured() {
-		c.limiter = limiter{} // begins anew from the first real capacity
-	}
-	c.limiter.setCeiling(l.Slots)
 }
 
-// Limit returns the calls that may run now.
-func (c *Core) Limit() int { return c.limiter.current() }
+// Limit returns the calls that may run now: all slots that the upstream
+// states. It alone knows them, and a limit below them leaves slots idle while
+// calls wait (docs/decisions/admission.md).
+func (c *Core) Limit() int { return c.limits.Slots }
 
 // QueueLimit returns the calls that may wait.
 func (c *Core) QueueLimit() int { return queuePerSlot*c.limits.Slots + queueExtra }
@@ -240,16 +236,11 @@
 
 // Done frees the slot of an admitted call.
 func (c *Core) Done(now time.Duration, w *Waiter, e End) {
-	full := c.running >= c.Limit()
 	c.running--
 	c.ranks[w.Rank].running--
 	took := now - w.started
-	switch {
-	case e == Answered, e == TimedOut && took > c.service.mean(now):
+	if e == Answered || e == TimedOut && took > c.service.mean(now) {
 		c.service.add(now, w.Rank, took)
-		c.limiter.answered(w.Rank, took, w.Target, full)
-	case e == Shed:
-		c.limiter.shed()
 	}
 }
 
--- a/pkg/admission/doc.go
+++ b/pkg/admission/doc.go
@@ -1,5 +1,5 @@
 // Package admission decides which calls the local upstream runs: slots, ranks
-// with floors, short queues and an adaptive limit. Core is pure and takes the
+// with floors and short queues. Core is pure and takes the
 // time as an argument; Gate makes it usable by concurrent calls.
 //
 // A free slot goes to the most urgent waiting rank that runs fewer calls than
@@ -11,9 +11,4 @@
 // current service times. When the queue is full the last call of the least
 // urgent rank makes room for a more urgent one; a rank always keeps as many
 // waiting places as its floor has slots.
-//
-// The limit of running calls starts at half of the slots, grows while calls
-// meet their latency target, and falls when the target is missed and latency
-// has risen above that of the uncongested upstream. A target that is missed
-// at any limit does not lower it.
 package admission
