Send configuration and fleet only to nodes whose store does not bring them

Cause: every digest to a node that was behind was answered with the whole configuration and fleet. Each change of an upstream is announced to all nodes, so with 90 nodes and 300 routes the links of 7 to 140 Mbit/s were full, and versions came late. Change: a digest asks for what its sender lacks; a node does so while its store does not answer, or once it has been behind another for 0.8 s. A crash notice without fingerprint, which cleared the zero fingerprint, is refused. Test first: TestNodeWithStoreIsSentDigestsOnly.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -123,7 +123,7 @@
 	a.gateway = gateway.New(&gateway.Gateway{
 		Names: names, Self: a.self, Config: a.holder, View: a.view, Local: a.local,
 		Remote: gateway.NewRemote(names, a.holder), Picker: balance.NewPicker(), Budgets: a.budgets,
-		Metrics: metrics, Log: c.Log, OnBehind: a.gossip.Hurry,
+		Metrics: metrics, Log: c.Log, OnBehind: a.gossip.Behind,
 	})
 	a.calls, a.peers = a.gateway.CallServer(), a.gateway.PeerServer()
 	a.messages, a.reports, a.readiness = newEcho(), newEcho(), newEcho()
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -28,6 +28,10 @@
 	calmPeriod = 2 * time.Second
 	// urgentPeriod is the same while this node has no answer from the store.
 	urgentPeriod = 300 * time.Millisecond
+	// storeTime is how long a node waits for the store before it takes from
+	// another node what that has: the pause between two watches and an answer
+	// of a slow store. A version must be in force after 2 s.
+	storeTime = 800 * time.Millisecond
 	// messageTime bounds one exchange: 24 ms between regions, and a node with
 	// a third of a core may be busy.
 	messageTime = time.Second
@@ -55,6 +59,7 @@
 	sequence  atomic.Uint64
 	storeAway atomic.Bool
 	hurry     chan struct{}
+	behind    behind
 	mu        sync.Mutex
 	heard     map[model.NodeID]heard
 }
@@ -95,11 +100,55 @@
 
 func (n *Node) digest() Digest {
 	return Digest{
-		From: n.Self, Serving: n.Serving(), Config: n.Config.Version(), Fleet: n.View.Current().Revision,
+		Lacks: n.lacks(time.Now()),
+		From:  n.Self, Serving: n.Serving(), Config: n.Config.Version(), Fleet: n.View.Current().Revision,
 		Started: n.started, Sequence: n.sequence.Add(1),
 	}
 }
 
+// lacks reports whether this node needs what others have: the store does not
+// answer it, or it has been behind another node for longer than the store
+// takes.
+func (n *Node) lacks(now time.Time) bool {
+	return n.storeAway.Load() || n.Config.Current() == nil || n.behind.since(now) > storeTime
+}
+
+// behind tells since when another node is known to have more.
+type behind struct{ at atomic.Int64 } // Unix nanoseconds, 0 if none is
+
+// set notes whether another node has more, and reports whether that is new.
+func (b *behind) set(behind bool, now time.Time) bool {
+	if !behind {
+		b.at.Store(0)
+		return false
+	}
+	return b.at.CompareAndSwap(0, now.UnixNano())
+}
+
+func (b *behind) since(now time.Time) time.Duration {
+	at := b.at.Load()
+	if at == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, at))
+}
+
+// compare notes whether another node has more than this one. If so and the
+// store does not bring it soon, this node asks for it.
+func (n *Node) compare(d *Digest) {
+	more := d.Config > n.Config.Version() || n.View.Known() && d.Fleet > n.View.Current().Revision
+	if n.behind.set(more, time.Now()) {
+		time.AfterFunc(storeTime+storeTime/8, n.Hurry)
+	}
+}
+
+// Behind notes that a request of another node was decided by a newer version.
+func (n *Node) Behind() {
+	if n.behind.set(true, time.Now()) {
+		time.AfterFunc(storeTime+storeTime/8, n.Hurry)
+	}
+}
+
 func (n *Node) handleSync(c echo.Context) error {
 	var d Digest
 	if err := readMessage(c, &d); err != nil || !d.From.Complete() {
@@ -108,15 +157,16 @@
 	}
 	n.learn(d)
 	u := Update{Digest: n.digest()}
-	if s := n.Config.Current(); s != nil && s.Version > d.Config {
+	if s := n.Config.Current(); d.Lacks && s != nil && s.Version > d.Config {
 		u.Configuration = s.Configuration
 	}
-	if f := n.View.Current(); n.View.Known() && f.Revision > d.Fleet {
+	if f := n.View.Current(); d.Lacks && n.View.Known() && f.Revision > d.Fleet {
 		for _, m := range f.Members {
 			u.Members = append(u.Members, m)
 		}
 	}
-	if d.Config > u.Config || d.Fleet > u.Fleet {
+	n.compare(&d)
+	if u.Lacks && (d.Config > u.Config || d.Fleet > u.Fleet) {
 		go n.ask(context.Background(), d.From)
 	}
 	return c.JSON(http.StatusOK, u)
@@ -124,7 +174,7 @@
 
 func (n *Node) handleCrash(c echo.Context) error {
 	var notice CrashNotice
-	if err := readMessage(c, &notice); err != nil {
+	if err := readMessage(c, &notice); err != nil || notice.Fingerprint == (crashguard.Fingerprint{}) || notice.Service == "" {
 		n.Log.Warn("crash notice cannot be used", zap.String("remote", c.RealIP()), zap.Error(err))
 		return c.NoContent(http.StatusBadRequest)
 	}
@@ -214,6 +264,7 @@
 		return
 	}
 	n.learn(u.Digest)
+	n.compare(&u.Digest)
 	if u.Configuration != nil {
 		taken, err := n.Config.Offer(u.Configuration)
 		if err != nil {
--- /dev/null
+++ b/pkg/gossip/gossip_test.go
@@ -0,0 +1,177 @@
+package gossip
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// peer is a node with a listener that counts the bytes that it sends.
+type peer struct {
+	*Node
+	serving atomic.Bool
+	sent    atomic.Int64
+	taken   atomic.Int64
+}
+
+type counting struct {
+	http.ResponseWriter
+	n *atomic.Int64
+}
+
+func (c counting) Write(b []byte) (int, error) {
+	c.n.Add(int64(len(b)))
+	return c.ResponseWriter.Write(b)
+}
+
+func newPeer(t *testing.T, name string) *peer {
+	t.Helper()
+	p := &peer{}
+	p.serving.Store(true)
+	e := echo.New()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.ServeHTTP(counting{w, &p.sent}, r)
+	}))
+	t.Cleanup(server.Close)
+	p.Node = &Node{
+		Self: fleet.Member{
+			Node: model.NodeID(name), Service: "s", CallAddress: "x:1", MessageAddress: strings.TrimPrefix(server.URL, "http://"),
+			Location: model.Location{Region: "r", AvailabilityZone: "z"},
+		},
+		Config: config.NewHolder(), View: fleet.NewView(), Notices: crashguard.NewMemory(time.Now), Serving: p.serving.Load,
+		Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ model.NodeID) { p.taken.Store(int64(v)) },
+	}
+	p.Start(time.Now())
+	p.Routes(e)
+	return p
+}
+
+func configuration(v config.Version) *config.Configuration {
+	c := &config.Configuration{Version: v, Services: []config.Service{{Name: "s"}}}
+	for i := range 300 {
+		c.Routes = append(c.Routes, config.Route{
+			Name: "r", Host: strings.Repeat("h", i+1), Prefix: "/", Attempts: 1, Split: []config.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	return c
+}
+
+func (p *peer) offer(t *testing.T, v config.Version) {
+	t.Helper()
+	if _, err := p.Config.Offer(configuration(v)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards the way of configuration and fleet to a node that the store turns
+// away, and to one that has nothing.
+func TestNodeWithoutStoreGetsWhatItLacks(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	a.offer(t, 7)
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, 3)
+	b.SetStore(false)
+	b.ask(t.Context(), a.Self)
+	is.Equal(b.Config.Version(), config.Version(7))
+	is.Equal(b.View.Current().Revision, follow.Revision(3))
+	is.Equal(b.taken.Load(), int64(7))
+
+	// The other way round: a node that is asked by one that has more asks back.
+	c := newPeer(t, "c")
+	a.ask(t.Context(), c.Self)
+	for end := time.Now().Add(5 * time.Second); c.Config.Version() == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(c.Config.Version(), config.Version(7))
+}
+
+// Guards against whole configurations that are sent to nodes which read the
+// same from the store at that moment: with 90 nodes they filled the links
+// between zones whenever an upstream came or went.
+func TestNodeWithStoreIsSentDigestsOnly(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	b.offer(t, 6)
+	a.offer(t, 7)
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, 3)
+	b.View.Replace([]fleet.Member{a.Self, b.Self}, 2)
+	for range 10 {
+		b.ask(t.Context(), a.Self)
+		a.ask(t.Context(), b.Self)
+	}
+	is.Equal(b.Config.Version(), config.Version(6))
+	const digest = 500 // bytes, generous
+	is.True(a.sent.Load()+b.sent.Load() < 20*digest)
+
+	// If the store does not bring it, the node takes it from the other one.
+	b.behind.at.Store(time.Now().Add(-storeTime - time.Millisecond).UnixNano())
+	b.ask(t.Context(), a.Self)
+	is.Equal(b.Config.Version(), config.Version(7))
+	is.Equal(b.View.Current().Revision, follow.Revision(3))
+}
+
+// Guards the order of what a node says about itself: a late digest does not
+// undo a newer one, and a new start counts from its beginning.
+func TestDigestsAreOrdered(t *testing.T) {
+	is := is.New(t)
+	a := newPeer(t, "a")
+	other := fleet.Member{Node: "b", Service: "s", CallAddress: "x:2", MessageAddress: "x:3", Location: a.Self.Location}
+	a.View.Replace([]fleet.Member{a.Self, other}, 1)
+	state := func() model.EntryState { return a.View.Current().Entries("s")[1].State }
+	a.learn(Digest{From: other, Serving: false, Started: 1, Sequence: 5})
+	is.Equal(state(), model.Suspect)
+	a.learn(Digest{From: other, Serving: true, Started: 1, Sequence: 4})
+	is.Equal(state(), model.Suspect)
+	a.learn(Digest{From: other, Serving: true, Started: 2, Sequence: 1})
+	is.Equal(state(), model.Ready)
+}
+
+// Guards against messages that cannot be used: they change nothing.
+func TestUnusableMessagesAreRefused(t *testing.T) {
+	is := is.New(t)
+	a := newPeer(t, "a")
+	for _, path := range []string{pathSync, pathCrash} {
+		for _, body := range []string{"", "{", `[]`, `{"from":7}`, `{"fingerprint":"zz"}`} {
+			resp, err := http.Post("http://"+a.Self.MessageAddress+path, "application/json", strings.NewReader(body))
+			is.NoErr(err)
+			_ = resp.Body.Close()
+			is.Equal(resp.StatusCode, http.StatusBadRequest)
+		}
+	}
+	is.True(a.Notices.Empty())
+}
+
+// Guards the sharing of crashes: two of them, seen by different nodes, stop a
+// request at a third, and a completed request is cleared.
+func TestCrashesAreShared(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, 1)
+	f := crashguard.Fingerprint{1}
+	now := time.Now()
+	for i, up := range []model.NodeID{"x", "y"} {
+		c := crashguard.Crash{ID: string(up), Upstream: up, At: now.Add(time.Duration(i) * time.Second)}
+		a.ReportCrash(t.Context(), CrashNotice{Fingerprint: f, Service: "s", Crash: &c})
+	}
+	r, ok := b.Notices.Lookup(f)
+	is.True(ok)
+	is.True(r.Refused(now.Add(time.Second)))
+	g := crashguard.Fingerprint{2}
+	a.ReportCrash(t.Context(), CrashNotice{Fingerprint: g, Service: "s", Crash: &crashguard.Crash{ID: "1", Upstream: "x", At: now}})
+	a.ReportCrash(t.Context(), CrashNotice{Fingerprint: g, Service: "s"})
+	_, ok = b.Notices.Lookup(g)
+	is.True(!ok)
+}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -19,6 +19,10 @@
 	Serving bool            `json:"serving"`
 	Config  config.Version  `json:"config"`
 	Fleet   follow.Revision `json:"fleet"`
+	// Lacks asks for what the sender does not have. A node whose store answers
+	// leaves it out: it is about to read the same from there, and a whole
+	// configuration is worth 500 digests.
+	Lacks bool `json:"lacks,omitempty"`
 	// Started is the start of the sender in Unix nanoseconds, and Sequence
 	// increases with each digest of one start; they order digests of a sender.
 	Started  int64  `json:"started"`
