--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -20,11 +20,9 @@
 )
 
 const (
-	// configPause and fleetPause are the least times between two answers of
-	// the store's watches, so that changes in quick succession share a call. A
-	// version must be in force 2 s after it was accepted.
-	configPause = 400 * time.Millisecond
-	fleetPause  = 300 * time.Millisecond
+	// fleetPause is the least time between two answers of the watch of the
+	// fleet, so that changes in quick succession share a call.
+	fleetPause = 300 * time.Millisecond
 	// exitMargin is kept of the longest stop, for what ends the process.
 	exitMargin = 800 * time.Millisecond
 	// idleSweep is the pause between two looks for idle connections while the
@@ -53,7 +51,7 @@
 	a.addStop(ctx, &g, callListener)
 	addLoop(&g, a.follower("configuration", a.platform.Operator(a.holder, func(v config.Version, at follow.Revision) {
 		a.inForce(v, zap.Uint64("revision", uint64(at)))
-	}), configPause, func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
+	}), 0, func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
 	addLoop(&g, a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
 		func(ok bool) { a.fleetLost.Store(!ok); a.storeChanged() }))
 	addLoop(&g, a.gossip.Run)
@@ -133,7 +131,9 @@
 	a.stopping.Store(true)
 	a.local.Stop()
 	a.calls.Drain()
-	go a.withdraw()
+	if _, _, known := a.local.State(); !known {
+		go a.withdraw()
+	}
 	time.Sleep(time.Duration(drain.Announce))
 	a.gateway.RefuseCalls()
 	_ = calls.Close()
@@ -202,6 +202,9 @@
 	}
 }
 
+// withdraw removes the row of this node. A node whose upstream lives is about
+// to start again and keeps its row, which spares two writes and the answers
+// that they cause at every other node.
 func (a *Agent) withdraw() {
 	ctx, cancel := context.WithTimeout(context.Background(), rowTime)
 	defer cancel()
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -90,6 +90,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
