Notice nodes that are gone by calls that are short

Cause: a connection to a VM that is gone hangs, and its row stays in the store. Change: no connection after 60 ms is silence whoever gives up; the bound is 100 ms; a silent node is set aside for 3 s, doubling up to a minute, until it announces itself.

--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -17,6 +17,12 @@
 // knows its upstream by then.
 const absenceTime = 3 * time.Second
 
+// maxUnreachable bounds how long a node that does not answer connections is set
+// aside. The time doubles from absenceTime with each failure: a VM that is gone
+// for good keeps its row, and every attempt costs its call a tenth of a second.
+// A node that returns announces itself, which ends it at once.
+const maxUnreachable = time.Minute
+
 // Snapshot is the fleet at one revision of the store. It is immutable.
 type Snapshot struct {
 	Revision follow.Revision
@@ -41,12 +47,13 @@
 	known   atomic.Bool // a whole state was seen
 
 	mu     sync.Mutex
-	absent map[model.NodeID]time.Time // until
+	absent map[model.NodeID]time.Time     // until
+	silent map[model.NodeID]time.Duration // last time set aside as unreachable
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	v := &View{absent: make(map[model.NodeID]time.Time)}
+	v := &View{absent: make(map[model.NodeID]time.Time), silent: make(map[model.NodeID]time.Duration)}
 	v.current.Store(&Snapshot{Members: map[model.NodeID]Member{}})
 	return v
 }
@@ -88,6 +95,7 @@
 	}
 	for _, id := range c.Removed {
 		delete(next, id)
+		delete(v.silent, id)
 	}
 	v.publish(next, c.Revision)
 }
@@ -100,8 +108,9 @@
 	_, was := v.absent[id]
 	if serving {
 		delete(v.absent, id)
-	} else {
-		v.absent[id] = now.Add(absenceTime)
+		delete(v.silent, id)
+	} else if until := now.Add(absenceTime); until.After(v.absent[id]) {
+		v.absent[id] = until
 	}
 	if was == serving {
 		old := v.current.Load()
@@ -109,6 +118,19 @@
 	}
 }
 
+// SetUnreachable notes that a node did not answer a connection.
+func (v *View) SetUnreachable(id model.NodeID, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now.Before(v.absent[id]) {
+		return // one of the calls that were on their way together
+	}
+	span := min(max(2*v.silent[id], absenceTime), maxUnreachable)
+	v.silent[id], v.absent[id] = span, now.Add(span)
+	old := v.current.Load()
+	v.publish(old.Members, old.Revision)
+}
+
 // Expire ends absences whose time is over.
 func (v *View) Expire(now time.Time) {
 	v.mu.Lock()
--- a/pkg/fleet/view_test.go
+++ b/pkg/fleet/view_test.go
@@ -76,3 +76,29 @@
 	v.SetServing("a", true, now)
 	is.Equal(state(), model.Ready)
 }
+
+// Guards against a VM that is gone for good and whose row stays: it is tried
+// less and less often. Its return, which it announces, counts at once.
+func TestUnreachableNodeIsTriedLessOften(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := NewView()
+	v.Replace([]Member{member("a", "s")}, 1)
+	state := func() model.EntryState { return v.Current().Entries("s")[0].State }
+	tries := 0
+	for range 600 { // one call a second for ten minutes
+		v.Expire(now)
+		if state() == model.Ready {
+			tries++
+			v.SetUnreachable("a", now)
+			v.SetUnreachable("a", now.Add(time.Millisecond)) // another call at the same moment
+		}
+		now = now.Add(time.Second)
+	}
+	is.True(tries < 20)
+	v.SetServing("a", true, now)
+	is.Equal(state(), model.Ready)
+	v.SetUnreachable("a", now)
+	v.Expire(now.Add(absenceTime + 1))
+	is.Equal(state(), model.Ready) // it begins anew
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -346,6 +346,10 @@
 		default:
 			outcome = balance.Neutral
 		}
+		if r.Silent {
+			outcome = balance.Failed
+			g.View.SetUnreachable(entry.Node, time.Now())
+		}
 		if r.Reason == model.NoUpstream || r.Reason == model.NodeDraining {
 			g.View.SetServing(entry.Node, false, time.Now())
 		}
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -113,7 +113,9 @@
 	RetryAfter time.Duration
 	// Unreached says that no upstream saw the request.
 	Unreached bool
-	Cause     error // for the log; may be nil
+	// Silent says that the node did not answer a connection.
+	Silent bool
+	Cause  error // for the log; may be nil
 }
 
 // refuse returns a refusal by a node, before an upstream saw the request.
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/config"
@@ -21,8 +22,13 @@
 	// (peerServerIdle).
 	peerIdle       = 20 * time.Second
 	peerServerIdle = time.Minute
-	// peerDial bounds a new connection to another node: 24 ms between regions.
-	peerDial = 250 * time.Millisecond
+	// peerDial bounds a new connection to another node, which takes 24 ms
+	// between regions. The shortest calls have 200 ms in all and must be able
+	// to go to another node.
+	peerDial = 100 * time.Millisecond
+	// peerSilent is the time without a connection after which a node counts as
+	// silent: twice the way between regions.
+	peerSilent = 60 * time.Millisecond
 	// peerProbe and peerSilence find connections to nodes that have vanished.
 	peerProbe   = time.Second
 	peerSilence = 1500 * time.Millisecond
@@ -80,9 +86,10 @@
 		service: j.Service, rank: j.Rank, worth: j.Worth, remaining: time.Until(j.Deadline), target: j.Latency,
 		patience: j.Patience, idempotent: j.Idempotent, version: r.Config.Version(),
 	}
+	began := time.Now()
 	a, err := r.pool(address).Do(ctx, j.outgoing(nil, h1.Field{Name: headerCall, Value: f.String()}))
 	if err != nil {
-		refusal := remoteFailure(ctx, err)
+		refusal := remoteFailure(ctx, err, time.Since(began))
 		cancel()
 		return nil, refusal
 	}
@@ -115,11 +122,14 @@
 // answerField returns the content of Lentilflow-Answer.
 func answerField(r *Result) string { return "upstream " + millis(r.Waited) + " " + millis(r.Ran) }
 
-func remoteFailure(ctx context.Context, err error) *Refusal {
+func remoteFailure(ctx context.Context, err error, took time.Duration) *Refusal {
 	var f *h1.Failure
 	r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
 	if errors.As(err, &f) && !f.Sent {
 		r.Reason, r.Run, r.Unreached = model.UpstreamUnreachable, model.NotRun, true
+		// Also where the caller left first: otherwise calls with less time than
+		// the bound of a connection would never show that a node is gone.
+		r.Silent = !errors.Is(err, syscall.ECONNREFUSED) && took >= peerSilent
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
