Compare fleets by content; order starts of nodes without trust in clocks; split files

Cause: the store's revision also rises by changes of other rows, so a node that read the fleet later looked newer with the same members, and every other node asked it for all of them. A node whose clock was set back before it started anew was never heard again, and the time since when a node is behind jumped with the clock. Change: digests carry a digest of the members; an earlier start is believed after 5 s; times are monotonic. A listener that cannot accept says so.

--- a/pkg/devcluster/deployment.go
+++ b/pkg/devcluster/deployment.go
@@ -1,7 +1,6 @@
 package devcluster
 
 import (
-	"slices"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -74,17 +73,6 @@
 	return names
 }
 
-// Regions returns the regions in the order of the zones.
-func (d *Deployment) Regions() []string {
-	var regions []string
-	for _, z := range d.Zones {
-		if !slices.Contains(regions, string(z.Region)) {
-			regions = append(regions, string(z.Region))
-		}
-	}
-	return regions
-}
-
 func locations(names ...string) []model.Location {
 	all := make([]model.Location, len(names))
 	for i, name := range names {
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -19,3 +23,10 @@
 func (m *Member) Complete() bool {
 	return m.Node != "" && m.Service != "" && m.CallAddress != "" && m.MessageAddress != "" && m.Location.AvailabilityZone != ""
 }
+
+// digest identifies the content of m.
+func (m *Member) digest() uint64 {
+	return xxhash.Sum64String(strings.Join([]string{
+		string(m.Node), string(m.Location.Region), string(m.Location.AvailabilityZone), m.Service, m.CallAddress, m.MessageAddress,
+	}, "\x00"))
+}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -27,6 +27,9 @@
 type Snapshot struct {
 	Revision follow.Revision
 	Members  map[model.NodeID]Member
+	// Digest is the same for the same members, whatever the revision: the
+	// store's revision also rises by changes of other rows.
+	Digest   uint64
 	services map[string][]model.Entry
 }
 
@@ -148,6 +151,7 @@
 	s := &Snapshot{Revision: at, Members: members, services: make(map[string][]model.Entry)}
 	for _, id := range slices.Sorted(maps.Keys(members)) {
 		m := members[id]
+		s.Digest ^= m.digest()
 		e := model.Entry{Node: m.Node, Service: m.Service, Location: m.Location, Address: m.CallAddress}
 		if _, away := v.absent[id]; away {
 			e.State = model.Suspect
--- a/pkg/fleet/view_test.go
+++ b/pkg/fleet/view_test.go
@@ -58,6 +58,21 @@
 	is.Equal(len(v.Current().Entries("s")), 1)
 }
 
+// Guards against equal fleets that look different because their revisions do,
+// and against different ones that look equal.
+func TestDigestFollowsTheMembers(t *testing.T) {
+	is := is.New(t)
+	digest := func(at follow.Revision, members ...Member) uint64 {
+		v := NewView()
+		v.Replace(members, at)
+		return v.Current().Digest
+	}
+	a, b := member("a", "s"), member("b", "s")
+	is.Equal(digest(1, a, b), digest(9, b, a))
+	is.True(digest(1, a) != digest(1, a, b))
+	is.True(digest(1, a) != digest(1, member("a", "t")))
+}
+
 // Guards against a node that stays set aside after its announcement of return
 // was lost, and against one that is used like others while it takes no work.
 func TestAbsenceEnds(t *testing.T) {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -1,13 +1,8 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -22,10 +17,6 @@
 )
 
 const (
-	// answerBuffer is how much of an answer is read before its head is sent to
-	// the caller, in bytes. An answer that breaks off within it can be replaced
-	// by that of another upstream, or by an honest failure.
-	answerBuffer = 64 << 10
 	// defaultDeadline is the time for a call that states none, on a route
 	// without a timeout.
 	defaultDeadline = 30 * time.Second
@@ -111,9 +102,9 @@
 
 	asked    []model.NodeID // in this order
 	avoid    []model.NodeID
-	made     int // attempts that reached an upstream, without the first
-	moves    int // attempts that reached none
-	possible bool
+	made     int           // attempts that reached an upstream, without the first
+	moves    int           // attempts that reached none
+	possible bool          // an earlier attempt may have run
 	last     *Refusal      // of the attempt before
 	failed   *failedAnswer // answer of an upstream that a retry may better
 	waited   time.Duration
@@ -121,13 +112,6 @@
 	verdict  retry.Verdict
 }
 
-// failedAnswer is a complete answer with a failure status.
-type failedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 func (g *Gateway) handleCall(x *h1.Exchange) {
 	c := &call{x: x}
 	r := g.prepare(c)
@@ -356,101 +340,3 @@
 	}
 	e.End(now, rank, outcome, now-began)
 }
-
-// receive reads the start of an answer and delivers it, unless a retry may
-// bring a better one.
-func (g *Gateway) receive(c *call, res *Result) *Refusal {
-	c.waited, c.ran = res.Waited, res.Ran
-	head, whole, err := readStart(res)
-	if err == nil && !g.genuine(res) {
-		err = errNotGenuine
-	}
-	if err != nil {
-		res.Finish(false)
-		r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
-		switch {
-		case c.x.Context().Err() != nil:
-			r.Reason = model.CallerGone
-		case time.Until(c.job.Deadline) <= 0:
-			r.Reason = model.DeadlineExceeded
-		}
-		return r
-	}
-	if whole && c.job.Idempotent && res.Status >= http.StatusInternalServerError && res.Status != http.StatusGatewayTimeout {
-		res.Finish(true)
-		c.failed = &failedAnswer{status: res.Status, header: res.Header, body: head}
-		return &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: errFailedAnswer}
-	}
-	var rest io.Reader
-	if !whole {
-		rest = res
-	}
-	err = g.deliver(c, res.Status, res.Header, head, rest, res.Length)
-	res.Finish(err == nil)
-	return nil
-}
-
-var (
-	// errNotGenuine means that a successful answer lacks the upstream's
-	// signature.
-	errNotGenuine = errors.New("answer lacks the signature of an upstream")
-	// errFailedAnswer means that an upstream answered with a failure status.
-	errFailedAnswer = errors.New("upstream answered with a failure")
-)
-
-// genuine reports whether an answer is that of an upstream.
-func (g *Gateway) genuine(res *Result) bool {
-	return res.Header.Get(g.Names.Signature) != "" || res.Status >= http.StatusMultipleChoices
-}
-
-// readStart reads up to answerBuffer bytes of an answer; whole says that this
-// was all of it.
-func readStart(res *Result) (head []byte, whole bool, err error) {
-	if res.Length == 0 {
-		return nil, true, drained(res)
-	}
-	size := res.Length + 1
-	if res.Length == h1.Chunked || size > answerBuffer {
-		size = answerBuffer
-	}
-	buf := make([]byte, 0, min(size, firstRead))
-	for int64(len(buf)) < size {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := res.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			return buf, true, nil
-		}
-		if err != nil {
-			return nil, false, err
-		}
-	}
-	return buf, false, nil
-}
-
-// firstRead is the first part of an answer's buffer, in bytes; most answers
-// have a few KB.
-const firstRead = 8 << 10
-
-// drained reads the end of an answer without a body.
-func drained(res *Result) error {
-	var b [1]byte
-	if _, err := res.Read(b[:]); err != nil && !errors.Is(err, io.EOF) {
-		return err
-	}
-	return nil
-}
-
-// deliver sends an answer of an upstream to the caller.
-func (g *Gateway) deliver(c *call, status int, h http.Header, head []byte, rest io.Reader, length int64) error {
-	h[headerRoute] = []string{c.route.Name}
-	h[headerVersion] = []string{strconv.FormatUint(uint64(c.version), 10)}
-	err := c.x.Reply(&h1.Reply{Status: status, Header: h, Body: head, Rest: rest, Length: length})
-	g.logAnswer(c, status, err)
-	return err
-}
-
-// gone reports whether the caller of a request has left.
-func gone(ctx context.Context) bool { return h1.Gone(ctx) }
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -153,7 +153,9 @@
 func (g *Gateway) onFault(side string) func(net.Addr, h1.Fault, error) {
 	return func(remote net.Addr, f h1.Fault, err error) {
 		g.Metrics.fault(string(f))
-		g.Metrics.refused(faultReason(f))
+		if f != h1.NotAccepted {
+			g.Metrics.refused(faultReason(f))
+		}
 		if dropped, ok := g.log.decisions.allow(); ok {
 			g.log.Info("request could not be read", zap.String("from", side), zap.Stringer("remote", remote),
 				zap.String("fault", string(f)), zap.Int64("lines_left_out", dropped), zap.Error(err))
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -39,7 +39,7 @@
 		r.MustRegister(v)
 		return v
 	}
-	return &Metrics{
+	m := &Metrics{
 		answers:  counter("answers_total", "Answers of upstreams that were delivered to callers, by status class.", "class"),
 		refusals: counter("refusals_total", "Calls that ended without an answer of an upstream, by reason.", "reason"),
 		verdicts: counter("retry_verdicts_total", "Decisions after a failed attempt.", "verdict"),
@@ -48,6 +48,13 @@
 		queue:    histogram("queue_seconds", "Wait for a slot of the upstream."),
 		upstream: histogram("upstream_seconds", "From admission to the head of the upstream's answer."),
 	}
+	for _, r := range model.Reasons() { // every reason shows, also at 0
+		m.refusals.WithLabelValues(string(r))
+	}
+	for _, v := range retry.Verdicts() {
+		m.verdicts.WithLabelValues(string(v))
+	}
+	return m
 }
 
 // rankLabels spare the conversion of each observation.
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -31,7 +31,7 @@
 	if c.possible && r.Run == model.NotRun {
 		r.Run = model.Unknown // an earlier attempt may have run
 	}
-	if gone(c.x.Context()) {
+	if h1.Gone(c.x.Context()) {
 		r.Reason = model.CallerGone
 	}
 	g.Metrics.refused(r.Reason)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -64,9 +64,27 @@
 	heard     map[model.NodeID]heard
 }
 
+// heard is the newest digest of a node.
 type heard struct {
 	started  int64
 	sequence uint64
+	at       time.Time
+}
+
+// restartTime is how long after the last digest of one start of a node a start
+// that claims to be earlier is believed: the clock of the node may have been
+// set back. Digests that arrive late are seconds old.
+const restartTime = 5 * time.Second
+
+// newer reports whether d replaces h.
+func (h *heard) newer(d *Digest, now time.Time) bool {
+	switch {
+	case d.Started == h.started:
+		return d.Sequence > h.sequence
+	case d.Started < h.started:
+		return now.Sub(h.at) > restartTime
+	}
+	return true
 }
 
 // Start prepares n for use.
@@ -99,9 +117,10 @@
 }
 
 func (n *Node) digest() Digest {
+	f := n.View.Current()
 	return Digest{
-		Lacks: n.lacks(time.Now()),
-		From:  n.Self, Serving: n.Serving(), Config: n.Config.Version(), Fleet: n.View.Current().Revision,
+		From: n.Self, Serving: n.Serving(), Lacks: n.lacks(time.Now()),
+		Config: n.Config.Version(), Fleet: f.Revision, Members: f.Digest,
 		Started: n.started, Sequence: n.sequence.Add(1),
 	}
 }
@@ -114,29 +133,30 @@
 }
 
 // behind tells since when another node is known to have more.
-type behind struct{ at atomic.Int64 } // Unix nanoseconds, 0 if none is
+type behind struct{ at atomic.Pointer[time.Time] } // nil if none is
 
 // set notes whether another node has more, and reports whether that is new.
 func (b *behind) set(behind bool, now time.Time) bool {
 	if !behind {
-		b.at.Store(0)
+		b.at.Store(nil)
 		return false
 	}
-	return b.at.CompareAndSwap(0, now.UnixNano())
+	return b.at.CompareAndSwap(nil, &now)
 }
 
 func (b *behind) since(now time.Time) time.Duration {
 	at := b.at.Load()
-	if at == 0 {
+	if at == nil {
 		return 0
 	}
-	return now.Sub(time.Unix(0, at))
+	return now.Sub(*at)
 }
 
 // compare notes whether another node has more than this one. If so and the
 // store does not bring it soon, this node asks for it.
 func (n *Node) compare(d *Digest) {
-	more := d.Config > n.Config.Version() || n.View.Known() && d.Fleet > n.View.Current().Revision
+	f := n.View.Current()
+	more := d.Config > n.Config.Version() || n.View.Known() && d.Fleet > f.Revision && d.Members != f.Digest
 	if n.behind.set(more, time.Now()) {
 		time.AfterFunc(storeTime+storeTime/8, n.Hurry)
 	}
@@ -162,7 +182,7 @@
 	}
 	if f := n.View.Current(); d.Lacks && n.View.Known() && f.Revision > d.Fleet {
 		for _, m := range f.Members {
-			u.Members = append(u.Members, m)
+			u.Nodes = append(u.Nodes, m)
 		}
 	}
 	n.compare(&d)
@@ -196,15 +216,16 @@
 
 // learn takes what a node says about itself, unless a newer digest came first.
 func (n *Node) learn(d Digest) {
+	now := time.Now()
 	n.mu.Lock()
 	last, ok := n.heard[d.From.Node]
-	if ok && (d.Started < last.started || d.Started == last.started && d.Sequence <= last.sequence) {
+	if ok && !last.newer(&d, now) {
 		n.mu.Unlock()
 		return
 	}
-	n.heard[d.From.Node] = heard{d.Started, d.Sequence}
+	n.heard[d.From.Node] = heard{d.Started, d.Sequence, now}
 	n.mu.Unlock()
-	n.View.SetServing(d.From.Node, d.Serving, time.Now())
+	n.View.SetServing(d.From.Node, d.Serving, now)
 }
 
 // Forget drops what was heard of a node that has left the fleet.
@@ -274,9 +295,9 @@
 			n.OnConfig(u.Configuration.Version, m.Node)
 		}
 	}
-	if len(u.Members) > 0 && n.View.Replace(u.Members, u.Fleet) {
+	if len(u.Nodes) > 0 && n.View.Replace(u.Nodes, u.Fleet) {
 		n.Log.Info("fleet was taken from another node", zap.String("from", string(m.Node)),
-			zap.Uint64("revision", uint64(u.Fleet)), zap.Int("nodes", len(u.Members)))
+			zap.Uint64("revision", uint64(u.Fleet)), zap.Int("nodes", len(u.Nodes)))
 	}
 }
 
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -107,7 +107,7 @@
 	b.offer(t, 6)
 	a.offer(t, 7)
 	a.View.Replace([]fleet.Member{a.Self, b.Self}, 3)
-	b.View.Replace([]fleet.Member{a.Self, b.Self}, 2)
+	b.View.Replace([]fleet.Member{a.Self}, 2)
 	for range 10 {
 		b.ask(t.Context(), a.Self)
 		a.ask(t.Context(), b.Self)
@@ -117,7 +117,8 @@
 	is.True(a.sent.Load()+b.sent.Load() < 20*digest)
 
 	// If the store does not bring it, the node takes it from the other one.
-	b.behind.at.Store(time.Now().Add(-storeTime - time.Millisecond).UnixNano())
+	long := time.Now().Add(-storeTime - time.Millisecond)
+	b.behind.at.Store(&long)
 	b.ask(t.Context(), a.Self)
 	is.Equal(b.Config.Version(), config.Version(7))
 	is.Equal(b.View.Current().Revision, follow.Revision(3))
@@ -139,6 +140,17 @@
 	is.Equal(state(), model.Ready)
 }
 
+// Guards against a node that is never heard again because its clock was set
+// back before it started anew.
+func TestEarlierStartIsBelievedInTheEnd(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	h := heard{started: 10, sequence: 5, at: now}
+	d := Digest{Started: 8, Sequence: 1}
+	is.True(!h.newer(&d, now.Add(restartTime)))
+	is.True(h.newer(&d, now.Add(restartTime+1)))
+}
+
 // Guards against messages that cannot be used: they change nothing.
 func TestUnusableMessagesAreRefused(t *testing.T) {
 	is := is.New(t)
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -19,6 +19,8 @@
 	Serving bool            `json:"serving"`
 	Config  config.Version  `json:"config"`
 	Fleet   follow.Revision `json:"fleet"`
+	// Members identifies the content of the fleet.
+	Members uint64 `json:"members_digest"`
 	// Lacks asks for what the sender does not have. A node whose store answers
 	// leaves it out: it is about to read the same from there, and a whole
 	// configuration is worth 500 digests.
@@ -34,7 +36,7 @@
 type Update struct {
 	Digest
 	Configuration *config.Configuration `json:"configuration,omitempty"`
-	Members       []fleet.Member        `json:"members,omitempty"`
+	Nodes         []fleet.Member        `json:"nodes,omitempty"`
 }
 
 // CrashNotice says that a request was running when an upstream crashed, or,
--- /dev/null
+++ b/pkg/h1/exchange.go
@@ -0,0 +1,208 @@
+package h1
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	Request *http.Request
+	// Body is the whole body, or its start when Rest is set.
+	Body []byte
+	// Rest is what follows Body. It must not be read after the answer.
+	Rest io.Reader
+	// Length is the whole length of the body in bytes, or Chunked.
+	Length  int64
+	Arrived time.Time
+	// CloseAfter makes the answer the last one of the connection.
+	CloseAfter bool
+
+	conn    *conn
+	turn    chan struct{} // closed when the answer may be sent
+	done    chan struct{}
+	closing atomic.Bool
+	replied bool
+}
+
+// Context ends when the client leaves or the connection ends.
+func (x *Exchange) Context() context.Context { return x.conn.ctx }
+
+// readBody reads the body into memory if it is short enough.
+func (x *Exchange) readBody(limit int64) error {
+	r := x.Request
+	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		return nil
+	}
+	if r.Header.Get("Expect") != "" && x.conn.br.Buffered() == 0 {
+		x.conn.sendContinue(x)
+	}
+	r.Header.Del("Expect")
+	body := &timedBody{Reader: r.Body, conn: x.conn, left: limit}
+	size := r.ContentLength
+	if size < 0 || size > bodyBuffer {
+		size = bodyBuffer
+	}
+	held, err := io.ReadAll(io.LimitReader(body, size))
+	if err != nil {
+		return err
+	}
+	x.Body, x.Length = held, int64(len(held))
+	switch {
+	case r.ContentLength > int64(len(held)):
+		if int64(len(held)) < size {
+			return io.ErrUnexpectedEOF
+		}
+		x.Rest, x.Length = body, r.ContentLength
+	case r.ContentLength < 0:
+		var next [1]byte
+		n, err := io.ReadFull(body, next[:])
+		if n == 1 {
+			x.Body, x.Rest, x.Length = append(held, next[0]), body, Chunked
+			return nil
+		}
+		if !errors.Is(err, io.EOF) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *conn) sendContinue(x *Exchange) {
+	if x.await() {
+		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+		_ = c.bw.Flush()
+	}
+}
+
+// timedBody bounds the size of a body and the pauses within it.
+type timedBody struct {
+	io.Reader
+	conn *conn
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return 0, errTooLarge
+	}
+	_ = b.conn.nc.SetReadDeadline(time.Now().Add(bodyStall))
+	n, err := b.Reader.Read(p)
+	b.left -= int64(n)
+	return n, err
+}
+
+// await blocks until the answers to earlier requests were sent. It returns
+// false if there will be no turn.
+func (x *Exchange) await() bool {
+	select {
+	case <-x.turn:
+	case <-x.conn.ctx.Done():
+		return false
+	}
+	return !x.conn.ended.Load() && x.conn.ctx.Err() == nil
+}
+
+// end lets the next exchange send its answer.
+func (x *Exchange) end() {
+	if x.closing.Swap(true) {
+		return
+	}
+	<-x.turn
+	if !x.replied && x.conn.end() {
+		x.conn.lost()
+	}
+	x.conn.waiting.Add(-1)
+	x.conn.server.active.Add(-1)
+	close(x.done)
+}
+
+// Reply is an answer to send.
+type Reply struct {
+	Status int
+	Header http.Header // without fields that concern one connection
+	Body   []byte      // whole body, or its start when Rest is set
+	Rest   io.Reader   // what follows Body
+	Length int64       // whole length in bytes, or Chunked; used with Rest only
+}
+
+// errNoTurn means that the connection ended before the answer's turn.
+var errNoTurn = errors.New("connection ended before the answer's turn")
+
+// errConnClosed means that an answer was broken off.
+var errConnClosed = errors.New("answer was broken off; the connection is closed")
+
+// Reply sends an answer in its turn. After an error the connection is closed,
+// so that a part of an answer is never taken for the whole.
+func (x *Exchange) Reply(r *Reply) error {
+	if !x.await() {
+		return errNoTurn
+	}
+	c := x.conn
+	x.replied = true
+	old := x.Request.ProtoMajor == 1 && x.Request.ProtoMinor == 0
+	last := c.endAfter(x, x.CloseAfter || x.Request.Close || x.Rest != nil || old)
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+	err := c.write(x, r, last, old)
+	if err != nil {
+		c.end()
+		c.lost()
+		return errors.Join(errConnClosed, err)
+	}
+	if last {
+		c.closeWrite()
+	}
+	return nil
+}
+
+// closeWrite ends this side of the connection after its last answer.
+func (c *conn) closeWrite() {
+	c.cancel(errLastAnswer)
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
+// lingerTime bounds the wait for a client to close after the last answer.
+const lingerTime = time.Second
+
+func (c *conn) write(x *Exchange, r *Reply, last, old bool) error {
+	w := c.bw
+	length := r.Length
+	if r.Rest == nil {
+		length = int64(len(r.Body))
+	}
+	_, _ = w.WriteString("HTTP/1.1 " + strconv.Itoa(r.Status) + " " + http.StatusText(r.Status) + "\r\n")
+	writeFields(w, r.Header)
+	bare := r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
+	head := x.Request.Method == http.MethodHead
+	switch {
+	case bare:
+	case length != Chunked:
+		_, _ = w.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
+	case !old:
+		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	if last {
+		_, _ = w.WriteString("Connection: close\r\n")
+	}
+	_, _ = w.WriteString("\r\n")
+	if !bare && !head {
+		if length == Chunked && old {
+			length = math.MaxInt64 // ends with the connection
+		}
+		if err := writeBody(w, r.Body, r.Rest, length); err != nil && !(old && errors.Is(err, errShortBody)) {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -62,6 +62,9 @@
 	HeadTooLarge Fault = "head_too_large"
 	HeadTooSlow  Fault = "head_too_slow"
 	BodyTooLarge Fault = "body_too_large"
+	// NotAccepted is a connection that could not be accepted, such as for lack
+	// of descriptors.
+	NotAccepted Fault = "not_accepted"
 )
 
 // Server serves connections of one listener.
@@ -95,6 +98,7 @@
 			return nil
 		}
 		if err != nil {
+			s.OnFault(l.Addr(), NotAccepted, err)
 			time.Sleep(acceptPause)
 			continue
 		}
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -146,16 +146,6 @@
 	return Changed
 }
 
-// Forget drops the boot with the given id because another one answers at its
-// address. The next report decides.
-func (t *Tracker) Forget(id string) bool {
-	if !t.known || t.boot.ID != id {
-		return false
-	}
-	t.known = false
-	return true
-}
-
 func (t *Tracker) remember(id string, born int64) {
 	if t.left == nil {
 		t.left = make(map[string]int64)
