Bound a new connection between nodes by the time that a call has left

Change: the bound is 0.4 of the time that is left, between 60 and 500 ms; three quarters of it without a connection is silence.

--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -22,13 +22,16 @@
 	// (peerServerIdle).
 	peerIdle       = 20 * time.Second
 	peerServerIdle = time.Minute
-	// peerDial bounds a new connection to another node, which takes 24 ms
-	// between regions. The shortest calls have 200 ms in all and must be able
-	// to go to another node.
-	peerDial = 100 * time.Millisecond
-	// peerSilent is the time without a connection after which a node counts as
-	// silent: twice the way between regions.
-	peerSilent = 60 * time.Millisecond
+	// peerDialShare of the time that is left bounds a new connection to another
+	// node, so that the call can go to a third one: 80 ms for the shortest calls
+	// of 200 ms. A connection takes 24 ms between regions, and up to 350 ms more
+	// on a link of 7 Mbit/s that carries a configuration.
+	peerDialShare = 0.4
+	minPeerDial   = 60 * time.Millisecond
+	maxPeerDial   = 500 * time.Millisecond
+	// silentShare of that bound without a connection is silence also where the
+	// caller left first.
+	silentShare = 0.75
 	// peerProbe and peerSilence find connections to nodes that have vanished.
 	peerProbe   = time.Second
 	peerSilence = 1500 * time.Millisecond
@@ -52,7 +55,7 @@
 func NewRemote(names HeaderNames, c *config.Holder) *Remote {
 	return &Remote{
 		Names: names, Config: c, pools: make(map[string]*h1.Pool),
-		dial: h1.Liveness{Dial: peerDial, Probe: peerProbe, Unacknowledged: peerSilence},
+		dial: h1.Liveness{Dial: maxPeerDial, Probe: peerProbe, Unacknowledged: peerSilence},
 	}
 }
 
@@ -86,10 +89,13 @@
 		service: j.Service, rank: j.Rank, worth: j.Worth, remaining: time.Until(j.Deadline), target: j.Latency,
 		patience: j.Patience, idempotent: j.Idempotent, version: r.Config.Version(),
 	}
+	o := j.outgoing(nil, h1.Field{Name: headerCall, Value: f.String()})
+	o.DialTime = dialTime(f.remaining)
 	began := time.Now()
-	a, err := r.pool(address).Do(ctx, j.outgoing(nil, h1.Field{Name: headerCall, Value: f.String()}))
+	a, err := r.pool(address).Do(ctx, o)
 	if err != nil {
-		refusal := remoteFailure(ctx, err, time.Since(began))
+		silent := time.Since(began) >= time.Duration(silentShare*float64(o.DialTime))
+		refusal := remoteFailure(ctx, err, silent)
 		cancel()
 		return nil, refusal
 	}
@@ -122,14 +128,21 @@
 // answerField returns the content of Lentilflow-Answer.
 func answerField(r *Result) string { return "upstream " + millis(r.Waited) + " " + millis(r.Ran) }
 
-func remoteFailure(ctx context.Context, err error, took time.Duration) *Refusal {
+// dialTime returns the bound of a new connection for a call with some time left.
+func dialTime(remaining time.Duration) time.Duration {
+	return min(max(time.Duration(peerDialShare*float64(remaining)), minPeerDial), maxPeerDial)
+}
+
+// remoteFailure judges an exchange without an answer; silent says that it took
+// long enough for a connection.
+func remoteFailure(ctx context.Context, err error, silent bool) *Refusal {
 	var f *h1.Failure
 	r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
 	if errors.As(err, &f) && !f.Sent {
 		r.Reason, r.Run, r.Unreached = model.UpstreamUnreachable, model.NotRun, true
 		// Also where the caller left first: otherwise calls with less time than
 		// the bound of a connection would never show that a node is gone.
-		r.Silent = !errors.Is(err, syscall.ECONNREFUSED) && took >= peerSilent
+		r.Silent = silent && !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/pkg/gateway/remote_test.go
+++ b/pkg/gateway/remote_test.go
@@ -22,11 +22,21 @@
 	left, cancel := context.WithCancel(t.Context())
 	cancel()
 	dial := &h1.Failure{Err: fmt.Errorf("dial: %w", context.Canceled)}
-	r := remoteFailure(left, dial, 90*time.Millisecond)
+	r := remoteFailure(left, dial, true)
 	is.Equal(r.Reason, model.CallerGone)
 	is.Equal(r.Run, model.NotRun)
 	is.True(r.Silent)
-	is.True(!remoteFailure(left, dial, 10*time.Millisecond).Silent) // no time to connect
-	is.True(!remoteFailure(t.Context(), &h1.Failure{Err: syscall.ECONNREFUSED}, time.Second).Silent)
-	is.True(!remoteFailure(left, &h1.Failure{Sent: true, Err: errors.New("reset")}, time.Second).Silent)
+	is.True(!remoteFailure(left, dial, false).Silent) // no time to connect
+	is.True(!remoteFailure(t.Context(), &h1.Failure{Err: syscall.ECONNREFUSED}, true).Silent)
+	is.True(!remoteFailure(left, &h1.Failure{Sent: true, Err: errors.New("reset")}, true).Silent)
+}
+
+// Guards the time for a new connection: the shortest calls keep time for
+// another node, and long ones are not refused a connection over a slow link.
+func TestDialTimeLeavesTimeForAnotherNode(t *testing.T) {
+	is := is.New(t)
+	is.Equal(dialTime(200*time.Millisecond), 80*time.Millisecond)
+	is.Equal(dialTime(time.Second), 400*time.Millisecond)
+	is.Equal(dialTime(8*time.Second), maxPeerDial)
+	is.Equal(dialTime(0), minPeerDial)
 }
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -72,6 +72,8 @@
 	// bound of the pool. A connection that the server has closed meanwhile
 	// loses the request without a sign of whether it was read.
 	MaxUnused time.Duration
+	// DialTime bounds a new connection, 0 for the bound of the pool.
+	DialTime time.Duration
 }
 
 // Field is one header field.
@@ -146,7 +148,7 @@
 // Do sends o and returns the head of the answer; the error is a *Failure. The
 // request is sent at most once. When ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, o *Outgoing) (*Answer, error) {
-	c, err := p.get(ctx, o.MaxUnused)
+	c, err := p.get(ctx, o)
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
@@ -175,10 +177,15 @@
 	p.conns = nil
 }
 
-func (p *Pool) get(ctx context.Context, maxUnused time.Duration) (*clientConn, error) {
-	if c := p.unused(maxUnused); c != nil {
+func (p *Pool) get(ctx context.Context, o *Outgoing) (*clientConn, error) {
+	if c := p.unused(o.MaxUnused); c != nil {
 		return c, nil
 	}
+	if o.DialTime > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, o.DialTime)
+		defer cancel()
+	}
 	nc, err := p.Dial(ctx, p.Address)
 	if err != nil {
 		return nil, err
