Keep the departure of a draining boot that a newer draining one replaces

Cause: the drain of a newer boot dropped the boot that was known without noting that it had left, so three late reports of it were believed. Found by TestAcknowledgedDeparturesBind once in 150 runs of go test -race -count 50 -cpu 1,2,6; traced by its fail file. Change: the replaced boot is noted as left; a test of that case.

--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -90,7 +90,10 @@
 		if r.Born <= t.newest {
 			return Stale
 		}
-		t.newest, t.known, t.challengerCount = r.Born, false, 0 // a boot that was known is gone
+		if t.known {
+			t.remember(t.boot.ID, t.boot.Born) // it is gone
+		}
+		t.newest, t.known, t.challengerCount = r.Born, false, 0
 		return Changed
 	case !same && r.Born < t.newest && !t.challenge(r):
 		return Stale
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -49,6 +49,25 @@
 	is.True(!ok)
 }
 
+// Guards against a draining boot that returns after a newer one, of which only
+// its drain is known, took its place. Found by TestAcknowledgedDeparturesBind.
+func TestDrainingBootDoesNotReturnAfterAnother(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	drain := func(r Report) Report {
+		r.Draining = true
+		return r
+	}
+	tr.Report(t0, ready("b", 3, 1))
+	tr.Report(t0, drain(ready("b", 3, 2)))
+	tr.Report(t0, drain(ready("a", 4, 1)))
+	for sequence := range uint64(9) {
+		is.Equal(tr.Report(t0, ready("b", 3, 3+sequence)), Stale)
+	}
+	_, ok := tr.Current()
+	is.True(!ok)
+}
+
 // tracker is the decision under test; broken variants replace it.
 type tracker interface {
 	Report(time.Time, Report) Verdict
