--- a/cmd/lentilctl/dev/dev.go
+++ b/cmd/lentilctl/dev/dev.go
@@ -81,7 +81,7 @@
 	}
 	store := cluster.StoreAddress()
 	fmt.Fprintf(w, "\nstore %s\n\ntry in another terminal:\n", store)
-	fmt.Fprintf(w, "  curl -i -H 'Host: %s' -H 'X-Request-Id: 1' http://%s%s\n", d.Try.Host, cluster.Nodes()[0].Listeners.Calls, d.Try.Path)
+	fmt.Fprintf(w, "  curl -i -H 'Host: %s' http://%s%s\n", d.Try.Host, cluster.Nodes()[0].Listeners.Calls, d.Try.Path)
 	fmt.Fprintf(w, "  EDITOR='sed -i s/%s/%s/' ./bin/lentilctl rules edit --store %s\n", d.Try.Before, d.Try.After, store)
 	fmt.Fprintf(w, "  ./bin/lentilctl status --store %s\n\nCtrl-C stops the deployment.\n", store)
 }
