Probe nodes that are gone with messages instead of calls

A node that had not answered was used again after 3 s, 6 s and so on, so calls went to up to five such nodes in turn, each at the price of a connection that nothing answers, and were refused at the end of their time. A node that was set aside by mistake stayed so for 3 s.

Change: a node that did not answer a connection gets no calls; messages ask it at once and then ever more rarely, and its first answer ends the doubt. Announcements reach such nodes last, and nodes without the store do not ask them.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -55,6 +55,7 @@
 	addLoop(&g, a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
 		func(ok bool) { a.fleetLost.Store(!ok); a.storeChanged() }))
 	addLoop(&g, a.gossip.Run)
+	addLoop(&g, a.gossip.Probe)
 	addLoop(&g, a.keepRow)
 	addLoop(&g, a.watchSettings)
 	addLoop(&g, a.tidy)
--- a/pkg/balance/doc.go
+++ b/pkg/balance/doc.go
@@ -5,8 +5,9 @@
 //
 // Evidence is what this node has seen itself: calls in flight, latency,
 // connection failures and, by rank, refusals. All of it fades. A distance that
-// accepts only part of the calls of a rank is offered a quarter more than it
-// accepts; the rest goes to the next distance, or is refused when there is
-// none. Connection failures lower the chance of an upstream but never exclude
-// it, and suspected upstreams are used when no other is left.
+// accepts only part of the calls of a rank is offered twice what it accepts; the
+// rest goes to the next distance, or is refused when there is none. Connection
+// failures lower the chance of an upstream. Nodes that said that they take no
+// work are used when no other is left, unreachable ones never: probes of
+// pkg/gossip find out when they are back.
 package balance
--- a/pkg/balance/picker.go
+++ b/pkg/balance/picker.go
@@ -87,8 +87,8 @@
 
 // set is the candidates of one distance, as indexes into the entries.
 type set struct {
-	up, suspect, down []int32
-	sent, accepted    float64
+	up, idle, down []int32
+	sent, accepted float64
 }
 
 // scratch is reused between choices.
@@ -123,11 +123,11 @@
 	return p.lastResort(s, &r, &rnd)
 }
 
-// lastResort serves a service whose upstreams are all suspected or seem down:
-// suspicion alone never empties a service.
+// lastResort serves a service none of whose upstreams seems to take work: what
+// is known of them may be late, and asking costs one round trip.
 func (p *Picker) lastResort(s *scratch, r *Request, rnd *stream) (Choice, Result) {
 	for i := range s.sets {
-		if c := s.sets[i].suspect; len(c) > 0 {
+		if c := s.sets[i].idle; len(c) > 0 {
 			return p.best(r, c, rnd), Picked
 		}
 	}
@@ -143,13 +143,13 @@
 func (p *Picker) collect(s *scratch, r *Request, rnd *stream) int {
 	for i := range s.sets {
 		c := &s.sets[i]
-		c.up, c.suspect, c.down = c.up[:0], c.suspect[:0], c.down[:0]
+		c.up, c.idle, c.down = c.up[:0], c.idle[:0], c.down[:0]
 		c.sent, c.accepted = 0, 0
 	}
 	found := 0
 	for i := range r.Entries {
 		e := &r.Entries[i]
-		if e.State > model.Suspect || avoided(e.Node, r.Avoid) {
+		if e.State == model.Unreachable || avoided(e.Node, r.Avoid) {
 			continue
 		}
 		found++
@@ -160,8 +160,8 @@
 		switch {
 		case ev.down(r.Now, rnd.float()):
 			c.down = append(c.down, int32(i))
-		case e.State == model.Suspect:
-			c.suspect = append(c.suspect, int32(i))
+		case e.State == model.NotServing:
+			c.idle = append(c.idle, int32(i))
 		default:
 			c.up = append(c.up, int32(i))
 		}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -11,17 +11,22 @@
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// absenceTime is how long a node that said that it takes no work is used only
-// as a last resort. Nodes announce their return; the bound is for lost
-// announcements. Upstreams report every 1.5 s, so a node that has started anew
-// knows its upstream by then.
-const absenceTime = 3 * time.Second
-
-// maxUnreachable bounds how long a node that does not answer connections is set
-// aside. The time doubles from absenceTime with each failure: a VM that is gone
-// for good keeps its row, and every attempt costs its call a tenth of a second.
-// A node that returns announces itself, which ends it at once.
-const maxUnreachable = time.Minute
+const (
+	// probeShare of the time that a node has been in doubt is the pause between
+	// two probes: a node that was away for 4 s is found again within 1 s.
+	probeShare = 0.25
+	// minProbe bounds the pause between probes of a node that does not answer
+	// connections; a probe itself may take 500 ms.
+	minProbe = 300 * time.Millisecond
+	// minIdleProbe does so for a node that said that it takes no work. Nodes
+	// announce their return, so a probe only makes up for a lost announcement.
+	// Upstreams report every 1.5 s, and a node that has started anew knows its
+	// upstream by then.
+	minIdleProbe = 3 * time.Second
+	// maxProbe bounds the pause for nodes that are gone for long: 100 of them
+	// cost 3 connection attempts a second.
+	maxProbe = 30 * time.Second
+)
 
 // Snapshot is the fleet at one revision of the store. It is immutable.
 type Snapshot struct {
@@ -49,14 +54,32 @@
 	current atomic.Pointer[Snapshot]
 	known   atomic.Bool // a whole state was seen
 
+	// doubted receives when a node is newly in doubt.
+	doubted chan struct{}
+
 	mu     sync.Mutex
-	absent map[model.NodeID]time.Time     // until
-	silent map[model.NodeID]time.Duration // last time set aside as unreachable
+	doubts map[model.NodeID]doubt
+}
+
+// doubt is why a node is not used like others.
+type doubt struct {
+	state model.EntryState
+	since time.Time
+	probe time.Time // when the node is asked next
+}
+
+// pause returns the time from one probe to the next.
+func (d *doubt) pause(now time.Time) time.Duration {
+	least := minProbe
+	if d.state == model.NotServing {
+		least = minIdleProbe
+	}
+	return min(max(time.Duration(probeShare*float64(now.Sub(d.since))), least), maxProbe)
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	v := &View{absent: make(map[model.NodeID]time.Time), silent: make(map[model.NodeID]time.Duration)}
+	v := &View{doubts: make(map[model.NodeID]doubt), doubted: make(chan struct{}, 1)}
 	v.current.Store(&Snapshot{Members: map[model.NodeID]Member{}})
 	return v
 }
@@ -98,52 +121,107 @@
 	}
 	for _, id := range c.Removed {
 		delete(next, id)
-		delete(v.silent, id)
+		delete(v.doubts, id)
 	}
 	v.publish(next, c.Revision)
 }
 
 // SetServing notes what a node said about itself, or what its refusal of a
-// call showed.
-func (v *View) SetServing(id model.NodeID, serving bool, now time.Time) {
+// call showed. It reports whether the node was unreachable until now.
+func (v *View) SetServing(id model.NodeID, serving bool, now time.Time) (regained bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	_, was := v.absent[id]
-	if serving {
-		delete(v.absent, id)
-		delete(v.silent, id)
-	} else if until := now.Add(absenceTime); until.After(v.absent[id]) {
-		v.absent[id] = until
+	old, doubted := v.doubts[id]
+	switch {
+	case serving && doubted:
+		delete(v.doubts, id)
+	case !serving && (!doubted || old.state == model.Unreachable):
+		v.doubt(id, model.NotServing, now, now.Add(minIdleProbe))
+	default:
+		return false
 	}
-	if was == serving {
-		old := v.current.Load()
-		v.publish(old.Members, old.Revision)
+	v.republish()
+	return doubted && old.state == model.Unreachable
+}
+
+// SetUnreachable notes that a node did not answer a connection. It is probed
+// at once, because the failure may be this node's own. It reports whether that
+// is new.
+func (v *View) SetUnreachable(id model.NodeID, now time.Time) (lost bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.doubts[id].state == model.Unreachable {
+		return false
+	}
+	v.doubt(id, model.Unreachable, now, now)
+	v.republish()
+	return true
+}
+
+// doubt notes a new doubt. The mutex is held.
+func (v *View) doubt(id model.NodeID, s model.EntryState, now, probe time.Time) {
+	v.doubts[id] = doubt{state: s, since: now, probe: probe}
+	select {
+	case v.doubted <- struct{}{}:
+	default:
 	}
 }
 
-// SetUnreachable notes that a node did not answer a connection.
-func (v *View) SetUnreachable(id model.NodeID, now time.Time) {
+// Doubted receives when a node is newly in doubt.
+func (v *View) Doubted() <-chan struct{} { return v.doubted }
+
+// Probes returns the nodes in doubt that are to be asked now, and the time
+// until the next one is; 0 if no node is in doubt. Nodes that have left the
+// fleet are forgotten.
+func (v *View) Probes(now time.Time) (due []Member, next time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if now.Before(v.absent[id]) {
-		return // one of the calls that were on their way together
+	members := v.current.Load().Members
+	for id, d := range v.doubts {
+		m, ok := members[id]
+		if !ok {
+			if now.Sub(d.since) > maxProbe { // a row may follow its digest
+				delete(v.doubts, id)
+			}
+			continue
+		}
+		if !now.Before(d.probe) {
+			due = append(due, m)
+			d.probe = now.Add(d.pause(now))
+			v.doubts[id] = d
+		}
+		if wait := d.probe.Sub(now); next == 0 || wait < next {
+			next = wait
+		}
 	}
-	span := min(max(2*v.silent[id], absenceTime), maxUnreachable)
-	v.silent[id], v.absent[id] = span, now.Add(span)
-	old := v.current.Load()
-	v.publish(old.Members, old.Revision)
+	return due, next
 }
 
-// Expire ends absences whose time is over.
-func (v *View) Expire(now time.Time) {
+// Unreachable returns the nodes that have not answered for at least some time.
+func (v *View) Unreachable(now time.Time, least time.Duration) []model.NodeID {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	before := len(v.absent)
-	maps.DeleteFunc(v.absent, func(_ model.NodeID, until time.Time) bool { return now.After(until) })
-	if len(v.absent) != before {
-		old := v.current.Load()
-		v.publish(old.Members, old.Revision)
+	var ids []model.NodeID
+	for id, d := range v.doubts {
+		if d.state == model.Unreachable && now.Sub(d.since) >= least {
+			ids = append(ids, id)
+		}
 	}
+	return ids
+}
+
+// IsUnreachable reports whether a node did not answer and has not been heard
+// since.
+func (v *View) IsUnreachable(id model.NodeID) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.doubts[id].state == model.Unreachable
+}
+
+// republish builds a snapshot of the same members. The mutex is held.
+func (v *View) republish() {
+	old := v.current.Load()
+	v.publish(old.Members, old.Revision)
 }
 
 // publish builds the next snapshot. The mutex is held.
@@ -153,9 +231,7 @@
 		m := members[id]
 		s.Digest ^= m.digest()
 		e := model.Entry{Node: m.Node, Service: m.Service, Location: m.Location, Address: m.CallAddress}
-		if _, away := v.absent[id]; away {
-			e.State = model.Suspect
-		}
+		e.State = v.doubts[id].state
 		s.services[m.Service] = append(s.services[m.Service], e)
 	}
 	v.current.Store(s)
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -268,7 +268,7 @@
 	if r == nil {
 		r = g.receive(c, res)
 	}
-	g.learn(entry, choice.Evidence, c.job.Rank, now, r)
+	g.learn(c, entry, choice.Evidence, now, r)
 	c.last = r
 	return r
 }
@@ -301,11 +301,13 @@
 // exhausted returns the refusal when no further node can be asked.
 func (g *Gateway) exhausted(c *call) *Refusal {
 	c.moves = maxAsked
-	if c.last != nil {
-		return c.last
+	r := c.last
+	if r == nil {
+		r = refuse(model.NoUpstream)
+	}
+	if r.RetryAfter == 0 {
+		r.RetryAfter = startRetry
 	}
-	r := refuse(model.NoUpstream)
-	r.RetryAfter = startRetry
 	return r
 }
 
@@ -318,7 +320,7 @@
 }
 
 // learn records what an attempt shows about the node that was asked.
-func (g *Gateway) learn(entry *model.Entry, e *balance.Evidence, rank model.Rank, began time.Duration, r *Refusal) {
+func (g *Gateway) learn(c *call, entry *model.Entry, e *balance.Evidence, began time.Duration, r *Refusal) {
 	now := time.Since(g.epoch)
 	outcome := balance.Accepted
 	if r != nil {
@@ -332,11 +334,14 @@
 		}
 		if r.Silent {
 			outcome = balance.Failed
-			g.View.SetUnreachable(entry.Node, time.Now())
+			if g.View.SetUnreachable(entry.Node, time.Now()) {
+				g.Log.Warn("node is unreachable", zap.String("other", string(entry.Node)),
+					zap.String("request", c.job.ID), zap.Error(r.Cause))
+			}
 		}
 		if r.Reason == model.NoUpstream || r.Reason == model.NodeDraining {
 			g.View.SetServing(entry.Node, false, time.Now())
 		}
 	}
-	e.End(now, rank, outcome, now-began)
+	e.End(now, c.job.Rank, outcome, now-began)
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -225,7 +225,9 @@
 	}
 	n.heard[d.From.Node] = heard{d.Started, d.Sequence, now}
 	n.mu.Unlock()
-	n.View.SetServing(d.From.Node, d.Serving, now)
+	if n.View.SetServing(d.From.Node, d.Serving, now) {
+		n.Log.Info("node is reachable again", zap.String("other", string(d.From.Node)), zap.Bool("serving", d.Serving))
+	}
 }
 
 // Forget drops what was heard of a node that has left the fleet.
@@ -252,7 +254,6 @@
 		case <-n.hurry:
 			t.Stop()
 		}
-		n.View.Expire(time.Now())
 		if m, ok := n.random(); ok {
 			n.ask(ctx, m)
 		}
@@ -267,7 +268,7 @@
 	var chosen fleet.Member
 	seen := 0
 	for id, m := range n.View.Current().Members {
-		if id == n.Self.Node || !anywhere && m.Location.Region != n.Self.Location.Region {
+		if id == n.Self.Node || !anywhere && m.Location.Region != n.Self.Location.Region || n.View.IsUnreachable(id) {
 			continue
 		}
 		if seen++; rand.IntN(seen) == 0 {
@@ -281,7 +282,7 @@
 func (n *Node) ask(ctx context.Context, m fleet.Member) {
 	var u Update
 	if err := n.post(ctx, m, pathSync, n.digest(), &u); err != nil {
-		n.Log.Debug("node did not answer a message", zap.String("to", string(m.Node)), zap.Error(err))
+		n.unanswered(m, err)
 		return
 	}
 	n.learn(u.Digest)
@@ -316,13 +317,26 @@
 	})
 }
 
+// others returns all other nodes, those that cannot be reached last: each of
+// them holds a place for as long as a connection may take.
+func (n *Node) others() []fleet.Member {
+	var reachable, rest []fleet.Member
+	for id, m := range n.View.Current().Members {
+		switch {
+		case id == n.Self.Node:
+		case n.View.IsUnreachable(id):
+			rest = append(rest, m)
+		default:
+			reachable = append(reachable, m)
+		}
+	}
+	return append(reachable, rest...)
+}
+
 func (n *Node) tell(ctx context.Context, send func(context.Context, fleet.Member)) {
 	var wait sync.WaitGroup
 	places := make(chan struct{}, tellers)
-	for id, m := range n.View.Current().Members {
-		if id == n.Self.Node {
-			continue
-		}
+	for _, m := range n.others() {
 		places <- struct{}{}
 		wait.Go(func() {
 			send(ctx, m)
