Remove rows of nodes that are gone for good; check the promises of the path

Cause: a VM that is lost leaves its row in the store for ever. And at most one run, the truth of "not run" and whole answers were tested case by case only.

Change: a row whose node did not answer for 5 minutes is removed by about one of the nodes, never by one that cannot reach half of the fleet. A node that returns writes its row again. A property test plays random conducts of upstreams, cut connections between nodes and concurrent calls over three gateways on loopback and judges what callers and upstreams saw.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -230,10 +231,25 @@
 			used[m.CallAddress] = true
 		}
 		a.gateway.Remote.Forget(func(address string) bool { return used[address] })
+		a.removeLost(ctx)
 	}
 	return nil
 }
 
+// removeLost removes the rows of nodes that are gone for good.
+func (a *Agent) removeLost(ctx context.Context) {
+	for _, id := range a.view.Lost(time.Now(), rand.Float64()) {
+		write, cancel := context.WithTimeout(ctx, rowTime)
+		err := a.registry.Withdraw(write, id)
+		cancel()
+		if err != nil {
+			a.log.Warn("row of a lost node cannot be removed", zap.String("other", string(id)), zap.Error(err))
+			continue
+		}
+		a.log.Info("row of a lost node is removed", zap.String("other", string(id)), zap.Duration("unreachable_for_at_least", fleet.LostAfter))
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/pkg/fleet/lost_test.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+func viewOf(nodes int) *View {
+	v := NewView()
+	var members []Member
+	for i := range nodes {
+		members = append(members, member(fmt.Sprint("n", i), "s"))
+	}
+	v.Replace(members, 1)
+	return v
+}
+
+// Guards against rows of VMs that are gone for good and stay for ever, and
+// against the removal of nodes that are only away for a while.
+func TestLost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := viewOf(5)
+	v.SetUnreachable("n1", now)
+	v.SetUnreachable("n2", now.Add(time.Minute))
+	v.SetServing("n3", false, now) // it answers
+	is.Equal(len(v.Lost(now.Add(LostAfter-1), 0)), 0)
+	is.Equal(v.Lost(now.Add(LostAfter), 0), []model.NodeID{"n1"})
+	v.Apply(Change{Removed: []model.NodeID{"n1"}, Revision: 2})
+	is.Equal(len(v.Lost(now.Add(LostAfter), 0)), 0)
+	is.Equal(v.Lost(now.Add(LostAfter+time.Minute), 0), []model.NodeID{"n2"})
+}
+
+// Guards against a node that is cut off and removes the rows of all others.
+func TestNodeThatIsCutOffRemovesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := viewOf(5)
+	for _, id := range []model.NodeID{"n1", "n2", "n3"} {
+		v.SetUnreachable(id, now)
+	}
+	is.Equal(len(v.Lost(now.Add(LostAfter), 0)), 0)
+}
+
+// Guards against thousands of nodes that write to the same row at once.
+func TestOneNodeRemovesRows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := viewOf(2800)
+	v.SetUnreachable("n1", now)
+	acting := 0
+	rnd := rand.New(rand.NewPCG(1, 2))
+	const rounds = 10
+	for range rounds * 2799 {
+		if len(v.Lost(now.Add(LostAfter), rnd.Float64())) > 0 {
+			acting++
+		}
+	}
+	if acting < rounds/3 || acting > rounds*3 {
+		t.Errorf("%d removals in %d rounds of 2799 nodes", acting, rounds)
+	}
+}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -197,13 +197,15 @@
 	return due, next
 }
 
-// Unreachable returns the nodes that have not answered for at least some time.
-func (v *View) Unreachable(now time.Time, least time.Duration) []model.NodeID {
+// unreachable returns the members that have not answered for at least some
+// time.
+func (v *View) unreachable(now time.Time, least time.Duration) []model.NodeID {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var ids []model.NodeID
+	members := v.current.Load().Members
 	for id, d := range v.doubts {
-		if d.state == model.Unreachable && now.Sub(d.since) >= least {
+		if _, ok := members[id]; ok && d.state == model.Unreachable && now.Sub(d.since) >= least {
 			ids = append(ids, id)
 		}
 	}
--- a/pkg/fleet/view_test.go
+++ b/pkg/fleet/view_test.go
@@ -142,19 +142,5 @@
 	is.Equal(len(due), 1)
 	v.SetServing("a", false, now) // it answers that its upstream is away
 	is.Equal(v.Current().Entries("s")[0].State, model.NotServing)
-	is.Equal(len(v.Unreachable(now.Add(time.Hour), time.Minute)), 0)
-}
-
-// Guards the list from which rows of lost nodes are removed.
-func TestUnreachableForLong(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	v := NewView()
-	v.Replace([]Member{member("a", "s"), member("b", "s")}, 1)
-	v.SetUnreachable("a", now)
-	v.SetServing("b", false, now)
-	is.Equal(len(v.Unreachable(now.Add(59*time.Second), time.Minute)), 0)
-	is.Equal(v.Unreachable(now.Add(time.Minute), time.Minute), []model.NodeID{"a"})
-	v.Apply(Change{Removed: []model.NodeID{"a"}, Revision: 2})
-	is.Equal(len(v.Unreachable(now.Add(time.Minute), time.Minute)), 0)
+	is.Equal(len(v.unreachable(now.Add(time.Hour), 0)), 0)
 }
--- /dev/null
+++ b/pkg/gateway/path_test.go
@@ -0,0 +1,285 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/balance"
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/upstream"
+)
+
+func init() { rapidtest.FixSeed(61) }
+
+// testNames are names of header fields for tests of this package.
+var testNames = HeaderNames{
+	RequestID: "X-Id", Deadline: "X-Left", Signature: "X-Signature", ExpectedBoot: "X-Expected", Boot: "X-Boot",
+	NotRun: "X-Not-Run", Caller: "X-Caller",
+}
+
+const (
+	pathNodes    = 3
+	testService  = "s"
+	testDeadline = 80 * time.Millisecond
+)
+
+// station is a node with its upstream, without the store and the messages.
+type station struct {
+	gateway  *Gateway
+	upstream *scripted
+	calls    *h1.Server
+	peers    *h1.Server
+	address  string // for calls
+	sequence uint64
+	close    []func()
+}
+
+// pathFault is a deliberate fault of a node.
+type pathFault struct {
+	// repeatsAll treats every request as idempotent.
+	repeatsAll bool
+	// trustsAll takes any answer as that to the request sent.
+	trustsAll bool
+}
+
+// path is a few nodes of one service.
+type path struct {
+	stations []*station
+	ledger   *ledger
+	sent     atomic.Int64
+}
+
+func newPath(f pathFault) *path {
+	p := &path{ledger: &ledger{runs: make(map[string]int)}}
+	holder := config.NewHolder()
+	if _, err := holder.Offer(pathConfiguration(f)); err != nil {
+		panic(err)
+	}
+	var members []fleet.Member
+	for i := range pathNodes {
+		s, m := newStation(fmt.Sprint("n", i), holder, p.ledger, f)
+		p.stations = append(p.stations, s)
+		members = append(members, m)
+	}
+	for _, s := range p.stations {
+		s.gateway.View.Replace(members, 1)
+	}
+	return p
+}
+
+func pathConfiguration(f pathFault) *config.Configuration {
+	route := func(name string, idempotent bool) config.Route {
+		return config.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent || f.repeatsAll, Attempts: 3,
+			Timeout: time.Second, Split: []config.Share{{Service: testService, Weight: 1}},
+		}
+	}
+	return &config.Configuration{
+		Version: 1, Services: []config.Service{{Name: testService}}, Routes: []config.Route{route("safe", true), route("unsafe", false)},
+	}
+}
+
+func newStation(name string, holder *config.Holder, l *ledger, f pathFault) (*station, fleet.Member) {
+	names := testNames
+	u := newScripted(l, names)
+	if f.trustsAll {
+		names.RequestID = "X-Unknown"
+	}
+	callListener, peerListener := mustListen(), mustListen()
+	m := fleet.Member{
+		Node: model.NodeID(name), Service: testService, CallAddress: peerListener.Addr().String(), MessageAddress: "unused",
+		Location: model.Location{Region: "r", AvailabilityZone: "z"},
+	}
+	metrics := NewMetrics(prometheus.NewRegistry())
+	local := NewLocal(&Local{
+		Node: m.Node, Service: testService, Names: names, Log: zap.NewNop(), Metrics: metrics, Config: holder,
+		Notices: crashguard.NewMemory(time.Now), OnServing: func(bool) {},
+		OnCrash: func(crashguard.Fingerprint, crashguard.Crash) {}, OnCompleted: func(crashguard.Fingerprint) {},
+	}, u.listener.Addr().String())
+	g := New(&Gateway{
+		Names: names, Self: m, Config: holder, View: fleet.NewView(), Local: local, Remote: NewRemote(names, holder),
+		Picker: balance.NewPicker(), Budgets: NewBudgets(1, 1000), Metrics: metrics, Log: zap.NewNop(), OnBehind: func() {},
+	})
+	s := &station{gateway: g, upstream: u, calls: g.CallServer(), peers: g.PeerServer(), address: callListener.Addr().String()}
+	go func() { _ = s.calls.Serve(callListener) }()
+	go func() { _ = s.peers.Serve(peerListener) }()
+	s.close = []func(){
+		func() { _ = callListener.Close() }, func() { _ = peerListener.Close() }, s.calls.CloseAll, s.peers.CloseAll, u.close,
+	}
+	s.report()
+	return s, m
+}
+
+func mustListen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+// report tells a node that its upstream takes work.
+func (s *station) report() {
+	s.sequence++
+	s.gateway.Local.Report(upstream.Report{ID: "boot", Born: 1, Sequence: s.sequence, Service: testService, Slots: 2})
+}
+
+func (p *path) close() {
+	for _, s := range p.stations {
+		for _, end := range s.close {
+			end()
+		}
+	}
+}
+
+// outcome is what a caller got for one request.
+type outcome struct {
+	id     string
+	safe   bool
+	status int // 0 if the connection ended without a complete answer
+	body   string
+	signed bool
+}
+
+// send sends one request on a new connection; the library sends it once.
+func (p *path) send(node int, safe bool) outcome {
+	o := outcome{id: fmt.Sprint("r", p.sent.Add(1)), safe: safe}
+	method, prefix, content := http.MethodPost, "/unsafe/", "x"
+	if safe {
+		method, prefix, content = http.MethodGet, "/safe/", ""
+	}
+	r, err := http.NewRequest(method, "http://"+p.stations[node].address+prefix, strings.NewReader(content))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = "h"
+	r.Header.Set(testNames.RequestID, o.id)
+	r.Header.Set(testNames.Deadline, millis(testDeadline))
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return o
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return o
+	}
+	o.status, o.body, o.signed = resp.StatusCode, string(body), resp.Header.Get(testNames.Signature) != ""
+	return o
+}
+
+// judge returns the promise of the users that an outcome breaks. It is called
+// when nothing runs any more.
+func (p *path) judge(o outcome) error {
+	runs := p.ledger.count(o.id)
+	switch {
+	case !o.safe && runs > 1:
+		return errRunTwice
+	case o.safe && runs > 3:
+		return errTooMany
+	}
+	switch o.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if runs > 0 {
+			return errUntrue
+		}
+	case http.StatusOK:
+		if !o.signed || o.body != "ran "+o.id || runs == 0 {
+			return errForeign
+		}
+	}
+	return nil
+}
+
+var (
+	errRunTwice = errors.New("a non-idempotent request ran twice")
+	errTooMany  = errors.New("a request ran more often than its route permits")
+	errUntrue   = errors.New("a refusal promised that a request had not run")
+	errForeign  = errors.New("a success was not the answer of an upstream to that request")
+)
+
+// checkPath plays random conducts and requests and returns the first broken
+// promise.
+func checkPath(t *rapid.T, f pathFault, permitted []conduct) error {
+	p := newPath(f)
+	var mu sync.Mutex
+	var outcomes []outcome
+	for range rapidtest.Steps(2) {
+		for _, s := range p.stations {
+			s.report() // an upstream that was set aside is back
+			s.upstream.follow(rapid.SliceOfN(rapid.SampledFrom(permitted), 0, 3).Draw(t, "script")...)
+		}
+		var wait sync.WaitGroup
+		for range rapid.IntRange(1, 8).Draw(t, "calls") {
+			node, safe := rapid.IntRange(0, pathNodes-1).Draw(t, "node"), rapid.Bool().Draw(t, "safe")
+			wait.Go(func() {
+				o := p.send(node, safe)
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes = append(outcomes, o)
+			})
+		}
+		if rapid.IntRange(0, 4).Draw(t, "cut") == 0 { // a node loses its connections to the others
+			p.stations[rapid.IntRange(0, pathNodes-1).Draw(t, "who")].peers.CloseAll()
+		}
+		wait.Wait()
+	}
+	p.close()
+	for _, o := range outcomes {
+		if err := p.judge(o); err != nil {
+			return fmt.Errorf("%w: %+v, runs %d", err, o, p.ledger.count(o.id))
+		}
+	}
+	return nil
+}
+
+// Guards the promises on every answer, whatever upstreams do with requests and
+// wherever connections between nodes break: at most one run, truth of "not
+// run", and only whole answers to the request that was sent.
+func TestPathKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := checkPath(t, pathFault{}, honest); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Proves that checkPath notices each broken variant.
+func TestPathCheckNoticesBrokenVariants(t *testing.T) {
+	for _, broken := range []struct {
+		want      error
+		fault     pathFault
+		permitted []conduct
+	}{
+		{errRunTwice, pathFault{repeatsAll: true}, []conduct{answers, losesAnswer}},
+		{errForeign, pathFault{trustsAll: true}, []conduct{answers, answersOther}},
+		{errUntrue, pathFault{}, []conduct{liesAboutRun}},
+	} {
+		message := rapidtest.Find(t, 50, func(t *rapid.T) {
+			if err := checkPath(t, broken.fault, broken.permitted); errors.Is(err, broken.want) {
+				t.Fatal(err)
+			}
+		})
+		if message == "" {
+			t.Errorf("the broken variant was not noticed: %v", broken.want)
+		}
+	}
+}
