Share the service of a rank among its routes, not the number of calls

The route was never given to the admission, so each rank was one queue, first come first served. Each such 500 wasted a slot, and its retry another one.

Change: calls carry their route to the node beside the upstream; a rank shares its service time among routes by start-time fair queuing, with the measured time of each route; the expected wait counts what goes before a call; a full queue drops calls of the route that fills it.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -90,11 +90,11 @@
 		c.start(now, w)
 		return Admitted, nil
 	}
-	if w.Patience > 0 && c.expectedWait(now, w.Rank) > w.Patience {
+	if w.Patience > 0 && c.expectedWait(now, &w.Call) > w.Patience {
 		return Full, nil
 	}
 	if c.waiting >= c.QueueLimit() {
-		if dropped = c.victim(w.Rank); dropped == nil {
+		if dropped = c.victim(w); dropped == nil {
 			return Full, nil
 		}
 		c.Remove(dropped)
@@ -114,32 +114,45 @@
 	if c.running == 0 {
 		return false
 	}
-	need := c.service.usual(now, w.Rank)
+	need := c.usual(now, &w.Call)
 	if !free {
-		need += c.expectedWait(now, w.Rank)
+		need += c.expectedWait(now, &w.Call)
 	}
 	return need > left
 }
 
-// expectedWait is the time until a call of this rank that arrives now gets a
-// slot: behind the calls of its own and more urgent ranks, or by its floor.
-func (c *Core) expectedWait(now time.Duration, r model.Rank) time.Duration {
-	ahead := 1
-	for q := range r + 1 {
-		ahead += c.ranks[q].waiting
+// usual is the time that a call needs at least in most cases: by its rule, or
+// by its rank if the rule was not measured.
+func (c *Core) usual(now time.Duration, w *Call) time.Duration {
+	service := c.service.byRank[w.Rank].get(now)
+	if f, ok := c.ranks[w.Rank].flows[w.Rule]; ok && f.service.value > 0 {
+		service = f.service.get(now)
 	}
+	return time.Duration(usualShare * float64(service))
+}
+
+// expectedWait is the time until a call that arrives now gets a slot: behind
+// the calls of more urgent ranks and those of its own rank that go before it,
+// or by the floor of its rank.
+func (c *Core) expectedWait(now time.Duration, w *Call) time.Duration {
+	r := min(w.Rank, model.MaxRank)
 	mean := c.service.mean(now)
+	own := c.ranks[r].ahead(w.Rule, w.Worth, mean)
+	work := float64(mean) + own // a slot gets free after a part of a run
+	for q := range r {
+		work += c.ranks[q].all(mean)
+	}
 	slots := c.Limit()
 	for q := int(r) + 1; q < Ranks; q++ {
 		if c.ranks[q].waiting > 0 {
 			slots -= c.floorSlots(model.Rank(q)) // taken by the floors of less urgent ranks
 		}
 	}
-	wait := mean * time.Duration(ahead) / time.Duration(max(slots, 1))
+	wait := work / float64(max(slots, 1))
 	if f := c.floorSlots(r); f > 0 {
-		wait = min(wait, mean*time.Duration(c.ranks[r].waiting+1)/time.Duration(f))
+		wait = min(wait, (float64(mean)+own)/float64(f))
 	}
-	return wait
+	return time.Duration(wait)
 }
 
 // floorSlots is the floor of r in whole slots of the current limit, rounded up.
@@ -150,17 +163,23 @@
 // belowFloor reports whether r runs fewer calls than its floor.
 func (c *Core) belowFloor(r model.Rank) bool { return c.ranks[r].running < c.floorSlots(r) }
 
-// victim returns the waiting call that makes room for one of rank r: the last
-// one of the least urgent rank, never a call within the floor of its rank. A
-// call within the floor of its own rank may displace any other.
-func (c *Core) victim(r model.Rank) *Waiter {
-	protected := c.ranks[r].waiting < c.floorSlots(r)
+// victim returns the waiting call that makes room for w: the newest one of the
+// least urgent rank, never a call within the floor of its rank. A call within
+// the floor of its own rank may displace any other, and in its own rank one of
+// a rule with more waiting calls.
+func (c *Core) victim(w *Waiter) *Waiter {
+	r := int(w.Rank)
+	protected := c.ranks[r].waiting < c.floorSlots(w.Rank)
 	for q := Ranks - 1; q >= 0; q-- {
-		if q <= int(r) && !protected {
-			return nil
+		if c.ranks[q].waiting <= c.floorSlots(model.Rank(q)) {
+			continue
 		}
-		if c.ranks[q].waiting > c.floorSlots(model.Rank(q)) {
-			return c.ranks[q].last()
+		longest := c.ranks[q].longest()
+		switch {
+		case q > r, q < r && protected:
+			return longest.tail
+		case q == r && longest.waiting > c.ranks[r].waitingOf(w.Rule)+1:
+			return longest.tail
 		}
 	}
 	return nil
@@ -173,9 +192,9 @@
 		return nil, false
 	}
 	r := c.nextRank()
-	w = c.ranks[r].pop()
+	w = c.ranks[r].pop(c.service.mean(now))
 	c.waiting--
-	if w.Deadline <= now+c.service.usual(now, w.Rank) {
+	if w.Deadline <= now+c.usual(now, &w.Call) {
 		return w, false // it would take a slot and not finish in time
 	}
 	c.start(now, w)
@@ -241,14 +260,13 @@
 	took := now - w.started
 	if e == Answered || e == TimedOut && took > c.service.mean(now) {
 		c.service.add(now, w.Rank, took)
+		c.ranks[w.Rank].flow(w.Rule).service.add(now, float64(took))
 	}
 }
 
-// DrainTime is the time until a call of rank r that is refused now could be
-// admitted, from the rate at which slots become free.
-func (c *Core) DrainTime(now time.Duration, r model.Rank) time.Duration {
-	return c.expectedWait(now, min(r, model.MaxRank))
-}
+// DrainTime is the time until a call that is refused now could be admitted,
+// from the rate at which slots become free.
+func (c *Core) DrainTime(now time.Duration, w *Call) time.Duration { return c.expectedWait(now, w) }
 
 // State is a copy of the numbers of a Core.
 type State struct {
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -78,7 +78,7 @@
 	}
 	var drain time.Duration
 	if v == Full || v == Unreachable {
-		drain = g.core.DrainTime(now, c.Rank)
+		drain = g.core.DrainTime(now, &w.Call)
 	}
 	g.mu.Unlock()
 	switch v {
@@ -129,13 +129,13 @@
 		return Slot{g, w}, nil
 	}
 	late := w.Deadline <= g.now()
-	rank := w.Rank
+	c := w.Call
 	g.pool.Put(w)
 	if late {
 		return Slot{}, &Refusal{Reason: model.DeadlineExceeded}
 	}
 	g.mu.Lock()
-	drain := g.core.DrainTime(g.now(), rank)
+	drain := g.core.DrainTime(g.now(), &c)
 	g.mu.Unlock()
 	return Slot{}, &Refusal{Reason: model.Overloaded, RetryAfter: spread(drain)}
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -17,11 +17,16 @@
 // flow is the waiting calls of one rule, first come first served.
 type flow struct {
 	head, tail *Waiter
-	served     float64 // calls served, each divided by the worth of the rule
+	waiting    int
+	worth      int     // of the newest call
+	served     float64 // nanoseconds of service, divided by the worth of the rule
+	service    average
 }
 
-// rankQueue shares the slots of one rank among its rules in proportion to
-// their worth (stride scheduling, Waldspurger and Weihl, 1995).
+// rankQueue shares the service of one rank among its rules in proportion to
+// their worth (start-time fair queuing; Goyal, Vin and Cheng, 1996). Shares of
+// service, not of calls: a short call of one upstream to another is not held
+// up behind the long ones of callers, and costs them little.
 type rankQueue struct {
 	flows    map[string]*flow
 	position float64 // of the flow that was served last
@@ -38,6 +43,8 @@
 		f.tail.next, w.prev = w, f.tail
 	}
 	f.tail, w.flow = w, f
+	f.waiting++
+	f.worth = max(w.Worth, 1)
 	q.waiting++
 }
 
@@ -63,8 +70,9 @@
 	q.flows = kept
 }
 
-// pop takes the first call of the flow that has had the least of its share.
-func (q *rankQueue) pop() *Waiter {
+// pop takes the first call of the flow that has had the least of its share;
+// usual is the service time of a flow without a measure.
+func (q *rankQueue) pop(usual time.Duration) *Waiter {
 	var best *flow
 	for _, f := range q.flows {
 		if f.head != nil && (best == nil || f.served < best.served ||
@@ -74,25 +82,66 @@
 	}
 	w := best.head
 	q.position = best.served
-	best.served += 1 / float64(max(w.Worth, 1))
+	best.served += best.cost(usual) / float64(best.worth)
 	q.remove(w)
 	return w
 }
 
-// last returns the newest call of the longest flow.
-func (q *rankQueue) last() *Waiter {
+// cost is the service of one call, in nanoseconds. It does not fade: a flow
+// that was idle for a while costs what it did before.
+func (f *flow) cost(usual time.Duration) float64 {
+	if f.service.value > 0 {
+		return f.service.value
+	}
+	return float64(max(usual, time.Millisecond))
+}
+
+// longest returns the flow with the most waiting calls, nil if none waits.
+func (q *rankQueue) longest() *flow {
 	var longest *flow
-	most := 0
 	for _, f := range q.flows {
-		n := 0
-		for w := f.head; w != nil; w = w.next {
-			n++
+		if f.head != nil && (longest == nil || f.waiting > longest.waiting ||
+			f.waiting == longest.waiting && f.head.Rule < longest.head.Rule) {
+			longest = f
 		}
-		if n > most || n == most && n > 0 && f.head.Rule < longest.head.Rule {
-			longest, most = f, n
+	}
+	return longest
+}
+
+// waitingOf returns the waiting calls of one rule.
+func (q *rankQueue) waitingOf(rule string) int {
+	if f, ok := q.flows[rule]; ok {
+		return f.waiting
+	}
+	return 0
+}
+
+// ahead is the service that a new call of a rule waits for in this rank, in
+// nanoseconds: all calls of its own flow, and as much of each other one as
+// that gets by its worth until then.
+func (q *rankQueue) ahead(rule string, worth int, usual time.Duration) float64 {
+	own, share := 0.0, float64(max(worth, 1))
+	if f, ok := q.flows[rule]; ok {
+		own = float64(f.waiting) * f.cost(usual)
+	}
+	sum := own
+	for r, f := range q.flows {
+		if r == rule || f.waiting == 0 {
+			continue
 		}
+		cost := f.cost(usual)
+		sum += min(float64(f.waiting)*cost, own*float64(f.worth)/share+cost)
+	}
+	return sum
+}
+
+// all is the service that waits in this rank, in nanoseconds.
+func (q *rankQueue) all(usual time.Duration) float64 {
+	sum := 0.0
+	for _, f := range q.flows {
+		sum += float64(f.waiting) * f.cost(usual)
 	}
-	return longest.tail
+	return sum
 }
 
 func (q *rankQueue) expired(now time.Duration) *Waiter {
@@ -119,5 +168,6 @@
 		f.tail = w.prev
 	}
 	w.prev, w.next, w.flow = nil, nil, nil
+	f.waiting--
 	q.waiting--
 }
--- a/pkg/admission/service.go
+++ b/pkg/admission/service.go
@@ -54,8 +54,3 @@
 }
 
 func (s *serviceTimes) mean(now time.Duration) time.Duration { return s.all.get(now) }
-
-// usual returns the time that a call of a rank needs at least in most cases.
-func (s *serviceTimes) usual(now time.Duration, r model.Rank) time.Duration {
-	return time.Duration(usualShare * float64(s.byRank[r].get(now)))
-}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -161,7 +161,7 @@
 	c.job = &Job{
 		ID: req.Header.Get(g.Names.RequestID), Method: req.Method, Target: req.RequestURI, Host: req.Host,
 		Header: req.Header, Body: c.x.Body, Rest: c.x.Rest, Length: c.x.Length,
-		Service: t.Choose(), Rank: min(t.Rank, model.MaxRank), Idempotent: t.Idempotent, Latency: t.Target, Deadline: deadline,
+		Service: t.Choose(), Route: t.Name, Rank: min(t.Rank, model.MaxRank), Idempotent: t.Idempotent, Deadline: deadline,
 		Patience: time.Duration(patienceShare * float64(t.Target)), Worth: max(t.Worth, 1),
 	}
 	c.budget = g.Budgets.Of(c.job.Service)
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -64,10 +64,10 @@
 // callFields is the content of Lentilflow-Call.
 type callFields struct {
 	service    string
+	route      string
 	rank       model.Rank
 	worth      int
 	remaining  time.Duration
-	target     time.Duration
 	patience   time.Duration
 	idempotent bool
 	version    config.Version
@@ -79,7 +79,7 @@
 		idempotent = "1"
 	}
 	return strings.Join([]string{
-		f.service, strconv.Itoa(int(f.rank)), strconv.Itoa(f.worth), millis(f.remaining), millis(f.target), millis(f.patience), idempotent, strconv.FormatUint(uint64(f.version), 10),
+		f.service, f.route, strconv.Itoa(int(f.rank)), strconv.Itoa(f.worth), millis(f.remaining), millis(f.patience), idempotent, strconv.FormatUint(uint64(f.version), 10),
 	}, " ")
 }
 
@@ -88,17 +88,17 @@
 	if len(part) != 8 {
 		return f, false
 	}
-	rank, err := strconv.ParseUint(part[1], 10, 8)
-	worth, werr := strconv.ParseUint(part[2], 10, 16)
+	rank, err := strconv.ParseUint(part[2], 10, 8)
+	worth, werr := strconv.ParseUint(part[3], 10, 16)
 	version, verr := strconv.ParseUint(part[7], 10, 64)
 	if err != nil || werr != nil || verr != nil || rank > uint64(model.MaxRank) || worth == 0 {
 		return f, false
 	}
 	f = callFields{
-		service: part[0], rank: model.Rank(rank), worth: int(worth), idempotent: part[6] == "1", version: config.Version(version),
+		service: part[0], route: part[1], rank: model.Rank(rank), worth: int(worth), idempotent: part[6] == "1", version: config.Version(version),
 	}
-	for i, d := range []*time.Duration{&f.remaining, &f.target, &f.patience} {
-		if *d, ok = parseMillis(part[3+i]); !ok {
+	for i, d := range []*time.Duration{&f.remaining, &f.patience} {
+		if *d, ok = parseMillis(part[4+i]); !ok {
 			return f, false
 		}
 	}
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -21,10 +21,9 @@
 
 	Service    string
 	Rank       model.Rank
+	Route      string
 	Worth      int // weight among the routes of the rank
 	Idempotent bool
-	// Latency is the latency target, 0 if there is none.
-	Latency time.Duration
 	// Patience bounds the expected wait for a slot, 0 for any wait.
 	Patience time.Duration
 	Deadline time.Time
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -215,7 +215,7 @@
 	}
 	arrived := time.Now()
 	slot, refused := l.gate.Acquire(ctx, admission.Call{
-		Rank: j.Rank, Worth: j.Worth, Patience: j.Patience,
+		Rank: j.Rank, Rule: j.Route, Worth: j.Worth, Patience: j.Patience,
 	}, j.Deadline)
 	if refused != nil {
 		r := refuse(refused.Reason)
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -86,7 +86,7 @@
 func (r *Remote) Run(ctx context.Context, address string, j *Job) (*Result, *Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(verdictGrace))
 	f := callFields{
-		service: j.Service, rank: j.Rank, worth: j.Worth, remaining: time.Until(j.Deadline), target: j.Latency,
+		service: j.Service, route: j.Route, rank: j.Rank, worth: j.Worth, remaining: time.Until(j.Deadline),
 		patience: j.Patience, idempotent: j.Idempotent, version: r.Config.Version(),
 	}
 	o := j.outgoing(nil, h1.Field{Name: headerCall, Value: f.String()})
@@ -188,7 +188,7 @@
 	j := &Job{
 		ID: x.Request.Header.Get(g.Names.RequestID), Method: x.Request.Method, Target: x.Request.RequestURI, Host: x.Request.Host,
 		Header: x.Request.Header, Body: x.Body, Rest: x.Rest, Length: x.Length,
-		Service: f.service, Rank: f.rank, Worth: f.worth, Idempotent: f.idempotent, Latency: f.target, Patience: f.patience,
+		Service: f.service, Route: f.route, Rank: f.rank, Worth: f.worth, Idempotent: f.idempotent, Patience: f.patience,
 		Deadline: x.Arrived.Add(f.remaining),
 	}
 	res, refusal := g.Local.Run(x.Context(), j)
