Let one node of a zone read the configuration while it changes quickly

In a storm of changes every node read each version, most of them across regions, and the 30 nodes that the store turned away took whole configurations as plain JSON from any region. The links were full: calls timed out, nodes seemed unreachable, versions came late.

Change: while changes come quickly the first reachable node of a zone reads the store every 0.9 s and sends the version, compressed, to its neighbours; a node that hears nothing for 1.4 s reads itself. Large answers between nodes are compressed, and a node without the store asks its own region two times in three.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -32,7 +32,7 @@
 	Registry() fleet.Registry
 	// Operator returns what the operator put in force; it is offered to the
 	// holder.
-	Operator(h *config.Holder, onConfig func(config.Version, follow.Revision)) follow.Source
+	Operator(h *config.Holder, r config.Relay, onConfig func(config.Version, follow.Revision)) follow.Source
 	// ServeReports adds the calls of the upstream on this VM.
 	ServeReports(e *echo.Echo, u Upstream)
 	// ServeReadiness adds the question whether this node takes new callers.
@@ -107,11 +107,9 @@
 	metrics := gateway.NewMetrics(c.Registry)
 	a.gossip = &gossip.Node{
 		Self: a.self, Config: a.holder, View: a.view, Notices: a.notices, Log: c.Log,
-		Serving: func() bool { return a.local.Serving() },
-		Client:  messageClient(),
-		OnConfig: func(v config.Version, from model.NodeID) {
-			a.inForce(v, zap.String("from_node", string(from)))
-		},
+		Serving:  func() bool { return a.local.Serving() },
+		Client:   messageClient(),
+		OnConfig: func(v config.Version, from string) { a.inForce(v, zap.String("from_node", from)) },
 	}
 	a.gossip.Start(time.Now())
 	a.local = gateway.NewLocal(&gateway.Local{
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -50,7 +50,7 @@
 	}
 	var g run.Group
 	a.addStop(ctx, &g, callListener)
-	addLoop(&g, a.follower("configuration", a.platform.Operator(a.holder, func(v config.Version, at follow.Revision) {
+	addLoop(&g, a.follower("configuration", a.platform.Operator(a.holder, a.gossip, func(v config.Version, at follow.Revision) {
 		a.inForce(v, zap.Uint64("revision", uint64(at)))
 	}), 0, func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
 	addLoop(&g, a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/text"
 )
 
 const (
@@ -52,8 +53,9 @@
 	Serving func() bool
 	Client  *http.Client
 	Log     *zap.Logger
-	// OnConfig is told of versions that came from another node.
-	OnConfig func(v config.Version, from model.NodeID)
+	// OnConfig is told of versions that came from another node, by its name or
+	// its address.
+	OnConfig func(v config.Version, from string)
 
 	started   int64
 	sequence  atomic.Uint64
@@ -114,6 +116,7 @@
 func (n *Node) Routes(e *echo.Echo) {
 	e.POST(pathSync, n.handleSync)
 	e.POST(pathCrash, n.handleCrash)
+	e.POST(pathConfiguration, n.handleConfiguration)
 }
 
 func (n *Node) digest() Digest {
@@ -189,7 +192,44 @@
 	if u.Lacks && (d.Config > u.Config || d.Fleet > u.Fleet) {
 		go n.ask(context.Background(), d.From)
 	}
-	return c.JSON(http.StatusOK, u)
+	return reply(c, &u)
+}
+
+const (
+	// packedFrom is the length from which an answer is compressed, in bytes: a
+	// digest has 400, a configuration of 1,400 routes 400,000.
+	packedFrom = 2 << 10
+	// packedType is the content type of compressed JSON.
+	packedType = "application/zstd"
+)
+
+func reply(c echo.Context, u *Update) error {
+	body, err := json.Marshal(u)
+	if err != nil {
+		return err
+	}
+	if len(body) < packedFrom || len(body) > maxMessage {
+		return c.JSONBlob(http.StatusOK, body)
+	}
+	packed, err := text.Compress(body)
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, packedType, packed)
+}
+
+// decodeAnswer reads what reply wrote.
+func decodeAnswer(resp *http.Response, into any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	if err != nil {
+		return err
+	}
+	if resp.Header.Get(echo.HeaderContentType) == packedType {
+		if body, err = text.Decompress(body, maxMessage); err != nil {
+			return err
+		}
+	}
+	return json.Unmarshal(body, into)
 }
 
 func (n *Node) handleCrash(c echo.Context) error {
@@ -260,22 +300,45 @@
 	}
 }
 
-// random returns a node to ask. Nodes of other regions are asked rarely while
-// the store answers, because their bytes are paid by volume.
+// random returns a node to ask. Nodes of other regions are asked rarely,
+// because their bytes are paid by volume; more often while the store does not
+// answer, for the other nodes of the region may lack the same.
 func (n *Node) random() (fleet.Member, bool) {
-	const remoteShare = 8 // one in so many digests goes to any region
-	anywhere := n.storeAway.Load() || rand.IntN(remoteShare) == 0
-	var chosen fleet.Member
-	seen := 0
+	const (
+		remoteShare     = 8 // one in so many digests goes to any region
+		remoteShareAway = 3 // the same while the store does not answer
+	)
+	share := remoteShare
+	if n.storeAway.Load() {
+		share = remoteShareAway
+	}
+	anywhere := rand.IntN(share) == 0
+	var near, any choice
 	for id, m := range n.View.Current().Members {
-		if id == n.Self.Node || !anywhere && m.Location.Region != n.Self.Location.Region || n.View.IsUnreachable(id) {
+		if id == n.Self.Node || n.View.IsUnreachable(id) {
 			continue
 		}
-		if seen++; rand.IntN(seen) == 0 {
-			chosen = m
+		any.add(m)
+		if m.Location.Region == n.Self.Location.Region {
+			near.add(m)
 		}
 	}
-	return chosen, seen > 0
+	if anywhere || near.seen == 0 {
+		return any.member, any.seen > 0
+	}
+	return near.member, true
+}
+
+// choice is one member of those added, each with the same chance.
+type choice struct {
+	member fleet.Member
+	seen   int
+}
+
+func (c *choice) add(m fleet.Member) {
+	if c.seen++; rand.IntN(c.seen) == 0 {
+		c.member = m
+	}
 }
 
 // ask sends a digest to a node and takes what it has.
@@ -288,13 +351,7 @@
 	n.learn(u.Digest)
 	n.compare(&u.Digest)
 	if u.Configuration != nil {
-		taken, err := n.Config.Offer(u.Configuration)
-		if err != nil {
-			n.Log.Error("configuration of another node is refused", zap.String("from", string(m.Node)), zap.Error(err))
-		}
-		if taken {
-			n.OnConfig(u.Configuration.Version, m.Node)
-		}
+		n.takeConfiguration(u.Configuration, string(m.Node))
 	}
 	if len(u.Nodes) > 0 && n.View.Replace(u.Nodes, u.Fleet) {
 		n.Log.Info("fleet was taken from another node", zap.String("from", string(m.Node)),
@@ -347,12 +404,17 @@
 }
 
 func (n *Node) post(ctx context.Context, m fleet.Member, path string, message, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, messageTime)
-	defer cancel()
 	body, err := json.Marshal(message)
 	if err != nil {
 		return err
 	}
+	return n.postBytes(ctx, m, path, body, answer)
+}
+
+// postBytes sends a message and decodes its answer unless answer is nil.
+func (n *Node) postBytes(ctx context.Context, m fleet.Member, path string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, messageTime)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.MessageAddress+path, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -369,5 +431,5 @@
 	if answer == nil {
 		return nil
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxMessage)).Decode(answer)
+	return decodeAnswer(resp, answer)
 }
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -56,7 +56,7 @@
 			Location: model.Location{Region: "r", AvailabilityZone: "z"},
 		},
 		Config: config.NewHolder(), View: fleet.NewView(), Notices: crashguard.NewMemory(time.Now), Serving: p.serving.Load,
-		Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ model.NodeID) { p.taken.Store(int64(v)) },
+		Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ string) { p.taken.Store(int64(v)) },
 	}
 	p.Start(time.Now())
 	p.Routes(e)
