--- a/pkg/admission/core_test.go
+++ b/pkg/admission/core_test.go
@@ -202,13 +202,7 @@
 			return c.Arrive(now, w)
 		}, correct.next},
 	}
-	for want, v := range broken {
-		seen := false
-		rapid.Check(t, func(t *rapid.T) { seen = seen || checkCore(t, v) == want })
-		if !seen {
-			t.Errorf("the broken variant %q was not noticed", want)
-		}
-	}
+	rapidtest.MustNotice(t, broken, checkCore)
 }
 
 // Guards against worth without effect: of two rules of one rank with worth 2
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -109,13 +109,7 @@
 			return p.Pick(r)
 		},
 	}
-	for want, pick := range broken {
-		seen := false
-		rapid.Check(t, func(t *rapid.T) { seen = seen || checkPicks(t, pick) == want })
-		if !seen {
-			t.Errorf("the broken variant %q was not noticed", want)
-		}
-	}
+	rapidtest.MustNotice(t, broken, checkPicks)
 }
 
 // Guards against a sender that keeps sending what is refused, and against one
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -33,6 +33,9 @@
 	// another node what that has: the pause between two watches and an answer
 	// of a slow store. A version must be in force after 2 s.
 	storeTime = 800 * time.Millisecond
+	// fleetTime is the same for the rows of nodes, whose watch pauses longer. A
+	// new VM need not be used at once.
+	fleetTime = 2500 * time.Millisecond
 	// messageTime bounds one exchange: 24 ms between regions, and a node with
 	// a third of a core may be busy.
 	messageTime = time.Second
@@ -61,7 +64,8 @@
 	sequence  atomic.Uint64
 	storeAway atomic.Bool
 	hurry     chan struct{}
-	behind    behind
+	behind    behind // another node has a newer configuration
+	fewer     behind // another node knows a newer fleet
 	mu        sync.Mutex
 	heard     map[model.NodeID]heard
 }
@@ -132,7 +136,8 @@
 // answer it, or it has been behind another node for longer than the store
 // takes.
 func (n *Node) lacks(now time.Time) bool {
-	return n.storeAway.Load() || n.Config.Current() == nil || n.behind.since(now) > storeTime
+	return n.storeAway.Load() || n.Config.Current() == nil || n.behind.since(now) > storeTime ||
+		n.fewer.since(now) > fleetTime
 }
 
 // behind tells since when another node is known to have more.
@@ -158,11 +163,14 @@
 // compare notes whether another node has more than this one. If so and the
 // store does not bring it soon, this node asks for it.
 func (n *Node) compare(d *Digest) {
-	f := n.View.Current()
-	more := d.Config > n.Config.Version() || n.View.Known() && d.Fleet > f.Revision && d.Members != f.Digest
-	if n.behind.set(more, time.Now()) {
+	now := time.Now()
+	if n.behind.set(d.Config > n.Config.Version(), now) {
 		time.AfterFunc(storeTime+storeTime/8, n.Hurry)
 	}
+	f := n.View.Current()
+	if n.fewer.set(n.View.Known() && d.Fleet > f.Revision && d.Members != f.Digest, now) {
+		time.AfterFunc(fleetTime+fleetTime/8, n.Hurry)
+	}
 }
 
 // Behind notes that a request of another node was decided by a newer version.
--- a/pkg/internal/rapidtest/rapidtest.go
+++ b/pkg/internal/rapidtest/rapidtest.go
@@ -60,3 +60,16 @@
 	t.Log(message)
 	return message
 }
+
+// MustNotice fails t unless check returns the fault of each broken variant for
+// at least one drawn history. The keys of broken are the faults.
+func MustNotice[V any](t *testing.T, broken map[string]V, check func(*rapid.T, V) string) {
+	t.Helper()
+	for want, variant := range broken {
+		seen := false
+		rapid.Check(t, func(t *rapid.T) { seen = seen || check(t, variant) == want })
+		if !seen {
+			t.Errorf("the broken variant %q was not noticed", want)
+		}
+	}
+}
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -75,13 +75,7 @@
 			return Decide(f, c, NewBudget(), r)
 		},
 	}
-	for want, decide := range broken {
-		seen := false
-		rapid.Check(t, func(t *rapid.T) { seen = seen || checkHistory(t, decide) == want })
-		if !seen {
-			t.Errorf("the broken variant %q was not noticed", want)
-		}
-	}
+	rapidtest.MustNotice(t, broken, checkHistory)
 }
 
 // Guards against a drain that turns into refusals for rules without retries.
