--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets need Go, make and git only; Go fetches the pinned modules.
-.PHONY: build run test fmt lint race integration clean
+.PHONY: build run test fmt lint race integration performance clean
 
-PACKAGES := ./... ./test/...
+PACKAGES := ./... ./test/... ./tools/...
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,10 +21,14 @@
 
 # The verdict of every test; tests that KNOWN-RED.txt lists may fail.
 race:
-	.ci/gotest -race ./...
+	.ci/gotest -race ./... ./tools/...
 
 integration: build
 	LENTILFLOW_BIN=$(CURDIR)/bin .ci/gotest -count=1 -timeout 8m ./test/...
 
+# The tables of docs/PERFORMANCE.md, from the journal of the users' bench.
+performance:
+	@go run ./tools/performance
+
 clean:
 	rm -rf bin target
--- /dev/null
+++ b/tools/performance/main.go
@@ -0,0 +1,150 @@
+// Performance prints the tables of docs/PERFORMANCE.md from the journal of the
+// users' bench: for each site the first score without a broken rule and the
+// last score.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// entry is one run of the bench, as the journal keeps it.
+type entry struct {
+	ID   string `json:"id"`
+	Cmd  string `json:"cmd"`
+	Site string `json:"site"`
+	Days []day  `json:"days"`
+}
+
+// day is one day of a run.
+type day struct {
+	Name  string         `json:"name"`
+	Kind  string         `json:"kind"` // "quiet", "trouble" or "scale"
+	Worth float64        `json:"G"`
+	One   *float64       `json:"top"` // worth at which the score of the day is 1, nil for a day drawn just now
+	Gate  bool           `json:"gate"`
+	Rules map[string]int `json:"rules"` // broken, with their number
+	// Parts are name, weight and value.
+	Parts [][3]any `json:"parts"`
+	// Prices are name, amount and what it takes off the worth.
+	Prices [][3]any `json:"prices"`
+}
+
+func main() {
+	directory := "journal"
+	if len(os.Args) > 1 {
+		directory = os.Args[1]
+	}
+	scores, err := read(directory)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	fmt.Print(tables(scores))
+}
+
+// read returns the scores of a journal, oldest first.
+func read(directory string) ([]entry, error) {
+	names, err := filepath.Glob(filepath.Join(directory, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(names) // they begin with the time
+	var scores []entry
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		var e entry
+		if err := json.Unmarshal(text, &e); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		if e.Cmd == "score" && len(e.Days) > 0 {
+			scores = append(scores, e)
+		}
+	}
+	return scores, nil
+}
+
+// sound reports whether all days of a score pass the gate.
+func (e *entry) sound() bool {
+	return !slices.ContainsFunc(e.Days, func(d day) bool { return !d.Gate || len(d.Rules) > 0 })
+}
+
+// day returns the day with a name.
+func (e *entry) day(name string) (day, bool) {
+	i := slices.IndexFunc(e.Days, func(d day) bool { return d.Name == name })
+	if i < 0 {
+		return day{}, false
+	}
+	return e.Days[i], true
+}
+
+// tables returns one table for each site.
+func tables(scores []entry) string {
+	var b strings.Builder
+	var sites []string
+	for i := range scores {
+		if !slices.Contains(sites, scores[i].Site) {
+			sites = append(sites, scores[i].Site)
+		}
+	}
+	slices.Sort(sites)
+	for _, site := range sites {
+		of := slices.DeleteFunc(slices.Clone(scores), func(e entry) bool { return e.Site != site })
+		first := slices.IndexFunc(of, func(e entry) bool { return e.sound() })
+		if first < 0 {
+			fmt.Fprintf(&b, "%s: no score without a broken rule.\n\n", site)
+			continue
+		}
+		table(&b, &of[first], &of[len(of)-1])
+	}
+	return b.String()
+}
+
+func table(b *strings.Builder, first, last *entry) {
+	fmt.Fprintf(b, "%s: first sound score %s, last score %s (%s).\n\n", last.Site, first.ID, last.ID, gate(last))
+	b.WriteString("| day | worth, first sound score | now | `one` mark | weakest part now | largest price now |\n|---|---|---|---|---|---|\n")
+	var before, now, one float64
+	n := 0.0
+	for _, d := range last.Days {
+		if d.One == nil {
+			continue // drawn just now; it has no mark
+		}
+		old, ok := first.day(d.Name)
+		if !ok {
+			continue
+		}
+		fmt.Fprintf(b, "| %s | %.3f | %.3f | %.3f | %s | %s |\n", d.Name, old.Worth, d.Worth, *d.One,
+			extreme(d.Parts, true), extreme(d.Prices, false))
+		before, now, one, n = before+old.Worth, now+d.Worth, one+*d.One, n+1
+	}
+	if n > 0 {
+		fmt.Fprintf(b, "| mean | %.3f | %.3f | %.3f | | |\n\n", before/n, now/n, one/n)
+	}
+}
+
+func gate(e *entry) string {
+	if e.sound() {
+		return "gate passed"
+	}
+	return "gate failed"
+}
+
+// extreme returns the name and the last figure of the row with the smallest or
+// the largest one.
+func extreme(rows [][3]any, smallest bool) string {
+	best, name := 0.0, ""
+	for _, r := range rows {
+		v, ok := r[2].(float64)
+		if ok && (name == "" || (v < best) == smallest && v != best) {
+			best, name = v, fmt.Sprint(r[0])
+		}
+	}
+	return fmt.Sprintf("%s %.3f", name, best)
+}
--- /dev/null
+++ b/tools/performance/main_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func write(t *testing.T, directory, name, text string) {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(directory, name), []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards the choice of scores (the first without a broken rule, the last one)
+// and of the figures in a row.
+func TestTables(t *testing.T) {
+	d := t.TempDir()
+	score := func(id, worth, rules string) string {
+		return `{"id":"` + id + `","cmd":"score","site":"s","days":[
+			{"name":"quiet-1","G":` + worth + `,"top":0.5,"gate":true,"rules":{` + rules + `},
+			"parts":[["whole day",0.5,0.9],["worst windows",0.5,0.4]],"prices":[["memory",3,0.01],["bytes",7,0.2]]},
+			{"name":"fresh","G":0.9,"top":null,"gate":true,"rules":{},"parts":[],"prices":[]}]}`
+	}
+	write(t, d, "1.json", score("a", "0.1", `"LOST":1`))
+	write(t, d, "2.json", score("b", "0.2", ""))
+	write(t, d, "3.json", `{"id":"r","cmd":"run","site":"s","days":[]}`)
+	write(t, d, "4.json", score("c", "0.6", ""))
+	scores, err := read(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := tables(scores)
+	for _, want := range []string{
+		"first sound score b, last score c (gate passed)",
+		"| quiet-1 | 0.200 | 0.600 | 0.500 | worst windows 0.400 | bytes 0.200 |",
+		"| mean | 0.200 | 0.600 | 0.500 |",
+	} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q is missing in\n%s", want, got)
+		}
+	}
+	if strings.Contains(got, "fresh") {
+		t.Errorf("a day without a mark is in\n%s", got)
+	}
+}
+
+// Guards against a damaged journal that is read as an empty one.
+func TestDamagedEntryIsAnError(t *testing.T) {
+	d := t.TempDir()
+	write(t, d, "1.json", "{")
+	if _, err := read(d); err == nil {
+		t.Error("a damaged entry was read")
+	}
+}
