Split the messages between nodes by topic

The two waits for newer state have names that say of what; a configuration is sent to a bounded number of neighbours at a time. No change of behaviour beside that bound.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -1,11 +1,7 @@
 package gossip
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -19,7 +15,6 @@
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/model"
-	"github.com/lentilflow/lentilflow/pkg/text"
 )
 
 const (
@@ -39,7 +34,7 @@
 	// messageTime bounds one exchange: 24 ms between regions, and a node with
 	// a third of a core may be busy.
 	messageTime = time.Second
-	// tellers bounds the messages that one announcement sends at a time.
+	// tellers bounds the messages that are sent to many nodes at a time.
 	tellers = 16
 	// maxMessage bounds a message, in bytes: a configuration of 1,000 routes
 	// takes about 300 KB, a fleet of 2,800 nodes about 600 KB.
@@ -60,14 +55,14 @@
 	// its address.
 	OnConfig func(v config.Version, from string)
 
-	started   int64
-	sequence  atomic.Uint64
-	storeAway atomic.Bool
-	hurry     chan struct{}
-	behind    behind // another node has a newer configuration
-	fewer     behind // another node knows a newer fleet
-	mu        sync.Mutex
-	heard     map[model.NodeID]heard
+	started      int64
+	sequence     atomic.Uint64
+	storeAway    atomic.Bool
+	hurry        chan struct{}
+	configBehind behind // another node has a newer configuration
+	fleetBehind  behind // another node knows a newer fleet
+	mu           sync.Mutex
+	heard        map[model.NodeID]heard
 }
 
 // heard is the newest digest of a node.
@@ -136,8 +131,8 @@
 // answer it, or it has been behind another node for longer than the store
 // takes.
 func (n *Node) lacks(now time.Time) bool {
-	return n.storeAway.Load() || n.Config.Current() == nil || n.behind.since(now) > storeTime ||
-		n.fewer.since(now) > fleetTime
+	return n.storeAway.Load() || n.Config.Current() == nil || n.configBehind.since(now) > storeTime ||
+		n.fleetBehind.since(now) > fleetTime
 }
 
 // behind tells since when another node is known to have more.
@@ -164,18 +159,18 @@
 // store does not bring it soon, this node asks for it.
 func (n *Node) compare(d *Digest) {
 	now := time.Now()
-	if n.behind.set(d.Config > n.Config.Version(), now) {
+	if n.configBehind.set(d.Config > n.Config.Version(), now) {
 		time.AfterFunc(storeTime+storeTime/8, n.Hurry)
 	}
 	f := n.View.Current()
-	if n.fewer.set(n.View.Known() && d.Fleet > f.Revision && d.Members != f.Digest, now) {
+	if n.fleetBehind.set(n.View.Known() && d.Fleet > f.Revision && d.Members != f.Digest, now) {
 		time.AfterFunc(fleetTime+fleetTime/8, n.Hurry)
 	}
 }
 
 // Behind notes that a request of another node was decided by a newer version.
 func (n *Node) Behind() {
-	if n.behind.set(true, time.Now()) {
+	if n.configBehind.set(true, time.Now()) {
 		time.AfterFunc(storeTime+storeTime/8, n.Hurry)
 	}
 }
@@ -203,43 +198,6 @@
 	return reply(c, &u)
 }
 
-const (
-	// packedFrom is the length from which an answer is compressed, in bytes: a
-	// digest has 400, a configuration of 1,400 routes 400,000.
-	packedFrom = 2 << 10
-	// packedType is the content type of compressed JSON.
-	packedType = "application/zstd"
-)
-
-func reply(c echo.Context, u *Update) error {
-	body, err := json.Marshal(u)
-	if err != nil {
-		return err
-	}
-	if len(body) < packedFrom || len(body) > maxMessage {
-		return c.JSONBlob(http.StatusOK, body)
-	}
-	packed, err := text.Compress(body)
-	if err != nil {
-		return err
-	}
-	return c.Blob(http.StatusOK, packedType, packed)
-}
-
-// decodeAnswer reads what reply wrote.
-func decodeAnswer(resp *http.Response, into any) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
-	if err != nil {
-		return err
-	}
-	if resp.Header.Get(echo.HeaderContentType) == packedType {
-		if body, err = text.Decompress(body, maxMessage); err != nil {
-			return err
-		}
-	}
-	return json.Unmarshal(body, into)
-}
-
 func (n *Node) handleCrash(c echo.Context) error {
 	var notice CrashNotice
 	if err := readMessage(c, &notice); err != nil || notice.Fingerprint == (crashguard.Fingerprint{}) || notice.Service == "" {
@@ -258,10 +216,6 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-func readMessage(c echo.Context, into any) error {
-	return json.NewDecoder(io.LimitReader(c.Request().Body, maxMessage)).Decode(into)
-}
-
 // learn takes what a node says about itself, unless a newer digest came first.
 func (n *Node) learn(d Digest) {
 	now := time.Now()
@@ -308,47 +262,6 @@
 	}
 }
 
-// random returns a node to ask. Nodes of other regions are asked rarely,
-// because their bytes are paid by volume; more often while the store does not
-// answer, for the other nodes of the region may lack the same.
-func (n *Node) random() (fleet.Member, bool) {
-	const (
-		remoteShare     = 8 // one in so many digests goes to any region
-		remoteShareAway = 3 // the same while the store does not answer
-	)
-	share := remoteShare
-	if n.storeAway.Load() {
-		share = remoteShareAway
-	}
-	anywhere := rand.IntN(share) == 0
-	var near, any choice
-	for id, m := range n.View.Current().Members {
-		if id == n.Self.Node || n.View.IsUnreachable(id) {
-			continue
-		}
-		any.add(m)
-		if m.Location.Region == n.Self.Location.Region {
-			near.add(m)
-		}
-	}
-	if anywhere || near.seen == 0 {
-		return any.member, any.seen > 0
-	}
-	return near.member, true
-}
-
-// choice is one member of those added, each with the same chance.
-type choice struct {
-	member fleet.Member
-	seen   int
-}
-
-func (c *choice) add(m fleet.Member) {
-	if c.seen++; rand.IntN(c.seen) == 0 {
-		c.member = m
-	}
-}
-
 // ask sends a digest to a node and takes what it has.
 func (n *Node) ask(ctx context.Context, m fleet.Member) {
 	var u Update
@@ -381,63 +294,3 @@
 		}
 	})
 }
-
-// others returns all other nodes, those that cannot be reached last: each of
-// them holds a place for as long as a connection may take.
-func (n *Node) others() []fleet.Member {
-	var reachable, rest []fleet.Member
-	for id, m := range n.View.Current().Members {
-		switch {
-		case id == n.Self.Node:
-		case n.View.IsUnreachable(id):
-			rest = append(rest, m)
-		default:
-			reachable = append(reachable, m)
-		}
-	}
-	return append(reachable, rest...)
-}
-
-func (n *Node) tell(ctx context.Context, send func(context.Context, fleet.Member)) {
-	var wait sync.WaitGroup
-	places := make(chan struct{}, tellers)
-	for _, m := range n.others() {
-		places <- struct{}{}
-		wait.Go(func() {
-			send(ctx, m)
-			<-places
-		})
-	}
-	wait.Wait()
-}
-
-func (n *Node) post(ctx context.Context, m fleet.Member, path string, message, answer any) error {
-	body, err := json.Marshal(message)
-	if err != nil {
-		return err
-	}
-	return n.postBytes(ctx, m, path, body, answer)
-}
-
-// postBytes sends a message and decodes its answer unless answer is nil.
-func (n *Node) postBytes(ctx context.Context, m fleet.Member, path string, body []byte, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, messageTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.MessageAddress+path, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", echo.MIMEApplicationJSON)
-	resp, err := n.Client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("node %s answered %s", m.Node, resp.Status)
-	}
-	if answer == nil {
-		return nil
-	}
-	return decodeAnswer(resp, answer)
-}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -122,7 +122,7 @@
 
 	// If the store does not bring it, the node takes it from the other one.
 	long := time.Now().Add(-storeTime - time.Millisecond)
-	b.behind.at.Store(&long)
+	b.configBehind.at.Store(&long)
 	b.ask(t.Context(), a.Self)
 	is.Equal(b.Config.Version(), config.Version(7))
 	is.Equal(b.View.Current().Revision, follow.Revision(3))
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
@@ -56,15 +55,11 @@
 		n.Log.Error("configuration cannot be sent to other nodes", zap.Uint64("version", uint64(s.Version)), zap.Error(err))
 		return
 	}
-	var wait sync.WaitGroup
-	for _, m := range n.neighbours() {
-		wait.Go(func() {
-			if err := n.postBytes(context.Background(), m, pathConfiguration, body, nil); err != nil {
-				n.Log.Debug("node did not take a configuration", zap.String("to", string(m.Node)), zap.Error(err))
-			}
-		})
-	}
-	wait.Wait()
+	each(n.neighbours(), func(m fleet.Member) {
+		if err := n.postBytes(context.Background(), m, pathConfiguration, body, nil); err != nil {
+			n.Log.Debug("node did not take a configuration", zap.String("to", string(m.Node)), zap.Error(err))
+		}
+	})
 }
 
 func packConfiguration(c *config.Configuration) ([]byte, error) {
--- /dev/null
+++ b/pkg/gossip/transport.go
@@ -0,0 +1,87 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/text"
+)
+
+const (
+	// packedFrom is the length from which an answer is compressed, in bytes: a
+	// digest has 400, a configuration of 1,400 routes 400,000.
+	packedFrom = 2 << 10
+	// packedType is the content type of compressed JSON.
+	packedType = "application/zstd"
+)
+
+func reply(c echo.Context, u *Update) error {
+	body, err := json.Marshal(u)
+	if err != nil {
+		return err
+	}
+	if len(body) < packedFrom || len(body) > maxMessage {
+		return c.JSONBlob(http.StatusOK, body)
+	}
+	packed, err := text.Compress(body)
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, packedType, packed)
+}
+
+// decodeAnswer reads what reply wrote.
+func decodeAnswer(resp *http.Response, into any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	if err != nil {
+		return err
+	}
+	if resp.Header.Get(echo.HeaderContentType) == packedType {
+		if body, err = text.Decompress(body, maxMessage); err != nil {
+			return err
+		}
+	}
+	return json.Unmarshal(body, into)
+}
+
+func readMessage(c echo.Context, into any) error {
+	return json.NewDecoder(io.LimitReader(c.Request().Body, maxMessage)).Decode(into)
+}
+
+func (n *Node) post(ctx context.Context, m fleet.Member, path string, message, answer any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return n.postBytes(ctx, m, path, body, answer)
+}
+
+// postBytes sends a message and decodes its answer unless answer is nil.
+func (n *Node) postBytes(ctx context.Context, m fleet.Member, path string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, messageTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.MessageAddress+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", echo.MIMEApplicationJSON)
+	resp, err := n.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("node %s answered %s", m.Node, resp.Status)
+	}
+	if answer == nil {
+		return nil
+	}
+	return decodeAnswer(resp, answer)
+}
