Check membership in doubt against an oracle

A state machine of reports, failed connections, changes of rows and pauses: nodes are used as they were last heard or seen, and those in doubt are probed, not all the time. Four broken variants are noticed. The loop that proves broken variants names all that were missed.

--- /dev/null
+++ b/pkg/fleet/doubt_test.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+func init() { rapidtest.FixSeed(43) }
+
+// doubtVariant wraps the decisions on nodes in doubt; broken ones change them.
+type doubtVariant struct {
+	serving     func(*View, model.NodeID, bool, time.Time) bool
+	unreachable func(*View, model.NodeID, time.Time) bool
+	probes      func(*View, time.Time) ([]Member, time.Duration)
+}
+
+var correctDoubts = doubtVariant{(*View).SetServing, (*View).SetUnreachable, (*View).Probes}
+
+// known is what the oracle knows of a node.
+type known struct {
+	state       model.EntryState
+	since, last time.Time // of the doubt, and of its last probe
+	probed      bool
+}
+
+// Faults that checkDoubts finds.
+const (
+	wrongState  = "a node is not used as it was last heard or seen"
+	neverProbed = "a node in doubt is not probed"
+	probedOften = "a node in doubt is probed too often"
+	notDoubted  = "a node that is not in doubt is probed"
+)
+
+// doubtStep is the longest pause between two looks at the probes.
+const doubtStep = 5 * time.Second
+
+// checkDoubts drives one history and returns the first fault.
+func checkDoubts(t *rapid.T, v doubtVariant) string {
+	const nodes = 4
+	view, now, at := viewOf(nodes), time.Unix(1000, 0), follow.Revision(1)
+	oracle := map[model.NodeID]*known{}
+	for i := range nodes {
+		oracle[model.NodeID(fmt.Sprint("n", i))] = &known{}
+	}
+	for range rapidtest.Steps(120) {
+		now = now.Add(rapid.SampledFrom([]time.Duration{0, minProbe / 6, minProbe, time.Second, doubtStep}).Draw(t, "pause"))
+		id := model.NodeID(fmt.Sprint("n", rapid.IntRange(0, nodes-1).Draw(t, "node")))
+		k := oracle[id]
+		switch rapid.SampledFrom([]string{"serves", "idle", "silent", "row", "wait", "wait"}).Draw(t, "step") {
+		case "serves":
+			v.serving(view, id, true, now)
+			*k = known{}
+		case "idle":
+			v.serving(view, id, false, now)
+			if k.state != model.NotServing {
+				*k = known{state: model.NotServing, since: now}
+			}
+		case "silent":
+			v.unreachable(view, id, now)
+			if k.state != model.Unreachable {
+				*k = known{state: model.Unreachable, since: now}
+			}
+		case "row": // is removed and written again: the node may be another one
+			view.Apply(Change{Removed: []model.NodeID{id}, Revision: at + 1})
+			view.Apply(Change{Set: []Member{member(string(id), "s")}, Revision: at + 2})
+			at += 2
+			*k = known{}
+		}
+		if fault := judgeProbes(view, v, oracle, now); fault != "" {
+			return fault
+		}
+		for _, e := range view.Current().Entries("s") {
+			if e.State != oracle[e.Node].state {
+				return wrongState
+			}
+		}
+	}
+	return ""
+}
+
+func judgeProbes(view *View, v doubtVariant, oracle map[model.NodeID]*known, now time.Time) string {
+	due, _ := v.probes(view, now)
+	for _, m := range due {
+		k := oracle[m.Node]
+		switch {
+		case k.state == model.Ready:
+			return notDoubted
+		case k.probed && now.Sub(k.last) < minProbe:
+			return probedOften
+		}
+		k.last, k.probed = now, true
+	}
+	for _, k := range oracle {
+		last := k.since
+		if k.probed {
+			last = k.last
+		}
+		if k.state != model.Ready && now.Sub(last) > maxProbe+doubtStep {
+			return neverProbed
+		}
+	}
+	return ""
+}
+
+// Guards membership: a node is used as it was last heard or seen, whatever the
+// order of reports, failed connections and changes of rows, and a node in doubt
+// is probed, but not all the time.
+func TestDoubts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := checkDoubts(t, correctDoubts); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// Proves that checkDoubts notices each broken variant.
+func TestDoubtCheckNoticesBrokenVariants(t *testing.T) {
+	deaf, silent, eager, stray := correctDoubts, correctDoubts, correctDoubts, correctDoubts
+	deaf.serving = func(v *View, id model.NodeID, serving bool, now time.Time) bool {
+		return v.SetServing(id, serving && !v.IsUnreachable(id), now)
+	}
+	silent.probes = func(*View, time.Time) ([]Member, time.Duration) { return nil, 0 }
+	eager.probes = func(v *View, _ time.Time) (due []Member, next time.Duration) {
+		for _, e := range v.Current().Entries("s") {
+			if e.State != model.Ready {
+				due = append(due, v.Current().Members[e.Node])
+			}
+		}
+		return due, next
+	}
+	stray.probes = func(v *View, now time.Time) (due []Member, next time.Duration) {
+		for _, m := range v.Current().Members {
+			due = append(due, m)
+		}
+		return due, next
+	}
+	rapidtest.MustNotice(t, map[string]doubtVariant{
+		wrongState: deaf, neverProbed: silent, probedOften: eager, notDoubted: stray,
+	}, checkDoubts)
+}
--- a/pkg/internal/rapidtest/rapidtest.go
+++ b/pkg/internal/rapidtest/rapidtest.go
@@ -65,11 +65,15 @@
 // at least one drawn history. The keys of broken are the faults.
 func MustNotice[V any](t *testing.T, broken map[string]V, check func(*rapid.T, V) string) {
 	t.Helper()
+	var missed []string
 	for want, variant := range broken {
 		seen := false
 		rapid.Check(t, func(t *rapid.T) { seen = seen || check(t, variant) == want })
 		if !seen {
-			t.Errorf("the broken variant %q was not noticed", want)
+			missed = append(missed, want)
 		}
 	}
+	if len(missed) > 0 { // rapid accepts no test that has failed already
+		t.Fatalf("broken variants were not noticed: %q", missed)
+	}
 }
