--- a/pkg/admission/core_test.go
+++ b/pkg/admission/core_test.go
@@ -165,11 +165,7 @@
 
 // Guards floors, the order of ranks, the limit and the deadlines.
 func TestCore(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		if fault := checkCore(t, correct); fault != "" {
-			t.Fatal(fault)
-		}
-	})
+	rapidtest.Hold(t, correct, checkCore)
 }
 
 // Proves that checkCore notices each broken variant.
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -83,11 +83,7 @@
 // Guards against calls to unreachable nodes, needless inter-region calls, and
 // services given up although a node may take work.
 func TestPick(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		if fault := checkPicks(t, (*Picker).Pick); fault != "" {
-			t.Fatal(fault)
-		}
-	})
+	rapidtest.Hold(t, pick((*Picker).Pick), checkPicks)
 }
 
 // Proves that checkPicks notices each broken variant.
--- a/pkg/crashguard/crashguard_test.go
+++ b/pkg/crashguard/crashguard_test.go
@@ -58,25 +58,17 @@
 // Guards against a request that crashes a third upstream, and against lasting
 // blame of innocent requests.
 func TestAtMostTwoUpstreamsFall(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		if fault := checkCrashes(t, refused); fault != "" {
-			t.Fatal(fault)
-		}
-	})
+	rapidtest.Hold(t, refusedBy(refused), checkCrashes)
 }
 
 // Proves that checkCrashes notices a guard that lets the third crash happen.
 func TestCheckNoticesBrokenVariant(t *testing.T) {
-	seen := false
-	rapid.Check(t, func(t *rapid.T) {
-		seen = seen || checkCrashes(t, func(n Notices, f Fingerprint, _ time.Time) bool {
+	rapidtest.MustNotice(t, map[string]refusedBy{
+		"more than two upstreams fell to one request": func(n Notices, f Fingerprint, _ time.Time) bool {
 			r, _ := n.Lookup(f)
 			return len(r.Crashes) > MaxCrashes
-		}) != ""
-	})
-	if !seen {
-		t.Error("the broken variant was not noticed")
-	}
+		},
+	}, checkCrashes)
 }
 
 // Guards against suspicion without end and against a crash counted twice.
--- a/pkg/fleet/doubt_test.go
+++ b/pkg/fleet/doubt_test.go
@@ -113,11 +113,7 @@
 // order of reports, failed connections and changes of rows, and a node in doubt
 // is probed, but not all the time.
 func TestDoubts(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		if fault := checkDoubts(t, correctDoubts); fault != "" {
-			t.Fatal(fault)
-		}
-	})
+	rapidtest.Hold(t, correctDoubts, checkDoubts)
 }
 
 // Proves that checkDoubts notices each broken variant.
--- a/pkg/internal/rapidtest/rapidtest.go
+++ b/pkg/internal/rapidtest/rapidtest.go
@@ -61,6 +61,16 @@
 	return message
 }
 
+// Hold fails t if check returns a fault of a variant for any drawn history.
+func Hold[V any](t *testing.T, variant V, check func(*rapid.T, V) string) {
+	t.Helper()
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := check(t, variant); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
 // MustNotice fails t unless check returns the fault of each broken variant for
 // at least one drawn history. The keys of broken are the faults.
 func MustNotice[V any](t *testing.T, broken map[string]V, check func(*rapid.T, V) string) {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -53,11 +53,7 @@
 
 // Guards the budget, the deadline and the ban on retries after a possible run.
 func TestDecide(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		if fault := checkHistory(t, Decide); fault != "" {
-			t.Fatal(fault)
-		}
-	})
+	rapidtest.Hold(t, decider(Decide), checkHistory)
 }
 
 // Proves that checkHistory notices each broken variant.
