Remove what the change left without use, and copies of it

One copy instead of two: rules uses config.HostName and config.AnyHost, which decide calls; the upstreams that a call may lose are crashguard.MaxCrashes; other nodes are split by reachability in one place, where the neighbours asked twice; compressed messages are decoded in one place; two tests of h1 share their steps.

No change of behaviour.

--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -54,7 +54,7 @@
 		next[k] = r
 	}
 	share, reserve := b.parts()
-	next[service] = retry.NewBudgetOf(share, reserve)
+	next[service] = retry.NewBudget(share, reserve)
 	b.services.Store(&next)
 	return next[service]
 }
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -102,7 +102,7 @@
 func (l *Local) Report(r upstream.Report) upstream.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := l.tracker.Report(time.Now(), r)
+	v := l.tracker.Report(r)
 	if v == upstream.Stale {
 		return v
 	}
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
 // random returns a node to ask. Nodes of other regions are asked rarely,
@@ -20,49 +21,49 @@
 	if n.storeAway.Load() {
 		share = remoteShareAway
 	}
-	anywhere := rand.IntN(share) == 0
-	var near, any choice
-	for id, m := range n.View.Current().Members {
-		if id == n.Self.Node || n.View.IsUnreachable(id) {
-			continue
-		}
-		any.add(m)
-		if m.Location.Region == n.Self.Location.Region {
-			near.add(m)
+	candidates, _ := n.split()
+	if rand.IntN(share) != 0 {
+		near := in(candidates, func(l model.Location) bool { return l.Region == n.Self.Location.Region })
+		if len(near) > 0 {
+			candidates = near
 		}
 	}
-	if anywhere || near.seen == 0 {
-		return any.member, any.seen > 0
+	if len(candidates) == 0 {
+		return fleet.Member{}, false
 	}
-	return near.member, true
-}
-
-// choice is one member of those added, each with the same chance.
-type choice struct {
-	member fleet.Member
-	seen   int
+	return candidates[rand.IntN(len(candidates))], true
 }
 
-func (c *choice) add(m fleet.Member) {
-	if c.seen++; rand.IntN(c.seen) == 0 {
-		c.member = m
+// in returns the members at locations of a kind.
+func in(members []fleet.Member, kind func(model.Location) bool) []fleet.Member {
+	var some []fleet.Member
+	for _, m := range members {
+		if kind(m.Location) {
+			some = append(some, m)
+		}
 	}
+	return some
 }
 
-// others returns all other nodes, those that cannot be reached last: each of
-// them holds a place for as long as a connection may take.
-func (n *Node) others() []fleet.Member {
-	var reachable, rest []fleet.Member
+// split returns the other nodes by whether they can be reached.
+func (n *Node) split() (reachable, unreachable []fleet.Member) {
 	for id, m := range n.View.Current().Members {
 		switch {
 		case id == n.Self.Node:
 		case n.View.IsUnreachable(id):
-			rest = append(rest, m)
+			unreachable = append(unreachable, m)
 		default:
 			reachable = append(reachable, m)
 		}
 	}
-	return append(reachable, rest...)
+	return reachable, unreachable
+}
+
+// others returns all other nodes, those that cannot be reached last: each of
+// them holds a place for as long as a connection may take.
+func (n *Node) others() []fleet.Member {
+	reachable, unreachable := n.split()
+	return append(reachable, unreachable...)
 }
 
 // tell sends something to all other nodes.
--- a/pkg/gossip/relay.go
+++ b/pkg/gossip/relay.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +12,7 @@
 
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/text"
 )
 
@@ -22,13 +22,8 @@
 // neighbours returns the other nodes of the availability zone that can be
 // reached.
 func (n *Node) neighbours() []fleet.Member {
-	var all []fleet.Member
-	for _, m := range n.others() {
-		if m.Location.AvailabilityZone == n.Self.Location.AvailabilityZone && !n.View.IsUnreachable(m.Node) {
-			all = append(all, m)
-		}
-	}
-	return all
+	reachable, _ := n.split()
+	return in(reachable, func(l model.Location) bool { return l.AvailabilityZone == n.Self.Location.AvailabilityZone })
 }
 
 // Reads reports whether this node reads the configuration from the store for
@@ -74,16 +69,12 @@
 }
 
 func unpackConfiguration(body io.Reader) (*config.Configuration, error) {
-	var packed bytes.Buffer
-	if _, err := io.Copy(&packed, io.LimitReader(body, maxMessage)); err != nil {
-		return nil, err
-	}
-	plain, err := text.Decompress(packed.Bytes(), maxMessage)
+	packed, err := io.ReadAll(io.LimitReader(body, maxMessage))
 	if err != nil {
 		return nil, err
 	}
 	c := &config.Configuration{}
-	return c, json.Unmarshal(plain, c)
+	return c, unpack(packed, c)
 }
 
 func (n *Node) handleConfiguration(c echo.Context) error {
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -44,13 +44,20 @@
 		return err
 	}
 	if resp.Header.Get(echo.HeaderContentType) == packedType {
-		if body, err = text.Decompress(body, maxMessage); err != nil {
-			return err
-		}
+		return unpack(body, into)
 	}
 	return json.Unmarshal(body, into)
 }
 
+// unpack decodes compressed JSON.
+func unpack(packed []byte, into any) error {
+	plain, err := text.Decompress(packed, maxMessage)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(plain, into)
+}
+
 func readMessage(c echo.Context, into any) error {
 	return json.NewDecoder(io.LimitReader(c.Request().Body, maxMessage)).Decode(into)
 }
--- a/pkg/h1/h1_test.go
+++ b/pkg/h1/h1_test.go
@@ -361,11 +361,10 @@
 	return string(body), err
 }
 
-// Guards against the answer to an earlier request being taken for the one that
-// is due: a duplicate that arrives late.
-func TestDuplicateAnswerIsSkipped(t *testing.T) {
+// getsBoth sends two requests and checks that each gets its own answer.
+func getsBoth(t *testing.T, p *Pool) {
+	t.Helper()
 	is := is.New(t)
-	p := pool(script(t, answerText("1", "one"), answerText("1", "one")+answerText("2", "two")))
 	first, err := do(t, p, request("1"))
 	is.NoErr(err)
 	second, err := do(t, p, request("2"))
@@ -374,17 +373,16 @@
 	is.Equal(second, "two")
 }
 
+// Guards against the answer to an earlier request being taken for the one that
+// is due: a duplicate that arrives late.
+func TestDuplicateAnswerIsSkipped(t *testing.T) {
+	getsBoth(t, pool(script(t, answerText("1", "one"), answerText("1", "one")+answerText("2", "two"))))
+}
+
 // Guards against bytes after a complete answer being taken for the next one:
 // their connection is not used again.
 func TestExtraBytesEndTheConnection(t *testing.T) {
-	is := is.New(t)
-	p := pool(script(t, answerText("", "one")+answerText("", "stray"), answerText("", "two")))
-	first, err := do(t, p, request("1"))
-	is.NoErr(err)
-	second, err := do(t, p, request("2"))
-	is.NoErr(err)
-	is.Equal(first, "one")
-	is.Equal(second, "two")
+	getsBoth(t, pool(script(t, answerText("", "one")+answerText("", "stray"), answerText("", "two"))))
 }
 
 // Guards the truth of Sent: a request that was written may have run, one that
--- a/pkg/model/rule.go
+++ b/pkg/model/rule.go
@@ -8,9 +8,6 @@
 // MaxRank is the least urgent rank.
 const MaxRank Rank = 7
 
-// MaxDepth is the largest number of nested calls in one call chain.
-const MaxDepth = 7
-
 // Preference says how far from the caller's node an upstream may be chosen
 // before the next distance is considered.
 type Preference string
--- a/pkg/problem/problem_test.go
+++ b/pkg/problem/problem_test.go
@@ -1,9 +1,8 @@
 package problem_test
 
 import (
-	"net/http/httptest"
+	"encoding/json"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -18,15 +17,12 @@
 		is := is.New(t)
 		d := problem.New(r, model.NotRun)
 		is.True(d.Title != "") // every reason has a title
-		d.Rule, d.Version, d.RetryAfter = "status", 7, 1500*time.Millisecond
-		w := httptest.NewRecorder()
-		is.NoErr(d.Write(w))
-		is.Equal(w.Code, r.Status())
-		is.Equal(w.Header().Get("Content-Type"), problem.ContentType)
-		is.Equal(w.Header().Get("Retry-After"), "2")
-		got, err := problem.Read(w.Body)
+		is.Equal(d.Status, r.Status())
+		d.Rule, d.Version = "status", 7
+		text, err := json.Marshal(d)
 		is.NoErr(err)
-		d.RetryAfter = 0 // travels as a header only
+		var got problem.Details
+		is.NoErr(json.Unmarshal(text, &got))
 		is.Equal(got, d)
 	}
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -2,16 +2,8 @@
 
 import "sync/atomic"
 
-const (
-	// tokenUnit is one retry token, in the unit of the level.
-	tokenUnit = 1000
-	// defaultShare and defaultReserve are the retry budget of a node that is
-	// told nothing else: 10% of its calls (Site Reliability Engineering,
-	// O'Reilly 2016, chapter 21) and what a quiet node may spend before its
-	// calls have earned any.
-	defaultShare   = 0.1
-	defaultReserve = 10
-)
+// tokenUnit is one retry token, in the unit of the level.
+const tokenUnit = 1000
 
 // rerunPart is the part of a budget that may be spent on calls that may have
 // run before. A repeated run repeats the calls that it makes, which count as
@@ -31,12 +23,9 @@
 	reserve atomic.Int64 // most that can be saved up
 }
 
-// NewBudget returns a full budget of 10% of the calls and a reserve of 10.
-func NewBudget() *Budget { return NewBudgetOf(defaultShare, defaultReserve) }
-
-// NewBudgetOf returns a full budget: retries may be the stated share of the
+// NewBudget returns a full budget: retries may be the stated share of the
 // calls, and as many more as the reserve says.
-func NewBudgetOf(share, reserve float64) *Budget {
+func NewBudget(share, reserve float64) *Budget {
 	b := &Budget{}
 	b.Set(share, reserve)
 	b.all.level.Store(b.all.reserve.Load())
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -20,9 +21,9 @@
 	// seeing it. Each costs a round trip, 24 ms between regions.
 	maxMoves = 4
 	// maxLost bounds the upstreams that one call may lose: as many as make a
-	// request suspect (crashguard.MaxCrashes). Notices of crashes take some 20 ms,
-	// in which the retries of one call felled every upstream of a service.
-	maxLost = 2
+	// request suspect. Notices of crashes take some 20 ms, in which the retries
+	// of one call felled every upstream of a service.
+	maxLost = crashguard.MaxCrashes
 )
 
 // Failure is an attempt that brought no answer of an upstream.
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -10,6 +10,12 @@
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
+// The budget of most tests: a part of the calls, and as many more.
+const (
+	testShare   = 0.1
+	testReserve = 10
+)
+
 func init() { rapidtest.FixSeed(20) }
 
 // decider is the function under test; the broken variants replace it.
@@ -18,7 +24,7 @@
 // checkHistory runs random calls and failures and returns the first property
 // that does not hold.
 func checkHistory(t *rapid.T, decide decider) string {
-	b := NewBudget()
+	b := NewBudget(testShare, testReserve)
 	calls, retries := 0, 0
 	for range rapidtest.Steps(400) {
 		calls++
@@ -44,7 +50,7 @@
 			return "retried after a possible run"
 		case d >= c.Remaining || d < 0:
 			return "retried past the deadline"
-		case float64(retries) > defaultReserve+float64(calls)*defaultShare+1e-9: // rounding of the sum
+		case float64(retries) > testReserve+float64(calls)*testShare+1e-9: // rounding of the sum
 			return "retried above 10% of calls plus the reserve"
 		}
 	}
@@ -68,7 +74,7 @@
 			return Decide(f, c, b, r)
 		},
 		"retried above 10% of calls plus the reserve": func(f Failure, c Call, _ *Budget, r float64) (Verdict, time.Duration) {
-			return Decide(f, c, NewBudget(), r)
+			return Decide(f, c, NewBudget(testShare, testReserve), r)
 		},
 	}
 	rapidtest.MustNotice(t, broken, checkHistory)
@@ -78,11 +84,11 @@
 func TestDrainingIsSentElsewhereOnce(t *testing.T) {
 	f := Failure{Reason: model.NodeDraining, Run: model.NotRun}
 	c := Call{Remaining: time.Second, Replayable: true}
-	if v, _ := Decide(f, c, NewBudget(), 0); v != Retry {
+	if v, _ := Decide(f, c, NewBudget(testShare, testReserve), 0); v != Retry {
 		t.Fatalf("first refusal: %s", v)
 	}
 	c.Made = 1
-	if v, _ := Decide(f, c, NewBudget(), 0); v != NoMore {
+	if v, _ := Decide(f, c, NewBudget(testShare, testReserve), 0); v != NoMore {
 		t.Fatalf("second refusal: %s", v)
 	}
 }
@@ -94,7 +100,7 @@
 	c := Call{Idempotent: true, Retries: 5, Remaining: time.Second, Replayable: true}
 	for lost, want := range map[int]Verdict{1: Retry, 2: UpstreamsLost, 3: UpstreamsLost} {
 		c.Lost = lost
-		if got, _ := Decide(f, c, NewBudgetOf(1, 100), 0); got != want {
+		if got, _ := Decide(f, c, NewBudget(1, 100), 0); got != want {
 			t.Errorf("%d lost upstreams: %s, want %s", lost, got, want)
 		}
 	}
--- a/pkg/rules/explain.go
+++ b/pkg/rules/explain.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
 
+	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -31,7 +31,7 @@
 	if !ValidPath(path) {
 		return Explanation{Message: fmt.Sprintf("path %s matches no rule: it must start with /, must not be below %s/, and must have no empty or dot segment", quote(path), ReservedPath)}
 	}
-	host = strings.ToLower(CutPort(host))
+	host = config.HostName(host)
 	var matching []*model.Rule
 	var winner *model.Rule
 	for i := range f.Rules {
@@ -63,7 +63,7 @@
 // precedence says why a goes before b when both match a call, or "" if b goes
 // before a.
 func precedence(a, b *model.Rule) string {
-	anyHostA, anyHostB := a.Match.Host == AnyHost, b.Match.Host == AnyHost
+	anyHostA, anyHostB := a.Match.Host == config.AnyHost, b.Match.Host == config.AnyHost
 	listedA, listedB := len(a.Match.Methods) > 0, len(b.Match.Methods) > 0
 	switch {
 	case anyHostA != anyHostB:
--- a/pkg/rules/fields.go
+++ b/pkg/rules/fields.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -36,7 +37,7 @@
 	{"method", false, "* or a list without spaces of " + strings.Join(Methods, ","), setMethods},
 	{"host", false, "* or a lower-case host name or IP address without port", func(r *model.Rule, v string) bool {
 		r.Match.Host = v
-		return v == AnyHost || validHost(v)
+		return v == config.AnyHost || validHost(v)
 	}},
 	{"path", true, "an absolute path such as /status, without trailing slash, escapes, empty or dot segments, and not below /.lentilflow/", func(r *model.Rule, v string) bool {
 		r.Match.Path = v
--- a/pkg/rules/match.go
+++ b/pkg/rules/match.go
@@ -4,12 +4,10 @@
 	"slices"
 	"strings"
 
+	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// AnyHost is the host of a rule that matches every host.
-const AnyHost = "*"
-
 // ReservedPath is the path of messages between nodes. No rule matches it or
 // a path below it, so a caller cannot reach the peer listeners of other nodes.
 const ReservedPath = "/.lentilflow"
@@ -41,15 +39,6 @@
 	return true
 }
 
-// CutPort returns the value of a Host header without port and without the
-// trailing dot of an absolute name.
-func CutPort(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && strings.IndexByte(host[i:], ']') < 0 {
-		host = host[:i]
-	}
-	return strings.TrimSuffix(host, ".")
-}
-
 // pathCovers reports whether prefix matches path on segment boundaries.
 func pathCovers(prefix, path string) bool {
 	if prefix == "/" {
@@ -61,7 +50,7 @@
 // covers reports whether m matches a call with a valid path and a lower-case
 // host without port.
 func covers(m *model.Match, method, host, path string) bool {
-	return (m.Host == AnyHost || m.Host == host) &&
+	return (m.Host == config.AnyHost || m.Host == host) &&
 		pathCovers(m.Path, path) &&
 		(len(m.Methods) == 0 || slices.Contains(m.Methods, method))
 }
--- a/pkg/rules/statement.go
+++ b/pkg/rules/statement.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -34,7 +35,7 @@
 	before := len(s.faults)
 	v := model.Rule{
 		Name:   s.name(),
-		Match:  model.Match{Host: AnyHost},
+		Match:  model.Match{Host: config.AnyHost},
 		Worth:  1,
 		Prefer: model.PreferZone,
 		Line:   s.line,
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -21,11 +21,10 @@
 
 // Boot is one start of the upstream.
 type Boot struct {
-	ID        string
-	Born      int64
-	Slots     int
-	Draining  bool
-	ColdUntil time.Time
+	ID       string
+	Born     int64
+	Slots    int
+	Draining bool
 }
 
 // Verdict is the decision on a report.
@@ -72,7 +71,7 @@
 func (t *Tracker) Newest() (Boot, bool) { return t.boot, t.known }
 
 // Report takes a report. A boot that was said to be draining stays so.
-func (t *Tracker) Report(now time.Time, r Report) Verdict {
+func (t *Tracker) Report(r Report) Verdict {
 	same := t.known && t.boot.ID == r.ID && t.boot.Born == r.Born
 	born, left := t.left[r.ID]
 	switch {
@@ -105,11 +104,7 @@
 	t.newest = r.Born
 	before, known := t.boot, t.known
 	next := Boot{ID: r.ID, Born: r.Born, Slots: r.Slots, Draining: r.Draining || same && t.boot.Draining}
-	if r.Cold > 0 {
-		next.ColdUntil = now.Add(r.Cold)
-	}
 	t.boot, t.known, t.sequence = next, true, r.Sequence
-	before.ColdUntil, next.ColdUntil = time.Time{}, time.Time{}
 	if known && before == next {
 		return Confirmed
 	}
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
-var t0 = time.Unix(1_000_000, 0)
-
 func ready(id string, born int64, sequence uint64) Report {
 	return Report{ID: id, Born: born, Sequence: sequence, Slots: 3}
 }
@@ -18,33 +15,33 @@
 func TestReportOrder(t *testing.T) {
 	is := is.New(t)
 	var tr Tracker
-	is.Equal(tr.Report(t0, ready("a", 100, 5)), Changed)
-	is.Equal(tr.Report(t0, ready("a", 100, 6)), Confirmed)
-	is.Equal(tr.Report(t0, ready("a", 100, 4)), Stale)
-	is.Equal(tr.Report(t0, ready("old", 90, 99)), Stale) // delayed by a partition
-	is.Equal(tr.Report(t0, ready("a", 200, 1)), Changed) // the same id starts anew
-	is.Equal(tr.Report(t0, ready("a", 100, 7)), Stale)
+	is.Equal(tr.Report(ready("a", 100, 5)), Changed)
+	is.Equal(tr.Report(ready("a", 100, 6)), Confirmed)
+	is.Equal(tr.Report(ready("a", 100, 4)), Stale)
+	is.Equal(tr.Report(ready("old", 90, 99)), Stale) // delayed by a partition
+	is.Equal(tr.Report(ready("a", 200, 1)), Changed) // the same id starts anew
+	is.Equal(tr.Report(ready("a", 100, 7)), Stale)
 	is.Equal(tr.Leave("a", 100), Stale) // the older boot of that id
 	_, ok := tr.Current()
 	is.True(ok)
 	is.Equal(tr.Leave("a", 200), Changed)
 	_, ok = tr.Current()
 	is.True(!ok)
-	is.Equal(tr.Report(t0, ready("a", 200, 9)), Stale) // a late report of a boot that left
-	is.Equal(tr.Report(t0, ready("a", 300, 1)), Changed)
+	is.Equal(tr.Report(ready("a", 200, 9)), Stale) // a late report of a boot that left
+	is.Equal(tr.Report(ready("a", 300, 1)), Changed)
 }
 
 // Guards the binding of a draining report that arrives behind newer ones.
 func TestLateDrainingBinds(t *testing.T) {
 	is := is.New(t)
 	var tr Tracker
-	tr.Report(t0, ready("a", 1, 5))
+	tr.Report(ready("a", 1, 5))
 	late := ready("a", 1, 4)
 	late.Draining = true
-	is.Equal(tr.Report(t0, late), Changed)
+	is.Equal(tr.Report(late), Changed)
 	_, ok := tr.Current()
 	is.True(!ok)
-	tr.Report(t0, ready("a", 1, 6))
+	tr.Report(ready("a", 1, 6))
 	_, ok = tr.Current()
 	is.True(!ok)
 }
@@ -58,11 +55,11 @@
 		r.Draining = true
 		return r
 	}
-	tr.Report(t0, ready("b", 3, 1))
-	tr.Report(t0, drain(ready("b", 3, 2)))
-	tr.Report(t0, drain(ready("a", 4, 1)))
+	tr.Report(ready("b", 3, 1))
+	tr.Report(drain(ready("b", 3, 2)))
+	tr.Report(drain(ready("a", 4, 1)))
 	for sequence := range uint64(9) {
-		is.Equal(tr.Report(t0, ready("b", 3, 3+sequence)), Stale)
+		is.Equal(tr.Report(ready("b", 3, 3+sequence)), Stale)
 	}
 	_, ok := tr.Current()
 	is.True(!ok)
@@ -70,7 +67,7 @@
 
 // tracker is the decision under test; broken variants replace it.
 type tracker interface {
-	Report(time.Time, Report) Verdict
+	Report(Report) Verdict
 	Leave(string, int64) Verdict
 	Current() (Boot, bool)
 }
@@ -96,7 +93,7 @@
 				left[b] = true
 			}
 			reports[b]++
-			if tr.Report(t0, r) != Stale {
+			if tr.Report(r) != Stale {
 				if b.born < newest && reports[b] < challengerReports {
 					return "an older boot takes work"
 				}
@@ -124,7 +121,7 @@
 // lax takes every report as the newest one.
 type lax struct{ Tracker }
 
-func (l *lax) Report(now time.Time, r Report) Verdict {
+func (l *lax) Report(r Report) Verdict {
 	l.boot, l.known = Boot{ID: r.ID, Born: r.Born, Draining: r.Draining}, true
 	return Changed
 }
@@ -141,16 +138,16 @@
 func TestBootWithOlderStartIsBelievedInTheEnd(t *testing.T) {
 	is := is.New(t)
 	var tr Tracker
-	tr.Report(t0, ready("a", 2000, 7))
+	tr.Report(ready("a", 2000, 7))
 	tr.Leave("a", 2000)
-	is.Equal(tr.Report(t0, ready("b", 1000, 1)), Stale)
-	is.Equal(tr.Report(t0, ready("b", 1000, 1)), Stale) // the same report again
-	is.Equal(tr.Report(t0, ready("b", 1000, 2)), Stale)
-	is.Equal(tr.Report(t0, ready("b", 1000, 3)), Changed)
+	is.Equal(tr.Report(ready("b", 1000, 1)), Stale)
+	is.Equal(tr.Report(ready("b", 1000, 1)), Stale) // the same report again
+	is.Equal(tr.Report(ready("b", 1000, 2)), Stale)
+	is.Equal(tr.Report(ready("b", 1000, 3)), Changed)
 	boot, ok := tr.Current()
 	is.True(ok)
 	is.Equal(boot.ID, "b")
-	is.Equal(tr.Report(t0, ready("b", 1000, 4)), Confirmed)
+	is.Equal(tr.Report(ready("b", 1000, 4)), Confirmed)
 }
 
 // Guards the bound of the memory of boots that have left.
