--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -44,6 +44,8 @@
 	Prefix string `json:"prefix"` // begins and ends with a slash
 	// Idempotent says that a call may run more than once.
 	Idempotent bool `json:"idempotent"`
+	// Bulk says that answers are large, hundreds of kilobytes or more.
+	Bulk bool `json:"bulk,omitempty"`
 	// Timeout is the longest time that a caller is kept waiting; 0 leaves it
 	// to the caller's deadline.
 	Timeout time.Duration `json:"timeout_ns,omitempty"`
