Contain panics, endless bytes, late copies, and requests beside a planned stop

Cause: tests at the sockets, each of which failed before, showed that - a panic in one call or job ended the process; - an answer to another request, or a head, without end held a call until its deadline (the test ran into its 90 s); - a request that reached a node just before it closed its idle connections, and connections that waited to be accepted, were reset by a planned stop; - an answer without the id of a request was taken as the one that is due, so a late copy of it reached the next caller; - between nodes an answer was not compared with its request.

Change: pkg/contain keeps a panic within its call, message or loop step; slots, places on the link and calls in flight are given back. The head of an answer is bounded by 2 s from its first byte, answers to other requests by 64 KiB. A connection with unread bytes is not idle; connections that wait are accepted before the listener closes. Answers without an id are taken only if they say that the request has not run, and their connection is not used again. Nodes number their attempts and the answers repeat the number.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -67,20 +67,7 @@
 	w := g.pool.Get().(*Waiter)
 	w.Call = c
 	w.Deadline = deadline.Sub(g.start)
-	g.mu.Lock()
-	now := g.now()
-	v, dropped := g.core.Arrive(now, w)
-	if dropped != nil {
-		dropped.ready <- false
-	}
-	if v == Queued {
-		g.pump()
-	}
-	var drain time.Duration
-	if v == Full || v == Unreachable {
-		drain = g.core.DrainTime(now, &w.Call)
-	}
-	g.mu.Unlock()
+	v, drain := g.arrive(w)
 	switch v {
 	case Admitted:
 		return Slot{g, w}, nil
@@ -95,6 +82,25 @@
 	return Slot{}, &Refusal{Reason: reason, RetryAfter: spread(drain)}
 }
 
+// arrive decides on a new call, and returns for a refused one when a later try
+// could be admitted.
+func (g *Gate) arrive(w *Waiter) (v Verdict, drain time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	v, dropped := g.core.Arrive(now, w)
+	if dropped != nil {
+		dropped.ready <- false
+	}
+	if v == Queued {
+		g.pump()
+	}
+	if v == Full || v == Unreachable {
+		drain = g.core.DrainTime(now, &w.Call)
+	}
+	return v, drain
+}
+
 // spread adds jitter, so that refused callers do not come back together.
 func spread(d time.Duration) time.Duration {
 	return time.Duration((0.5+rand.Float64())*float64(d)) + rand.N(time.Second)
@@ -110,13 +116,9 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	g.mu.Lock()
-	if w.flow == nil { // it was admitted or dropped meanwhile
-		g.mu.Unlock()
+	if !g.withdraw(w) { // it was admitted or dropped meanwhile
 		return g.settled(w, <-w.ready)
 	}
-	g.core.Remove(w)
-	g.mu.Unlock()
 	g.pool.Put(w)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return Slot{}, &Refusal{Reason: model.CallerGone}
@@ -124,6 +126,17 @@
 	return Slot{}, &Refusal{Reason: model.DeadlineExceeded}
 }
 
+// withdraw takes a call out of its queue. It returns false if it is in none.
+func (g *Gate) withdraw(w *Waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.flow == nil {
+		return false
+	}
+	g.core.Remove(w)
+	return true
+}
+
 func (g *Gate) settled(w *Waiter, admitted bool) (Slot, *Refusal) {
 	if admitted {
 		return Slot{g, w}, nil
@@ -153,10 +166,13 @@
 
 // Release frees the slot.
 func (s Slot) Release(e End) {
-	g := s.gate
+	s.gate.done(s.waiter, e)
+	s.gate.pool.Put(s.waiter)
+}
+
+func (g *Gate) done(w *Waiter, e End) {
 	g.mu.Lock()
-	g.core.Done(g.now(), s.waiter, e)
+	defer g.mu.Unlock()
+	g.core.Done(g.now(), w, e)
 	g.pump()
-	g.mu.Unlock()
-	g.pool.Put(s.waiter)
 }
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentilflow/lentilflow/pkg/balance"
 	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/contain"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/follow"
@@ -62,6 +63,7 @@
 	gossip   *gossip.Node
 	budgets  *gateway.Budgets
 	notices  *crashguard.Memory
+	guard    *contain.Guard
 	self     fleet.Member
 
 	calls, peers *h1.Server
@@ -107,6 +109,7 @@
 	names := c.Platform.Headers()
 	metrics := gateway.NewMetrics(c.Registry)
 	link := shaping.NewLink(float64(s.Network.Bandwidth))
+	a.guard = contain.New(c.Log, c.Registry)
 	a.gossip = &gossip.Node{
 		Self: a.self, Config: a.holder, View: a.view, Notices: a.notices, Log: c.Log,
 		Serving:  func() bool { return a.local.Serving() },
@@ -115,7 +118,7 @@
 	}
 	a.gossip.Start(time.Now())
 	a.local = gateway.NewLocal(&gateway.Local{
-		Node: a.self.Node, Service: a.self.Service, Names: names, Log: c.Log, Metrics: metrics, Config: a.holder, Notices: a.notices, Link: link,
+		Node: a.self.Node, Service: a.self.Service, Names: names, Log: c.Log, Metrics: metrics, Config: a.holder, Notices: a.notices, Link: link, Guard: a.guard,
 		OnServing:   a.servingChanged,
 		OnCrash:     a.crashed,
 		OnCompleted: a.completed,
@@ -126,7 +129,7 @@
 		Metrics: metrics, Log: c.Log, OnBehind: a.gossip.Behind,
 	})
 	a.calls, a.peers = a.gateway.CallServer(), a.gateway.PeerServer()
-	a.messages, a.reports, a.readiness = newEcho(), newEcho(), newEcho()
+	a.messages, a.reports, a.readiness = a.newEcho(), a.newEcho(), a.newEcho()
 	a.gossip.Routes(a.messages)
 	a.messages.GET(model.StatePath, a.serveState)
 	a.messages.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(c.Registry, promhttp.HandlerOpts{})))
@@ -136,9 +139,20 @@
 	return a
 }
 
-func newEcho() *echo.Echo {
+const (
+	// headTime, bodyTime and headBytes bound what anyone may send to the
+	// listeners of messages, reports and readiness. Messages have 4 MB at most,
+	// a second of a link of 32 Mbit/s.
+	headTime  = 2 * time.Second
+	bodyTime  = 10 * time.Second
+	headBytes = 32 << 10
+)
+
+func (a *Agent) newEcho() *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
+	e.Server.ReadHeaderTimeout, e.Server.ReadTimeout, e.Server.MaxHeaderBytes = headTime, bodyTime, headBytes
+	e.Use(a.guard.Handle)
 	return e
 }
 
@@ -146,7 +160,9 @@
 // are not kept: each node is asked rarely.
 func messageClient() *http.Client {
 	live := h1.Liveness{Dial: messageDial, Probe: time.Second, Unacknowledged: messageDial}
-	return &http.Client{Transport: &http.Transport{DialContext: live.DialNetwork(), DisableKeepAlives: true, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: live.DialNetwork(), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: headBytes,
+	}}
 }
 
 // messageDial bounds a new connection to another node's message listener.
@@ -189,7 +205,7 @@
 // servingChanged tells the other nodes whether the upstream takes work.
 func (a *Agent) servingChanged(serving bool) {
 	a.view.SetServing(a.self.Node, serving, time.Now())
-	go a.gossip.Announce(context.Background())
+	a.guard.Go("announce", func() { a.gossip.Announce(context.Background()) })
 }
 
 func (a *Agent) crashed(f crashguard.Fingerprint, c crashguard.Crash) {
@@ -201,5 +217,7 @@
 	if err := a.notices.Completed(context.Background(), f); err != nil {
 		a.log.Warn("completion could not be noted", zap.Stringer("fingerprint", f), zap.Error(err))
 	}
-	go a.gossip.ReportCrash(context.Background(), gossip.CrashNotice{Fingerprint: f, Service: a.self.Service})
+	a.guard.Go("report completion", func() {
+		a.gossip.ReportCrash(context.Background(), gossip.CrashNotice{Fingerprint: f, Service: a.self.Service})
+	})
 }
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -52,16 +52,16 @@
 	}
 	var g run.Group
 	a.addStop(ctx, &g, callListener)
-	addLoop(&g, a.follower("configuration", a.platform.Operator(a.holder, a.gossip, func(v config.Version, at follow.Revision) {
+	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.Operator(a.holder, a.gossip, func(v config.Version, at follow.Revision) {
 		a.inForce(v, zap.Uint64("revision", uint64(at)))
 	}), 0, func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
-	addLoop(&g, a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
+	a.addLoop(&g, "follow fleet", a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
 		func(ok bool) { a.fleetLost.Store(!ok); a.storeChanged() }))
-	addLoop(&g, a.gossip.Run)
-	addLoop(&g, a.gossip.Probe)
-	addLoop(&g, a.keepRow)
-	addLoop(&g, a.watchSettings)
-	addLoop(&g, a.tidy)
+	a.addLoop(&g, "exchange digests", a.gossip.Run)
+	a.addLoop(&g, "probe nodes", a.gossip.Probe)
+	a.addLoop(&g, "keep row", a.keepRow)
+	a.addLoop(&g, "watch settings", a.watchSettings)
+	a.addLoop(&g, "tidy", a.tidy)
 	a.addEcho(&g, a.messages, string(a.settings.Listeners.Messages))
 	a.addEcho(&g, a.reports, string(a.settings.Listeners.Reports))
 	a.addEcho(&g, a.readiness, string(a.settings.Listeners.Readiness))
@@ -105,9 +105,11 @@
 	}, func(error) { _ = e.Close() })
 }
 
-// addLoop runs a loop that ends with the context it is given.
-func addLoop(g *run.Group, loop func(context.Context) error) {
+// addLoop runs a loop that ends with the context it is given, and begins anew
+// after a panic.
+func (a *Agent) addLoop(g *run.Group, name string, loop func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	loop = a.guard.Loop(name, loop)
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
@@ -143,7 +145,7 @@
 	a.gateway.EndBy(last)
 	a.await(last, func() bool { return a.peers.Active() == 0 && !a.local.Busy() })
 	a.gateway.EndBy(time.Now())
-	_ = calls.Close()
+	a.calls.Close(calls)
 	a.await(last, func() bool {
 		a.calls.CloseIdle()
 		return a.calls.Active() == 0
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -31,13 +31,13 @@
 // receive reads the start of an answer and delivers it, unless a retry may
 // bring a better one.
 func (g *Gateway) receive(c *call, res *Result) *Refusal {
+	defer res.Finish(false)
 	c.waited, c.ran = res.Waited, res.Ran
 	head, whole, err := readStart(res)
 	if err == nil && !g.genuine(res) {
 		err = errNotGenuine
 	}
 	if err != nil {
-		res.Finish(false)
 		r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
 		switch {
 		case c.x.Context().Err() != nil:
--- a/pkg/gateway/bulk.go
+++ b/pkg/gateway/bulk.go
@@ -82,10 +82,11 @@
 	if size > maxHeld || !l.held.reserve(size) {
 		return nil
 	}
+	held := int64(0)
+	defer func() { l.held.bytes.Add(held - size) }()
 	var body bytes.Buffer
 	n, err := io.Copy(&body, io.LimitReader(res, size+1))
 	if err != nil {
-		l.held.bytes.Add(-size)
 		r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			r.Reason = model.DeadlineExceeded
@@ -95,16 +96,17 @@
 		return r
 	}
 	if n > size { // of an unknown length, and longer than what is held
+		held = size
 		res.Body = &joined{Reader: io.MultiReader(&body, res.Body), Closer: res.Body}
 		end := res.finish
 		res.finish = func(complete bool) {
+			defer l.held.bytes.Add(-size)
 			end(complete)
-			l.held.bytes.Add(-size)
 		}
 		return nil
 	}
-	l.held.bytes.Add(n - size)
 	res.Finish(true)
+	held = n
 	res.Answer = &h1.Answer{Status: res.Status, Header: res.Header, Length: n, Body: io.NopCloser(&body)}
 	res.finish = func(bool) { l.held.bytes.Add(-n) }
 	return nil
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -71,9 +71,14 @@
 		Concurrent: g.concurrent,
 		Limits:     g.callerLimits,
 		OnFault:    g.onFault("caller"),
+		OnPanic:    g.onPanic("call"),
 	}
 }
 
+func (g *Gateway) onPanic(place string) func(any, []byte) {
+	return func(v any, stack []byte) { g.Local.Guard.Caught(place, v, stack) }
+}
+
 func (g *Gateway) callerLimits() h1.Limits {
 	s := g.Config.Current()
 	if s == nil {
@@ -118,19 +123,24 @@
 	c := &call{x: x}
 	r := g.prepare(c)
 	if r == nil {
-		if c.route.Enter() {
-			r = g.serve(c)
-			c.route.Exit()
-		} else {
-			r = refuse(model.RuleLimit)
-			r.RetryAfter = startRetry
-		}
+		r = g.enter(c)
 	}
 	if r != nil {
 		g.refuseCall(c, r)
 	}
 }
 
+// enter serves a call if its route allows one more.
+func (g *Gateway) enter(c *call) *Refusal {
+	if !c.route.Enter() {
+		r := refuse(model.RuleLimit)
+		r.RetryAfter = startRetry
+		return r
+	}
+	defer c.route.Exit()
+	return g.serve(c)
+}
+
 // prepare decides by which route a call goes. It returns a refusal if none
 // does.
 func (g *Gateway) prepare(c *call) *Refusal {
@@ -280,11 +290,12 @@
 	c.asked = append(c.asked, entry.Node)
 	c.avoid = append(c.avoid, entry.Node)
 	choice.Evidence.Begin(now)
-	res, r := g.dispatch(c, entry)
-	if r == nil {
+	r := refuse(model.CallerGone) // what a panic leaves
+	defer func() { g.learn(c, entry, choice.Evidence, now, r) }()
+	var res *Result
+	if res, r = g.dispatch(c, entry); r == nil {
 		r = g.receive(c, res)
 	}
-	g.learn(c, entry, choice.Evidence, now, r)
 	c.last = r
 	return r
 }
--- /dev/null
+++ b/pkg/gateway/fault_test.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/shaping"
+)
+
+// faulty panics in the look-ups that follow a number of good ones.
+type faulty struct {
+	crashguard.Notices
+	good atomic.Int64
+}
+
+func (f *faulty) Empty() bool { return false }
+
+func (f *faulty) Lookup(crashguard.Fingerprint) (crashguard.Record, bool) {
+	if f.good.Add(-1) < 0 {
+		panic("fault of the program")
+	}
+	return crashguard.Record{}, false
+}
+
+// Guards against a fault of the program in one call that keeps a slot, a place
+// on the link or a call in flight for ever. Each place of the fault is tried:
+// before admission, with the slot, and after the answer.
+func TestPanicKeepsNothing(t *testing.T) {
+	for good := range int64(3) {
+		t.Run(fmt.Sprint(good), func(t *testing.T) {
+			is := is.New(t)
+			address, _ := bulkUpstream(t, largeAnswer("Content-Length: 10\r\n", 10), false)
+			l := bulkLocal(t, address, shaping.NewLink(100), 1)
+			f := &faulty{Notices: l.Notices}
+			f.good.Store(good)
+			l.Notices = f
+			func() {
+				defer func() { _ = recover() }()
+				if res, r := l.Run(t.Context(), bulkJob(time.Minute)); r == nil {
+					res.Finish(true)
+				}
+			}()
+			is.True(f.good.Load() < 0) // it did panic
+			is.True(!l.Busy())
+			is.Equal(l.held.bytes.Load(), int64(0))
+			is.Equal(len(l.running.jobs), 0)
+		})
+	}
+}
+
+// Guards against a process that ends for a fault in one call: the caller gets
+// an honest failure, and the next call is served.
+func TestPanicEndsItsCallOnly(t *testing.T) {
+	is := is.New(t)
+	p := newPath(pathFault{})
+	defer p.close()
+	l := p.stations[0].gateway.Local
+	f := &faulty{Notices: l.Notices}
+	l.Notices = f
+	failed := 0
+	for range 20 {
+		f.good.Store(1)
+		o := p.send(0, false)
+		if o.status == http.StatusInternalServerError {
+			failed++
+		}
+	}
+	is.True(failed > 0)
+	f.good.Store(1 << 40)
+	is.Equal(p.send(0, false).status, http.StatusOK)
+	for _, e := range p.stations[0].gateway.View.Current().Entries(testService) {
+		evidence := p.stations[0].gateway.Picker.Evidence(e.Node, 0)
+		for end := time.Now().Add(5 * time.Second); evidence.InFlight() > 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond) // it ends just after the caller has its answer
+		}
+		is.Equal(evidence.InFlight(), 0)
+	}
+}
+
+// Guards against a second, late copy of an answer that names no request: the
+// next caller on that connection got it.
+func TestLateCopyWithoutNameReachesNobody(t *testing.T) {
+	is := is.New(t)
+	p := newPath(pathFault{})
+	defer p.close()
+	for _, s := range p.stations {
+		s.upstream.follow(namesNone, namesNone, namesNone)
+	}
+	for i := range 12 {
+		o := p.send(i%pathNodes, i%2 == 0)
+		is.NoErr(p.judge(o))
+		time.Sleep(lateRun / 3)
+	}
+}
+
+// Guards against a late copy of a refusal that names no request: the next
+// request would be said not to have run, and run again.
+func TestLateCopyOfARefusalReachesNobody(t *testing.T) {
+	is := is.New(t)
+	l := mustListen()
+	defer func() { _ = l.Close() }()
+	var requests atomic.Int64
+	var copies atomic.Pointer[net.Conn] // on which a late copy may come
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				br := bufio.NewReader(nc)
+				shed := fmt.Sprintf("HTTP/1.1 503 X\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testNames.NotRun)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if requests.Add(1) == 1 {
+						_, _ = io.WriteString(nc, shed)
+						copies.Store(&nc)
+						continue
+					}
+					if first := copies.Load(); *first == nc {
+						_, _ = io.WriteString(nc, shed)
+					}
+					_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+						testNames.RequestID, r.Header.Get(testNames.RequestID), testNames.Signature)
+				}
+			}()
+		}
+	}()
+	local := bulkLocal(t, l.Addr().String(), shaping.NewLink(0), 1)
+	j := bulkJob(time.Minute)
+	j.Bulk, j.Idempotent = false, false
+	j.Header = http.Header{testNames.RequestID: {j.ID}}
+	_, r := local.Run(t.Context(), j)
+	is.True(r != nil && r.Run == model.NotRun)
+	res, r := local.Run(t.Context(), j)
+	is.True(r == nil) // a refusal would be the late copy of the first one
+	res.Finish(true)
+}
+
+// Guards against the answer to another attempt being taken between two nodes.
+func TestAnswerOfAnotherAttemptIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	answer := fmt.Sprintf("HTTP/1.1 200 X\r\n%s: 1\r\n%s: 1\r\n%s: upstream 0 1\r\n%s: 77\r\nContent-Length: 4\r\n\r\nlate",
+		testNames.RequestID, testNames.Signature, headerAnswer, headerAttempt)
+	address, _ := bulkUpstream(t, answer, true)
+	r := NewRemote(testNames, config.NewHolder())
+	_, refusal := r.Run(context.Background(), address, bulkJob(time.Minute))
+	is.True(refusal != nil)
+	is.Equal(refusal.Run, model.Unknown)
+}
+
+// brokenUpstream sends the first bytes of an answer and ends the connection.
+func brokenUpstream(t *testing.T, reset bool) (address string, set func(text string)) {
+	t.Helper()
+	l := mustListen()
+	t.Cleanup(func() { _ = l.Close() })
+	var text atomic.Pointer[string]
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+					return
+				}
+				if _, err := io.WriteString(nc, *text.Load()); err != nil {
+					return
+				}
+				if reset {
+					time.Sleep(time.Millisecond) // what was sent is read first
+					_ = nc.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), func(s string) { text.Store(&s) }
+}
+
+// Guards against an answer that breaks off and reaches the caller as a complete
+// success: at each byte of head and body, with a length, in chunks and without
+// a length, ended by a close and by a reset, through one node and through two.
+func TestBrokenAnswerIsNeverASuccess(t *testing.T) {
+	const body = "0123456789"
+	head := fmt.Sprintf("HTTP/1.1 200 X\r\n%s: b\r\n%s: 1\r\n", testNames.RequestID, testNames.Signature)
+	for name, whole := range map[string]string{
+		"length":  head + "Content-Length: 10\r\n\r\n" + body,
+		"chunked": head + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n",
+		"close":   head + "\r\n" + body,
+	} {
+		for _, reset := range []bool{false, true} {
+			for nodes := 1; nodes <= 2; nodes++ {
+				t.Run(fmt.Sprintf("%s reset=%t nodes=%d", name, reset, nodes), func(t *testing.T) {
+					t.Parallel()
+					checkBroken(t, whole, body, name == "close", reset, nodes)
+				})
+			}
+		}
+	}
+}
+
+func checkBroken(t *testing.T, whole, body string, ends, reset bool, nodes int) {
+	is := is.New(t)
+	holder := config.NewHolder()
+	c := pathConfiguration(pathFault{})
+	c.Routes[1].Attempts = 1
+	_, err := holder.Offer(c)
+	is.NoErr(err)
+	l := &ledger{runs: make(map[string]int)}
+	first, m := newStation("n0", holder, l, pathFault{})
+	second, other := newStation("n1", holder, l, pathFault{})
+	defer func() {
+		for _, end := range append(first.close, second.close...) {
+			end()
+		}
+	}()
+	address, set := brokenUpstream(t, reset)
+	beside, member := first, m
+	if nodes == 2 {
+		beside, member = second, other
+	}
+	beside.gateway.Local.pool.Address = address
+	first.gateway.View.Replace([]fleet.Member{member}, 1)
+	for n := 0; n < len(whole); n++ {
+		set(whole[:n])
+		status, got, err := sendOnce(first.address)
+		if err != nil || status != http.StatusOK {
+			continue
+		}
+		// Without a length an answer is complete wherever its connection is
+		// closed, but not where it is reset.
+		headEnd := strings.Index(whole, "\r\n\r\n") + 4
+		if !ends || reset || n < headEnd || got != body[:n-headEnd] {
+			t.Fatalf("the first %d of %d bytes reached the caller as a complete success %q", n, len(whole), got)
+		}
+	}
+	if !reset {
+		set(whole)
+		status, got, err := sendOnce(first.address)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(got, body)
+	}
+}
+
+// sendOnce sends one unsafe request with the id b.
+func sendOnce(address string) (int, string, error) {
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = io.WriteString(nc, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nX-Id: b\r\nX-Left: 5000\r\n\r\nx")
+	if err != nil {
+		return 0, "", err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -16,6 +16,9 @@
 	headerCall    = "Lentilflow-Call"
 	headerAnswer  = "Lentilflow-Answer"
 	headerRefusal = "Lentilflow-Refusal"
+	// headerAttempt numbers the attempts of the asking node; the answer repeats
+	// it, so that a late copy of one is not taken for another.
+	headerAttempt = "Lentilflow-Attempt"
 	// headerRoute and headerVersion tell a caller what decided its call.
 	headerRoute   = "Lentilflow-Route"
 	headerVersion = "Lentilflow-Version"
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -43,7 +43,7 @@
 }
 
 // outgoing returns the request to send, with additional fields.
-func (j *Job) outgoing(echo func(http.Header) bool, fields ...h1.Field) *h1.Outgoing {
+func (j *Job) outgoing(echo func(int, http.Header) bool, fields ...h1.Field) *h1.Outgoing {
 	o := &h1.Outgoing{
 		Method: j.Method, Target: j.Target, Host: j.Host, Header: j.Header, Fields: fields,
 		Body: j.Body, Rest: j.Rest, Length: j.Length, Echo: echo,
@@ -66,11 +66,13 @@
 	transfer *shaping.Transfer
 }
 
-// Finish ends the attempt; complete says that the whole body was read.
+// Finish ends the attempt; complete says that the whole body was read. Further
+// calls do nothing.
 func (r *Result) Finish(complete bool) {
 	r.Answer.Close()
-	if r.finish != nil {
-		r.finish(complete)
+	if finish := r.finish; finish != nil {
+		r.finish = nil
+		finish(complete)
 	}
 }
 
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentilflow/lentilflow/pkg/admission"
 	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/contain"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -48,6 +49,7 @@
 	Metrics *Metrics
 	Config  *config.Holder
 	Notices crashguard.Notices
+	Guard   *contain.Guard
 	// Link carries the answers that leave this VM.
 	Link *shaping.Link
 	// OnServing is told when the upstream begins or ends to take work.
@@ -221,17 +223,23 @@
 		return nil, r
 	}
 	transfer := l.transfer(j)
+	kept := false
+	defer func() { // also after a panic
+		if !kept {
+			transfer.end(false)
+		}
+	}()
 	res, r := l.admit(ctx, j)
 	if r != nil {
-		transfer.end(false)
 		return nil, r
 	}
+	kept = true
 	if j.Bulk {
 		res.transfer = transfer.Transfer
 		done := res.finish
 		res.finish = func(complete bool) {
+			defer transfer.end(complete)
 			done(complete)
-			transfer.end(complete)
 		}
 	}
 	return res, nil
@@ -265,6 +273,12 @@
 		r.RetryAfter = refused.RetryAfter
 		return nil, r
 	}
+	end, kept := admission.Other, false
+	defer func() { // also after a panic
+		if !kept {
+			slot.Release(end)
+		}
+	}()
 	admitted := time.Now()
 	l.Metrics.waited(j.Rank, admitted.Sub(arrived))
 	boot, r := l.available(j.Service) // it may have left while the job waited
@@ -272,31 +286,37 @@
 		r = refuse(model.CrashSuspected)
 	}
 	if r != nil {
-		slot.Release(admission.Other)
 		return nil, r
 	}
 	res, r := l.exchange(ctx, j, boot)
 	if r != nil {
-		slot.Release(endOf(r))
+		end = endOf(r)
 		return nil, r
 	}
+	kept = true
 	l.Metrics.ran(j.Rank, time.Since(admitted))
 	res.Waited, res.Ran = admitted.Sub(arrived), time.Since(admitted)
 	done := res.finish
 	res.finish = func(complete bool) {
-		done(complete)
-		end := admission.Other
 		if complete {
 			end = admission.Answered
 		}
-		slot.Release(end)
+		defer slot.Release(end)
+		done(complete)
+	}
+	if !j.Bulk || !isSuccess(res.Status) {
+		return res, nil
 	}
-	if j.Bulk && isSuccess(res.Status) {
-		if r := l.hold(ctx, res); r != nil {
+	held := false
+	defer func() {
+		if !held {
 			res.Finish(false)
-			return nil, r
 		}
+	}()
+	if r := l.hold(ctx, res); r != nil {
+		return nil, r
 	}
+	held = true
 	return res, nil
 }
 
@@ -322,35 +342,44 @@
 		l.running.remove(entry)
 		cancel()
 	}
+	kept := false
+	defer func() { // also after a panic
+		if !kept {
+			end()
+		}
+	}()
 	a, err := l.pool.Do(ctx, j.outgoing(l.echoes(j.ID),
 		h1.Field{Name: l.Names.Deadline, Value: millis(remaining)},
 		h1.Field{Name: l.Names.ExpectedBoot, Value: boot.ID},
 	))
 	if err != nil {
-		r := l.failure(ctx, entry, err)
-		end()
-		return nil, r
+		return nil, l.failure(ctx, entry, err)
 	}
 	if r := l.notRun(a, boot); r != nil {
-		discard(a)
-		end()
+		if a.Header.Get(l.Names.RequestID) != "" {
+			discard(a)
+		}
+		a.Close() // with an unread body it ends the connection
 		return nil, r
 	}
 	stripOwn(a.Header)
+	kept = true
 	return &Result{Answer: a, finish: func(complete bool) {
+		defer end()
 		if complete {
 			l.completed(j)
 		}
-		end()
 	}}, nil
 }
 
-// echoes returns whether an answer belongs to the request with an id. Answers
-// that name no request are taken: they come where one is due.
-func (l *Local) echoes(id string) func(http.Header) bool {
-	return func(h http.Header) bool {
+// echoes returns whether an answer belongs to the request with an id. Of the
+// answers that name no request only those are taken that an upstream gives
+// before it runs one; exchange does not use their connection again, so a second
+// copy that arrives late reaches no other request.
+func (l *Local) echoes(id string) func(int, http.Header) bool {
+	return func(status int, h http.Header) bool {
 		got := h.Get(l.Names.RequestID)
-		return got == "" || got == id
+		return got == id || got == "" && (h.Get(l.Names.NotRun) != "" || status == http.StatusMisdirectedRequest)
 	}
 }
 
@@ -387,7 +416,8 @@
 		}
 		return &Refusal{Reason: model.UpstreamUnreachable, Run: run, Unreached: true, Cause: err}
 	}
-	go l.inspect(e, l.running.count(e.boot) == 1)
+	alone := l.running.count(e.boot) == 1
+	l.Guard.Go("inspect upstream", func() { l.inspect(e, alone) })
 	return &Refusal{Reason: model.UpstreamLost, Run: run, Cause: err}
 }
 
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,9 +48,10 @@
 	Names  HeaderNames
 	Config *config.Holder
 
-	mu    sync.Mutex
-	pools map[string]*h1.Pool
-	dial  h1.Liveness
+	attempts atomic.Uint64
+	mu       sync.Mutex
+	pools    map[string]*h1.Pool
+	dial     h1.Liveness
 }
 
 // NewRemote returns a Remote without connections.
@@ -89,7 +92,9 @@
 		service: j.Service, route: j.Route, rank: j.Rank, worth: j.Worth, remaining: time.Until(j.Deadline),
 		patience: j.Patience, idempotent: j.Idempotent, version: r.Config.Version(), bulk: j.Bulk, target: j.Objective,
 	}
-	o := j.outgoing(nil, h1.Field{Name: headerCall, Value: f.String()})
+	attempt := strconv.FormatUint(r.attempts.Add(1), 10)
+	o := j.outgoing(func(_ int, h http.Header) bool { return h.Get(headerAttempt) == attempt },
+		h1.Field{Name: headerCall, Value: f.String()}, h1.Field{Name: headerAttempt, Value: attempt})
 	o.DialTime = dialTime(f.remaining)
 	began := time.Now()
 	a, err := r.pool(address).Do(ctx, o)
@@ -159,6 +164,7 @@
 		Handle:  g.handleJob,
 		Limits:  g.peerLimits,
 		OnFault: g.onFault("peer"),
+		OnPanic: g.onPanic("job"),
 	}
 }
 
@@ -183,6 +189,7 @@
 	if f.version > g.Config.Version() {
 		g.OnBehind()
 	}
+	attempt := x.Request.Header.Get(headerAttempt)
 	h1.StripHop(x.Request.Header)
 	stripOwn(x.Request.Header)
 	j := &Job{
@@ -194,10 +201,12 @@
 	res, refusal := g.Local.Run(x.Context(), j)
 	if refusal != nil {
 		g.logJob(j, refusal)
-		g.sendRefusal(x, refusal)
+		g.sendRefusal(x, refusal, attempt)
 		return
 	}
+	defer res.Finish(false)
 	res.Header[headerAnswer] = []string{answerField(res)}
+	res.Header[headerAttempt] = []string{attempt}
 	reply := &h1.Reply{Status: res.Status, Header: res.Header, Rest: res, Length: res.Length}
 	if res.transfer != nil && isSuccess(res.Status) {
 		paceReply(x.Context(), g.Local.Link, j.Route, res.transfer, reply)
@@ -209,8 +218,10 @@
 	}
 }
 
-func (g *Gateway) sendRefusal(x *h1.Exchange, r *Refusal) {
-	err := x.Reply(&h1.Reply{Status: http.StatusServiceUnavailable, Header: http.Header{headerRefusal: {r.String()}}})
+func (g *Gateway) sendRefusal(x *h1.Exchange, r *Refusal, attempt string) {
+	err := x.Reply(&h1.Reply{
+		Status: http.StatusServiceUnavailable, Header: http.Header{headerRefusal: {r.String()}, headerAttempt: {attempt}},
+	})
 	if err != nil && !h1.Gone(x.Context()) {
 		g.log.Debug("refusal could not be sent to another node", zapError(err))
 	}
--- a/pkg/gateway/scripted_test.go
+++ b/pkg/gateway/scripted_test.go
@@ -28,6 +28,9 @@
 	resets       conduct = "closes without reading"
 	sheds        conduct = "says that it did not run the request"
 	misdirected  conduct = "is another boot"
+	// namesNone breaks the users' protocol: the answer names no request, and a
+	// second copy of it follows late.
+	namesNone conduct = "answers twice without the id of the request"
 	// liesAboutRun breaks the users' protocol; only the proof that the check
 	// notices it uses it.
 	liesAboutRun conduct = "runs and says that it did not"
@@ -190,6 +193,13 @@
 	case truncates:
 		write(http.StatusOK, id, signed, body, len(body)+10)
 		return false
+	case namesNone:
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 X\r\n%sContent-Length: %d\r\n\r\n%s", signed, len(body), body)
+		go func() {
+			time.Sleep(lateRun)
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 X\r\n%sContent-Length: %d\r\n\r\n%s", signed, len(body), body)
+		}()
+		return true
 	case answersTwice:
 		write(http.StatusOK, id, signed, body, len(body))
 	case answersOther:
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -22,6 +22,12 @@
 	// maxStrayAnswers is how many answers to other requests are skipped before
 	// a connection is given up. One duplicate a connection is what was seen.
 	maxStrayAnswers = 4
+	// maxStrayBytes bounds the bodies of those answers together, in bytes.
+	maxStrayBytes = 64 << 10
+	// headTime bounds the time from the first byte of an answer to the end of
+	// its head, and of answers to other requests. A lost packet is sent again
+	// within a second.
+	headTime = 2 * time.Second
 	// keepAliveShare is the part of the idle time that a server states after
 	// which its connections are no longer used: a request that crosses the
 	// close is a possible run.
@@ -65,7 +71,7 @@
 	Rest                 io.Reader // what follows Body
 	Length               int64     // whole length in bytes, or Chunked
 	// Echo returns whether an answer belongs to this request; nil accepts any.
-	Echo func(http.Header) bool
+	Echo func(status int, h http.Header) bool
 	// Fields are sent after Header.
 	Fields []Field
 	// MaxUnused bounds how long the connection may have been unused, 0 for the
@@ -153,7 +159,7 @@
 		return nil, &Failure{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
-	a, sent, err := c.exchange(o)
+	a, sent, err := c.exchange(ctx, o)
 	if err != nil {
 		stop()
 		_ = c.nc.Close()
@@ -247,7 +253,7 @@
 }
 
 // exchange sends o and reads the head of its answer.
-func (c *clientConn) exchange(o *Outgoing) (a *Answer, sent bool, err error) {
+func (c *clientConn) exchange(ctx context.Context, o *Outgoing) (a *Answer, sent bool, err error) {
 	if err := c.writeHead(o); err != nil {
 		return nil, false, err
 	}
@@ -263,6 +269,11 @@
 		// The answer may come before the body has been read to its end.
 		written := make(chan error, 1)
 		go func() {
+			defer func() {
+				if v := recover(); v != nil {
+					written <- fmt.Errorf("request body: %v", v)
+				}
+			}()
 			err := writeBody(c.bw, o.Body, o.Rest, o.Length)
 			if err == nil {
 				err = c.bw.Flush()
@@ -281,7 +292,7 @@
 			}
 		}()
 	}
-	a, err = c.readAnswer(o)
+	a, err = c.readAnswer(ctx, o)
 	return a, true, err
 }
 
@@ -329,9 +340,14 @@
 
 // readAnswer reads heads until one belongs to o. Answers to other requests,
 // such as duplicates that arrive late, are skipped.
-func (c *clientConn) readAnswer(o *Outgoing) (*Answer, error) {
+func (c *clientConn) readAnswer(ctx context.Context, o *Outgoing) (*Answer, error) {
+	strayLeft := int64(maxStrayBytes)
 	for range maxStrayAnswers {
 		c.meter.limit(maxAnswerHead)
+		if _, err := c.br.Peek(1); err != nil {
+			return nil, err
+		}
+		c.readBy(ctx, time.Now().Add(headTime))
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: o.Method})
 		if err != nil {
 			return nil, err
@@ -343,16 +359,32 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if o.Echo == nil || o.Echo(resp.Header) {
+		if o.Echo == nil || o.Echo(resp.StatusCode, resp.Header) {
+			c.readBy(ctx, time.Time{})
 			return c.answer(resp), nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayLeft))
+		if err != nil {
 			return nil, err
 		}
+		if strayLeft -= n; strayLeft == 0 {
+			return nil, errStray
+		}
+		// The answer that is due may still take its time.
+		c.readBy(ctx, time.Time{})
 	}
 	return nil, errStray
 }
 
+// readBy bounds the next reads; the zero time stands for no bound but the end
+// of ctx.
+func (c *clientConn) readBy(ctx context.Context, t time.Time) {
+	_ = c.nc.SetReadDeadline(t)
+	if ctx.Err() != nil { // it may have ended before the line above
+		_ = c.nc.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 func (c *clientConn) answer(resp *http.Response) *Answer {
 	if s := keepAlive(resp.Header.Get("Keep-Alive")); s > 0 {
 		c.idle = min(c.idle, time.Duration(float64(s)*keepAliveShare))
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -55,6 +55,12 @@
 // requests are being handled, and so notices that the client has left.
 func (c *conn) serve() {
 	defer c.server.track(c, false)
+	defer func() {
+		if v := recover(); v != nil {
+			c.server.panicked(v)
+			c.lost()
+		}
+	}()
 	for c.next() {
 	}
 }
@@ -128,7 +134,7 @@
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return c.lost()
-		case c.waiting.Load() == 0:
+		case c.waiting.Load() == 0 && quiet(c.nc):
 			return c.finish()
 		}
 	}
@@ -234,8 +240,24 @@
 	return false
 }
 
+// fault ends an exchange whose handler failed. The answer promises nothing; a
+// part of an answer is never completed.
+func (c *conn) fault(x *Exchange) {
+	if !x.replied {
+		x.CloseAfter = true
+		_ = x.Reply(&Reply{Status: http.StatusInternalServerError})
+		return
+	}
+	c.end()
+	c.lost()
+}
+
 func (c *conn) handle(x *Exchange) {
 	defer func() {
+		if v := recover(); v != nil {
+			c.server.panicked(v)
+			c.fault(x)
+		}
 		x.end()
 		<-c.slots
 	}()
--- a/pkg/h1/exchange.go
+++ b/pkg/h1/exchange.go
@@ -45,7 +45,7 @@
 		x.conn.sendContinue(x)
 	}
 	r.Header.Del("Expect")
-	body := &timedBody{Reader: r.Body, conn: x.conn, left: limit}
+	body := &timedBody{Reader: r.Body, conn: x.conn, left: limit, until: time.Now().Add(bodyTime)}
 	size := r.ContentLength
 	if size < 0 || size > bodyBuffer {
 		size = bodyBuffer
@@ -60,11 +60,13 @@
 		if int64(len(held)) < size {
 			return io.ErrUnexpectedEOF
 		}
+		body.until = time.Time{}
 		x.Rest, x.Length = body, r.ContentLength
 	case r.ContentLength < 0:
 		var next [1]byte
 		n, err := io.ReadFull(body, next[:])
 		if n == 1 {
+			body.until = time.Time{}
 			x.Body, x.Rest, x.Length = append(held, next[0]), body, Chunked
 			return nil
 		}
@@ -87,6 +89,9 @@
 	io.Reader
 	conn *conn
 	left int64
+	// until bounds the time of the whole body; the deadline of the call does
+	// once a handler reads it.
+	until time.Time
 }
 
 // Read implements io.Reader.
@@ -94,7 +99,11 @@
 	if b.left < 0 {
 		return 0, errTooLarge
 	}
-	_ = b.conn.nc.SetReadDeadline(time.Now().Add(bodyStall))
+	stall := time.Now().Add(bodyStall)
+	if !b.until.IsZero() && b.until.Before(stall) {
+		stall = b.until
+	}
+	_ = b.conn.nc.SetReadDeadline(stall)
 	n, err := b.Reader.Read(p)
 	b.left -= int64(n)
 	return n, err
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,8 @@
 	writeTime = 10 * time.Second
 	// bodyStall bounds the time between two parts of a request body.
 	bodyStall = 10 * time.Second
+	// bodyTime bounds the time in which a body that is held in memory arrives.
+	bodyTime = time.Minute
 	// acceptPause is the wait after a failed accept, such as for lack of
 	// descriptors.
 	acceptPause = 20 * time.Millisecond
@@ -80,6 +84,9 @@
 	Limits func() Limits
 	// OnFault is told of requests that the handler does not see.
 	OnFault func(remote net.Addr, f Fault, err error)
+	// OnPanic, if set, is told of a fault of the program that ended one exchange
+	// or connection.
+	OnPanic func(value any, stack []byte)
 
 	draining atomic.Bool
 	mu       sync.Mutex
@@ -97,6 +104,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // set by Close
+			return l.Close()
+		}
 		if err != nil {
 			s.OnFault(l.Addr(), NotAccepted, err)
 			time.Sleep(acceptPause)
@@ -121,6 +131,25 @@
 	}
 }
 
+// Close ends Serve after it has accepted the connections that wait for it:
+// closing the listener at once would reset them.
+func (s *Server) Close(l net.Listener) {
+	if t, ok := l.(*net.TCPListener); ok && t.SetDeadline(time.Now().Add(lastAccepts)) == nil {
+		return
+	}
+	_ = l.Close()
+}
+
+// lastAccepts is how long connections are accepted after Close.
+const lastAccepts = 50 * time.Millisecond
+
+// panicked notes a fault of the program.
+func (s *Server) panicked(value any) {
+	if s.OnPanic != nil {
+		s.OnPanic(value, debug.Stack())
+	}
+}
+
 // Drain makes every answer from now on the last one of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
