Let two nodes of a zone follow the store for all of it

Change: pkg/relay ranks the nodes of a zone by a hash; the first two that seem to work follow the store. They send beacons by datagram every 300 ms and at each change; the others fetch what is new, a change of the fleet alone where they know the revision before. A node that hears no relay for a second reads the store itself. Zones of up to four nodes do as before. When a whole deployment starts, nodes write their rows first and read them 1.5 s later.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -34,7 +34,7 @@
 	Registry() fleet.Registry
 	// Operator returns what the operator put in force; it is offered to the
 	// holder.
-	Operator(h *config.Holder, r config.Relay, onConfig func(config.Version, follow.Revision)) follow.Source
+	Operator(h *config.Holder, onConfig func(config.Version, follow.Revision)) follow.Source
 	// ServeReports adds the calls of the upstream on this VM.
 	ServeReports(e *echo.Echo, u Upstream)
 	// ServeReadiness adds the question whether this node takes new callers.
@@ -106,15 +106,17 @@
 		},
 	}
 	a.drain.Store(&s.Drain)
+	a.guard = contain.New(c.Log, c.Registry)
 	names := c.Platform.Headers()
 	metrics := gateway.NewMetrics(c.Registry)
 	link := shaping.NewLink(float64(s.Network.Bandwidth))
-	a.guard = contain.New(c.Log, c.Registry)
 	a.gossip = &gossip.Node{
 		Self: a.self, Config: a.holder, View: a.view, Notices: a.notices, Log: c.Log,
 		Serving:  func() bool { return a.local.Serving() },
 		Client:   messageClient(),
 		OnConfig: func(v config.Version, from string) { a.inForce(v, zap.String("from_node", from)) },
+		OnFleet:  a.fleetChanged,
+		Guard:    a.guard,
 	}
 	a.gossip.Start(time.Now())
 	a.local = gateway.NewLocal(&gateway.Local{
@@ -200,6 +202,7 @@
 	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source,
 		zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
 	a.local.Reconfigure()
+	a.gossip.Beat()
 }
 
 // servingChanged tells the other nodes whether the upstream takes work.
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -50,15 +51,21 @@
 	if err != nil {
 		return merry.Prepend(err, "listeners.peers")
 	}
+	if a.gossip.Datagrams, err = listenDatagrams(string(a.settings.Listeners.Messages)); err != nil {
+		return merry.Prepend(err, "listeners.messages")
+	}
+	defer func() { _ = a.gossip.Datagrams.Close() }()
 	var g run.Group
 	a.addStop(ctx, &g, callListener)
-	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.Operator(a.holder, a.gossip, func(v config.Version, at follow.Revision) {
+	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.Operator(a.holder, func(v config.Version, at follow.Revision) {
 		a.inForce(v, zap.Uint64("revision", uint64(at)))
-	}), 0, func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
+	}), 0, a.gossip.ConfigTurns(), func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
 	a.addLoop(&g, "follow fleet", a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
-		func(ok bool) { a.fleetLost.Store(!ok); a.storeChanged() }))
+		a.firstTurn(a.gossip.FleetTurns()), func(ok bool) { a.fleetLost.Store(!ok); a.storeChanged() }))
 	a.addLoop(&g, "exchange digests", a.gossip.Run)
 	a.addLoop(&g, "probe nodes", a.gossip.Probe)
+	a.addLoop(&g, "send beacons", a.gossip.RunBeacons)
+	a.addLoop(&g, "read datagrams", a.gossip.ReadDatagrams)
 	a.addLoop(&g, "keep row", a.keepRow)
 	a.addLoop(&g, "watch settings", a.watchSettings)
 	a.addLoop(&g, "tidy", a.tidy)
@@ -75,11 +82,38 @@
 	return err
 }
 
-func (a *Agent) follower(name string, s follow.Source, pause time.Duration, onState func(bool)) func(context.Context) error {
-	f := &follow.Follower{Name: name, Source: s, Pause: pause, Log: a.log, OnState: onState}
+func (a *Agent) follower(name string, s follow.Source, pause time.Duration, turns follow.Turns, onState func(bool)) func(context.Context) error {
+	f := &follow.Follower{Name: name, Source: s, Pause: pause, Turns: turns, Log: a.log, OnState: onState}
 	return f.Run
 }
 
+// gathering is how long a node waits for the rows of others when the whole
+// deployment starts for the first time: processes start within 0.3 s of each
+// other, and the smallest VMs have a sixth of a core. A node that reads the
+// fleet before the others have written their rows takes itself for a relay.
+const gathering = 1500 * time.Millisecond
+
+// firstTurn lets a node of a deployment that starts for the first time write
+// its row and wait for those of others before it reads the fleet.
+func (a *Agent) firstTurn(t follow.Turns) follow.Turns {
+	if a.settings.FirstStart != "yes" {
+		return t
+	}
+	a.announce <- struct{}{}
+	return &delayed{Turns: t, until: time.Now().Add(gathering)}
+}
+
+type delayed struct {
+	follow.Turns
+	until time.Time
+}
+
+// Next implements follow.Turns.
+func (d *delayed) Next(ctx context.Context) bool {
+	pause(ctx, time.Until(d.until))
+	return d.Turns.Next(ctx)
+}
+
 func addServer(g *run.Group, s *h1.Server, l net.Listener) {
 	ended := make(chan struct{})
 	g.Add(func() error {
@@ -95,6 +129,14 @@
 	})
 }
 
+func listenDatagrams(address string) (*net.UDPConn, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+}
+
 func (a *Agent) addEcho(g *run.Group, e *echo.Echo, address string) {
 	g.Add(func() error {
 		err := e.Start(address)
@@ -167,6 +209,10 @@
 // fleetChanged follows a change of the fleet.
 func (a *Agent) fleetChanged(removed []model.NodeID) {
 	members := a.view.Current().Members
+	a.gossip.Beat()
+	if a.holder.Current() == nil {
+		a.gossip.Hurry() // another node has the configuration sooner than the next beacon comes
+	}
 	a.log.Info("fleet changed", zap.Uint64("revision", uint64(a.view.Current().Revision)),
 		zap.Int("nodes", len(members)), zap.Any("removed", removed))
 	a.budgets.Resize(len(members))
--- a/pkg/config/holder.go
+++ b/pkg/config/holder.go
@@ -13,15 +13,6 @@
 	changed chan struct{}
 }
 
-// Relay lets one node of an availability zone read new configurations for the
-// others while they come in quick succession.
-type Relay interface {
-	// Reads reports whether this node reads for its zone.
-	Reads() bool
-	// Spread sends the configuration in force to the others.
-	Spread()
-}
-
 // NewHolder returns a Holder without a configuration.
 func NewHolder() *Holder { return &Holder{changed: make(chan struct{})} }
 
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -44,9 +44,9 @@
 
 // Change is what happened between two revisions.
 type Change struct {
-	Set      []Member
-	Removed  []model.NodeID
-	Revision follow.Revision
+	Set      []Member        `json:"set,omitempty"`
+	Removed  []model.NodeID  `json:"removed,omitempty"`
+	Revision follow.Revision `json:"revision"`
 }
 
 // View holds the newest snapshot. Reads take no lock.
@@ -59,8 +59,16 @@
 
 	mu     sync.Mutex
 	doubts map[model.NodeID]doubt
+	// history holds the newest changes, in order; floor is the revision after
+	// which they are complete.
+	history []Change
+	floor   follow.Revision
 }
 
+// maxHistory is how many changes a node can pass on; a node that is further
+// behind gets the whole fleet.
+const maxHistory = 64
+
 // doubt is why a node is not used like others.
 type doubt struct {
 	state model.EntryState
@@ -103,17 +111,51 @@
 		next[m.Node] = m
 	}
 	v.publish(next, at)
+	v.history, v.floor = nil, at
 	v.known.Store(true)
 	return true
 }
 
-// Apply takes the changes up to a revision.
-func (v *View) Apply(c Change) {
+// Since returns the changes after a revision. It returns false if they are not
+// known any more.
+func (v *View) Since(after follow.Revision) (c Change, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.known.Load() || after < v.floor {
+		return Change{}, false
+	}
+	set, removed := make(map[model.NodeID]Member), make(map[model.NodeID]bool)
+	for _, h := range v.history {
+		if h.Revision <= after {
+			continue
+		}
+		for _, m := range h.Set {
+			set[m.Node] = m
+			delete(removed, m.Node)
+		}
+		for _, id := range h.Removed {
+			delete(set, id)
+			removed[id] = true
+		}
+	}
+	return Change{
+		Set: slices.Collect(maps.Values(set)), Removed: slices.Collect(maps.Keys(removed)), Revision: v.current.Load().Revision,
+	}, true
+}
+
+// Apply takes the changes up to a revision. It reports whether that is newer
+// than what is known.
+func (v *View) Apply(c Change) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.current.Load()
 	if c.Revision <= old.Revision {
-		return
+		return false
+	}
+	v.history = append(v.history, c)
+	if n := len(v.history) - maxHistory; n > 0 {
+		v.floor = v.history[n-1].Revision
+		v.history = slices.Clone(v.history[n:])
 	}
 	next := maps.Clone(old.Members)
 	for _, m := range c.Set {
@@ -124,6 +166,7 @@
 		delete(v.doubts, id)
 	}
 	v.publish(next, c.Revision)
+	return true
 }
 
 // SetServing notes what a node said about itself, or what its refusal of a
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -26,6 +26,14 @@
 	Wait(ctx context.Context, after Revision) (Revision, error)
 }
 
+// Turns says when a node uses the store, where other nodes do it for it.
+type Turns interface {
+	// Next blocks until this node is to use the store. It reports whether the
+	// node follows the store from now on; otherwise the whole state is read
+	// once.
+	Next(ctx context.Context) (follows bool)
+}
+
 const (
 	// firstDelay and maxDelay bound the wait after a failed call of the store.
 	// A change must be in force 2 s after it was accepted, and the calls are
@@ -43,6 +51,8 @@
 	// that changes in quick succession share a call.
 	Pause time.Duration
 	Log   *zap.Logger
+	// Turns says when this node uses the store; nil stands for always.
+	Turns Turns
 	// OnState is told when the store is lost or regained.
 	OnState func(available bool)
 }
@@ -52,23 +62,32 @@
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = firstDelay, maxDelay
 	var at Revision
-	loaded, failing := false, false
+	loaded, failing, known, following := false, false, false, true
 	for ctx.Err() == nil {
+		follows := f.Turns == nil || f.Turns.Next(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if follows != following {
+			f.Log.Info("turn at the store has changed", zap.String("follows", f.Name), zap.Bool("continuously", follows))
+		}
+		loaded = loaded && follows && following // otherwise changes were missed
+		following = follows
 		next, err := f.step(ctx, loaded, at)
 		switch {
 		case err == nil:
-			if failing || !loaded {
+			if failing || !known {
 				f.Log.Info("store is available", zap.String("follows", f.Name), zap.Uint64("revision", uint64(next)))
 				f.OnState(true)
 			}
-			at, loaded, failing = next, true, false
+			at, loaded, failing, known = next, true, false, true
 			delays.Reset()
 			sleep(ctx, f.Pause)
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrHistoryLost):
 			f.Log.Warn("store dropped its history; the whole state is read again",
 				zap.String("follows", f.Name), zap.Uint64("revision", uint64(at)))
-			loaded = false
+			loaded, known = false, false
 		default:
 			if !failing {
 				f.Log.Warn("store is not available", zap.String("follows", f.Name),
--- /dev/null
+++ b/pkg/gossip/beacon.go
@@ -0,0 +1,180 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/relay"
+)
+
+// Datagram goes to the other nodes of a zone. Relays send one every
+// relay.BeaconPeriod and at each change; other nodes only with states.
+type Datagram struct {
+	From model.NodeID `json:"from"`
+	// Relay says that the sender follows the store for the zone, and Store that
+	// the store answers it.
+	Relay bool `json:"relay,omitempty"`
+	Store bool `json:"store,omitempty"`
+	// Config, Fleet and Members say what the sender has, as in a Digest.
+	Config  config.Version  `json:"config,omitempty"`
+	Fleet   follow.Revision `json:"fleet,omitempty"`
+	Members uint64          `json:"members_digest,omitempty"`
+	States  []State         `json:"states,omitempty"`
+}
+
+const (
+	// maxDatagram bounds a datagram, in bytes: one packet.
+	maxDatagram = 1400
+	// statesPerDatagram keeps a datagram below that with names of 63 bytes.
+	statesPerDatagram = 7
+	// statesPause gathers the states that are sent on together when a zone of
+	// hundreds returns at once.
+	statesPause = 100 * time.Millisecond
+	// fetchSpread keeps the nodes of a zone from asking a relay at once.
+	fetchSpread = 40 * time.Millisecond
+	// fetchTime bounds the transfer of what a relay has: a configuration of
+	// 1,400 routes takes 40 KB, and 20 nodes share the relay's link.
+	fetchTime = 3 * time.Second
+)
+
+// Beat sends a beacon soon, because something has changed.
+func (n *Node) Beat() {
+	select {
+	case n.beat <- struct{}{}:
+	default:
+	}
+}
+
+// RunBeacons sends beacons while this node is a relay, and states that are to
+// be passed on, until ctx ends.
+func (n *Node) RunBeacons(ctx context.Context) error {
+	for {
+		t := time.NewTimer(relay.BeaconPeriod)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil
+		case <-t.C:
+		case <-n.beat:
+			t.Stop()
+		}
+		n.sendBeacon()
+	}
+}
+
+func (n *Node) sendBeacon() {
+	relays, _ := n.Relays()
+	n.mu.Lock()
+	states := n.pending
+	n.pending = nil
+	n.mu.Unlock()
+	if !relays && len(states) == 0 {
+		return
+	}
+	d := Datagram{From: n.Self.Node}
+	if relays {
+		f := n.View.Current()
+		d.Relay, d.Store = true, !n.storeAway.Load()
+		d.Config, d.Fleet, d.Members = n.Config.Version(), f.Revision, f.Digest
+	}
+	for first := true; first || len(states) > 0; first = false {
+		part := min(len(states), statesPerDatagram)
+		d.States, states = states[:part], states[part:]
+		n.sendDatagram(&d)
+	}
+}
+
+// sendDatagram sends d to the neighbours. A lost one is made up for by the next
+// beacon, and a lost state by a refusal.
+func (n *Node) sendDatagram(d *Datagram) {
+	body, err := json.Marshal(d)
+	if err != nil {
+		n.Log.Error("datagram cannot be encoded", zap.Error(err))
+		return
+	}
+	for _, m := range n.neighbours() {
+		to, err := netip.ParseAddrPort(m.MessageAddress)
+		if err != nil {
+			n.Log.Warn("message address of a node is no IP address", zap.String("other", string(m.Node)), zap.Error(err))
+			continue
+		}
+		if _, err := n.Datagrams.WriteToUDPAddrPort(body, to); err != nil && !errors.Is(err, net.ErrClosed) {
+			n.Log.Debug("datagram was not sent", zap.String("to", string(m.Node)), zap.Error(err))
+		}
+	}
+}
+
+// ReadDatagrams takes the datagrams of the zone until ctx ends.
+func (n *Node) ReadDatagrams(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = n.Datagrams.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	buf := make([]byte, 2*maxDatagram)
+	for ctx.Err() == nil {
+		size, from, err := n.Datagrams.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() == nil && errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			continue // such as a port that nobody listens on
+		}
+		var d Datagram
+		if err := json.Unmarshal(buf[:size], &d); err != nil || d.From == "" {
+			n.Log.Debug("datagram cannot be used", zap.Stringer("remote", from), zap.Error(err))
+			continue
+		}
+		n.takeDatagram(&d)
+	}
+	return nil
+}
+
+func (n *Node) takeDatagram(d *Datagram) {
+	n.learnStates(d.States)
+	if !d.Relay || d.From == n.Self.Node {
+		return
+	}
+	n.mu.Lock()
+	n.zone.Hear(d.From, d.Store, n.clock())
+	n.mu.Unlock()
+	now := time.Now()
+	f := n.View.Current()
+	configBehind := d.Config > n.Config.Version()
+	fleetBehind := n.View.Known() && d.Fleet > f.Revision && d.Members != f.Digest
+	if configBehind {
+		n.configBehind.set(true, now)
+	}
+	if fleetBehind {
+		n.fleetBehind.set(true, now)
+	}
+	if !configBehind && !fleetBehind {
+		return
+	}
+	if m, ok := f.Members[d.From]; ok && n.fetching.CompareAndSwap(false, true) {
+		n.Guard.Go("fetch from relay", func() { n.fetch(m) })
+	}
+}
+
+// fetch takes from a relay what this node lacks. A relay whose store answers
+// gets the same from there.
+func (n *Node) fetch(m fleet.Member) {
+	defer n.fetching.Store(false)
+	if relays, _ := n.Relays(); relays && !n.storeAway.Load() {
+		return
+	}
+	time.Sleep(rand.N(fetchSpread))
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTime)
+	defer cancel()
+	d := n.digest()
+	d.Lacks = true
+	n.exchange(ctx, m, d)
+}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,9 +15,12 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/contain"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/relay"
 )
 
 const (
@@ -54,7 +60,16 @@
 	// OnConfig is told of versions that came from another node, by its name or
 	// its address.
 	OnConfig func(v config.Version, from string)
+	// OnFleet is told of a fleet that came from another node, with the nodes
+	// that were removed as far as they are known.
+	OnFleet func(removed []model.NodeID)
+	// Datagrams carries beacons and states within the zone.
+	Datagrams *net.UDPConn
+	Guard     *contain.Guard
 
+	began        time.Time
+	beat         chan struct{}
+	fetching     atomic.Bool
 	started      int64
 	sequence     atomic.Uint64
 	storeAway    atomic.Bool
@@ -63,6 +78,9 @@
 	fleetBehind  behind // another node knows a newer fleet
 	mu           sync.Mutex
 	heard        map[model.NodeID]heard
+	zone         *relay.Zone
+	ranked       ranked
+	pending      []State // to be passed on
 }
 
 // heard is the newest digest of a node.
@@ -78,7 +96,7 @@
 const restartTime = 5 * time.Second
 
 // newer reports whether d replaces h.
-func (h *heard) newer(d *Digest, now time.Time) bool {
+func (h *heard) newer(d *State, now time.Time) bool {
 	switch {
 	case d.Started == h.started:
 		return d.Sequence > h.sequence
@@ -91,13 +109,17 @@
 // Start prepares n for use.
 func (n *Node) Start(now time.Time) {
 	n.started = now.UnixNano()
-	n.hurry = make(chan struct{}, 1)
+	n.began = now
+	n.hurry, n.beat = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.zone = relay.NewZone(n.Self.Node, 0)
 	n.heard = make(map[model.NodeID]heard)
 }
 
 // SetStore notes whether the store answers this node.
 func (n *Node) SetStore(available bool) {
-	n.storeAway.Store(!available)
+	if n.storeAway.Swap(!available) != !available {
+		n.Beat()
+	}
 	if !available {
 		n.Hurry()
 	}
@@ -115,7 +137,7 @@
 func (n *Node) Routes(e *echo.Echo) {
 	e.POST(pathSync, n.handleSync)
 	e.POST(pathCrash, n.handleCrash)
-	e.POST(pathConfiguration, n.handleConfiguration)
+	e.POST(pathStates, n.handleStates)
 }
 
 func (n *Node) digest() Digest {
@@ -127,11 +149,14 @@
 	}
 }
 
+// cutOff reports whether neither the store nor a relay serves this node.
+func (n *Node) cutOff() bool { return n.storeAway.Load() && !n.served() }
+
 // lacks reports whether this node needs what others have: the store does not
 // answer it, or it has been behind another node for longer than the store
 // takes.
 func (n *Node) lacks(now time.Time) bool {
-	return n.storeAway.Load() || n.Config.Current() == nil || n.configBehind.since(now) > storeTime ||
+	return n.cutOff() || n.Config.Current() == nil || n.configBehind.since(now) > storeTime ||
 		n.fleetBehind.since(now) > fleetTime
 }
 
@@ -186,14 +211,12 @@
 	if s := n.Config.Current(); d.Lacks && s != nil && s.Version > d.Config {
 		u.Configuration = s.Configuration
 	}
-	if f := n.View.Current(); d.Lacks && n.View.Known() && f.Revision > d.Fleet {
-		for _, m := range f.Members {
-			u.Nodes = append(u.Nodes, m)
-		}
+	if d.Lacks {
+		u.Changes, u.Nodes = n.fleetFor(d.Fleet)
 	}
 	n.compare(&d)
 	if u.Lacks && (d.Config > u.Config || d.Fleet > u.Fleet) {
-		go n.ask(context.Background(), d.From)
+		n.Guard.Go("ask back", func() { n.ask(context.Background(), d.From) })
 	}
 	return reply(c, &u)
 }
@@ -216,20 +239,22 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-// learn takes what a node says about itself, unless a newer digest came first.
-func (n *Node) learn(d Digest) {
-	now := time.Now()
-	n.mu.Lock()
-	last, ok := n.heard[d.From.Node]
-	if ok && !last.newer(&d, now) {
-		n.mu.Unlock()
-		return
+// fleetFor returns what another node lacks of the fleet after a revision: the
+// changes if they are known, otherwise all nodes.
+func (n *Node) fleetFor(after follow.Revision) (*fleet.Change, []fleet.Member) {
+	f := n.View.Current()
+	if !n.View.Known() || f.Revision <= after {
+		return nil, nil
 	}
-	n.heard[d.From.Node] = heard{d.Started, d.Sequence, now}
-	n.mu.Unlock()
-	if n.View.SetServing(d.From.Node, d.Serving, now) {
-		n.Log.Info("node is reachable again", zap.String("other", string(d.From.Node)), zap.Bool("serving", d.Serving))
+	if c, ok := n.View.Since(after); ok {
+		return &c, nil
 	}
+	return nil, slices.Collect(maps.Values(f.Members))
+}
+
+// learn takes what a node says about itself in a digest.
+func (n *Node) learn(d Digest) {
+	n.learnStates([]State{{Node: d.From.Node, Serving: d.Serving, Started: d.Started, Sequence: d.Sequence}})
 }
 
 // Forget drops what was heard of a node that has left the fleet.
@@ -243,7 +268,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	for {
 		period := calmPeriod
-		if n.storeAway.Load() || n.Config.Current() == nil {
+		if n.cutOff() || n.Config.Current() == nil {
 			period = urgentPeriod
 		}
 		// Jitter keeps nodes that started together apart.
@@ -264,8 +289,15 @@
 
 // ask sends a digest to a node and takes what it has.
 func (n *Node) ask(ctx context.Context, m fleet.Member) {
+	ctx, cancel := context.WithTimeout(ctx, messageTime)
+	defer cancel()
+	n.exchange(ctx, m, n.digest())
+}
+
+// exchange sends a digest to a node and takes what it has.
+func (n *Node) exchange(ctx context.Context, m fleet.Member, d Digest) {
 	var u Update
-	if err := n.post(ctx, m, pathSync, n.digest(), &u); err != nil {
+	if err := n.post(ctx, m, pathSync, d, &u); err != nil {
 		n.unanswered(m, err)
 		return
 	}
@@ -274,15 +306,32 @@
 	if u.Configuration != nil {
 		n.takeConfiguration(u.Configuration, string(m.Node))
 	}
-	if len(u.Nodes) > 0 && n.View.Replace(u.Nodes, u.Fleet) {
-		n.Log.Info("fleet was taken from another node", zap.String("from", string(m.Node)),
-			zap.Uint64("revision", uint64(u.Fleet)), zap.Int("nodes", len(u.Nodes)))
+	n.takeFleet(&u, m.Node)
+}
+
+func (n *Node) takeFleet(u *Update, from model.NodeID) {
+	var removed []model.NodeID
+	switch {
+	case len(u.Nodes) > 0 && n.View.Replace(u.Nodes, u.Fleet):
+	case u.Changes != nil && n.View.Known() && n.View.Apply(*u.Changes):
+		removed = u.Changes.Removed
+	default:
+		return
 	}
+	n.Log.Info("fleet was taken from another node", zap.String("from", string(from)), zap.Uint64("revision", uint64(u.Fleet)),
+		zap.Int("nodes", len(n.View.Current().Members)), zap.Bool("changes_only", u.Changes != nil))
+	n.OnFleet(removed)
 }
 
-// Announce tells all nodes what this node has and whether it takes work.
-func (n *Node) Announce(ctx context.Context) {
-	n.tell(ctx, func(ctx context.Context, m fleet.Member) { n.ask(ctx, m) })
+// takeConfiguration puts a configuration of another node in force if it is newer.
+func (n *Node) takeConfiguration(c *config.Configuration, from string) {
+	taken, err := n.Config.Offer(c)
+	if err != nil {
+		n.Log.Error("configuration of another node is refused", zap.String("from", from), zap.Error(err))
+	}
+	if taken {
+		n.OnConfig(c.Version, from)
+	}
 }
 
 // ReportCrash tells all nodes of a crash, or of a completed request.
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -58,6 +59,14 @@
 		Config: config.NewHolder(), View: fleet.NewView(), Notices: crashguard.NewMemory(time.Now), Serving: p.serving.Load,
 		Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ string) { p.taken.Store(int64(v)) },
 	}
+	p.OnFleet = func([]model.NodeID) {}
+	// The same port as that of the messages, as on a node.
+	at := netip.MustParseAddrPort(p.Self.MessageAddress)
+	var err error
+	if p.Datagrams, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Datagrams.Close() })
 	p.Start(time.Now())
 	p.Routes(e)
 	return p
@@ -150,7 +159,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	h := heard{started: 10, sequence: 5, at: now}
-	d := Digest{Started: 8, Sequence: 1}
+	d := State{Started: 8, Sequence: 1}
 	is.True(!h.newer(&d, now.Add(restartTime)))
 	is.True(h.newer(&d, now.Add(restartTime+1)))
 }
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -36,7 +36,10 @@
 type Update struct {
 	Digest
 	Configuration *config.Configuration `json:"configuration,omitempty"`
-	Nodes         []fleet.Member        `json:"nodes,omitempty"`
+	// Nodes is the whole fleet, Changes what happened since the revision that the
+	// asking node has; one of them is set if that is older.
+	Nodes   []fleet.Member `json:"nodes,omitempty"`
+	Changes *fleet.Change  `json:"changes,omitempty"`
 }
 
 // CrashNotice says that a request was running when an upstream crashed, or,
--- a/pkg/gossip/peers.go
+++ b/pkg/gossip/peers.go
@@ -18,7 +18,7 @@
 		remoteShareAway = 3 // the same while the store does not answer
 	)
 	share := remoteShare
-	if n.storeAway.Load() {
+	if n.cutOff() {
 		share = remoteShareAway
 	}
 	candidates, _ := n.split()
--- a/pkg/gossip/probe.go
+++ b/pkg/gossip/probe.go
@@ -21,7 +21,7 @@
 	for {
 		due, next := n.View.Probes(time.Now())
 		for _, m := range due {
-			go n.ask(ctx, m)
+			n.Guard.Go("probe node", func() { n.ask(ctx, m) })
 		}
 		if next <= 0 {
 			next = idleProbes
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -62,18 +62,18 @@
 	return json.NewDecoder(io.LimitReader(c.Request().Body, maxMessage)).Decode(into)
 }
 
+// post sends a message and decodes its answer unless answer is nil. A context
+// without a deadline is bounded by messageTime.
 func (n *Node) post(ctx context.Context, m fleet.Member, path string, message, answer any) error {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return err
 	}
-	return n.postBytes(ctx, m, path, body, answer)
-}
-
-// postBytes sends a message and decodes its answer unless answer is nil.
-func (n *Node) postBytes(ctx context.Context, m fleet.Member, path string, body []byte, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, messageTime)
-	defer cancel()
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, messageTime)
+		defer cancel()
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.MessageAddress+path, bytes.NewReader(body))
 	if err != nil {
 		return err
--- /dev/null
+++ b/pkg/relay/zone.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+const (
+	// PerZone is the number of relays of a zone: one may end without a sign
+	// while a version is accepted.
+	PerZone = 2
+	// smallZone is the size of a zone up to which every node follows the store.
+	// A few calls are not worth the time that a lost relay costs.
+	smallZone = 4
+	// BeaconPeriod is the time between two beacons of a relay.
+	BeaconPeriod = 300 * time.Millisecond
+	// Silence is how long a relay may be silent before it is passed over: three
+	// beacons, since datagrams get lost. With the time to read the store a
+	// change is in force well before 3 s, the shortest bound of a deployment
+	// with zones that have relays.
+	Silence = 950 * time.Millisecond
+)
+
+// Rank returns the nodes in the order in which they become relays.
+func Rank(ids []model.NodeID) []model.NodeID {
+	ranked := slices.Clone(ids)
+	slices.SortFunc(ranked, func(a, b model.NodeID) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
+	})
+	return ranked
+}
+
+// Zone is what a node has heard of the relays of its zone. Times are on any
+// monotonic clock. It is not safe for concurrent use.
+type Zone struct {
+	self     model.NodeID
+	heard    map[model.NodeID]beacon
+	expected map[model.NodeID]time.Duration // since when a node should send beacons
+	healthy  time.Duration                  // last beacon of a relay whose store answers
+	served   bool                           // there was one
+}
+
+type beacon struct {
+	at    time.Duration
+	store bool // the store answers its sender
+}
+
+// NewZone returns the zone of a node that starts now.
+func NewZone(self model.NodeID, now time.Duration) *Zone {
+	return &Zone{self: self, heard: make(map[model.NodeID]beacon), expected: make(map[model.NodeID]time.Duration), healthy: now}
+}
+
+// Hear notes a beacon of a relay; store says that the store answers it.
+func (z *Zone) Hear(id model.NodeID, store bool, now time.Duration) {
+	z.heard[id] = beacon{now, store}
+	if store {
+		z.healthy, z.served = now, true
+	}
+}
+
+// LastHealthy returns when a relay whose store answers was last heard, or when
+// this node started.
+func (z *Zone) LastHealthy() time.Duration { return z.healthy }
+
+// Served reports whether a relay whose store answers was heard a moment ago.
+func (z *Zone) Served(now time.Duration) bool { return z.served && now-z.healthy < Silence }
+
+// Relays returns the relays among the ranked nodes of the zone, as this node
+// sees them, and the time until that may change without a further beacon, 0 if
+// it may not.
+func (z *Zone) Relays(ranked []model.NodeID, now time.Duration) (relays []model.NodeID, next time.Duration) {
+	if len(ranked) <= smallZone {
+		return ranked, 0
+	}
+	wait := func(d time.Duration) {
+		if next == 0 || d < next {
+			next = d
+		}
+	}
+	for i, id := range ranked {
+		if len(relays) == PerZone {
+			for _, later := range ranked[i:] {
+				delete(z.expected, later)
+			}
+			break
+		}
+		if id == z.self {
+			relays = append(relays, id)
+			continue
+		}
+		if left := z.trusted(id, now); left > 0 {
+			relays = append(relays, id)
+			wait(left)
+		}
+	}
+	z.forget(ranked)
+	return relays, next
+}
+
+// trusted returns how long a node counts as a relay without a further beacon,
+// 0 if it does not.
+func (z *Zone) trusted(id model.NodeID, now time.Duration) time.Duration {
+	since, ok := z.expected[id]
+	if !ok {
+		since = now
+		z.expected[id] = now
+	}
+	if b, ok := z.heard[id]; ok {
+		if !b.store && now-b.at < Silence {
+			return 0
+		}
+		if b.store {
+			since = max(since, b.at)
+		}
+	}
+	return max(Silence-(now-since), 0)
+}
+
+// forget drops what was heard of nodes that are no longer in the zone.
+func (z *Zone) forget(ranked []model.NodeID) {
+	if len(z.heard)+len(z.expected) <= 2*len(ranked) {
+		return
+	}
+	for id := range z.heard {
+		if !slices.Contains(ranked, id) {
+			delete(z.heard, id)
+		}
+	}
+	for id := range z.expected {
+		if !slices.Contains(ranked, id) {
+			delete(z.expected, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/relay/zone_test.go
@@ -0,0 +1,186 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+func init() { rapidtest.FixSeed(81) }
+
+func nodes(n int) []model.NodeID {
+	var ids []model.NodeID
+	for i := range n {
+		ids = append(ids, model.NodeID(fmt.Sprintf("n-%d", i)))
+	}
+	return Rank(ids)
+}
+
+// Guards the agreement of nodes that hear each other: the same two relay, in a
+// zone of any size.
+func TestCalmZoneHasTwoRelays(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{smallZone + 1, 22, 400} {
+		ids := nodes(n)
+		for _, self := range []model.NodeID{ids[0], ids[1], ids[2], ids[n-1]} {
+			z := NewZone(self, 0)
+			for now := time.Duration(0); now < 5*time.Second; now += BeaconPeriod {
+				for _, id := range ids[:PerZone] {
+					if id != self {
+						z.Hear(id, true, now)
+					}
+				}
+				relays, _ := z.Relays(ids, now)
+				is.Equal(relays, ids[:PerZone])
+			}
+		}
+	}
+	small := nodes(smallZone)
+	relays, _ := NewZone(small[3], 0).Relays(small, 0)
+	is.Equal(relays, small)
+}
+
+// Guards against relays of one zone that all sort first because of their
+// common prefix: the rank is spread over the names.
+func TestRankIsSpread(t *testing.T) {
+	is := is.New(t)
+	first := make(map[model.NodeID]bool)
+	for zone := range 50 {
+		var ids []model.NodeID
+		for i := range 10 {
+			ids = append(ids, model.NodeID(fmt.Sprintf("z%d-%d", zone, i)))
+		}
+		ranked := Rank(ids)
+		first[ranked[0][len(ranked[0])-1:]] = true
+	}
+	is.True(len(first) > 5)
+}
+
+// Pattern: relays end in series, or the store turns them away, while a version
+// is accepted. Guards against a zone without a relay: the next ones take over,
+// at once when the store fails the first ones and after a Silence when these
+// are mute.
+func TestNextNodesTakeOver(t *testing.T) {
+	is := is.New(t)
+	ids := nodes(10)
+	z := NewZone(ids[3], 0)
+	z.Relays(ids, 0)
+	z.Hear(ids[0], true, 0)
+	z.Hear(ids[1], true, 0)
+	z.Hear(ids[0], false, 100*time.Millisecond)
+	relays, _ := z.Relays(ids, 100*time.Millisecond)
+	is.Equal(relays, []model.NodeID{ids[1], ids[2]})
+	z.Hear(ids[1], false, 200*time.Millisecond)
+	relays, _ = z.Relays(ids, 200*time.Millisecond)
+	is.Equal(relays, []model.NodeID{ids[2], ids[3]})
+	// The third one is mute; the first ones are heard as unhealthy.
+	now := 200 * time.Millisecond
+	for ; now < 2*time.Second; now += BeaconPeriod {
+		z.Hear(ids[0], false, now)
+		z.Hear(ids[1], false, now)
+	}
+	relays, _ = z.Relays(ids, now)
+	is.Equal(relays, []model.NodeID{ids[3], ids[4]})
+	// They return.
+	z.Hear(ids[0], true, now)
+	z.Hear(ids[1], true, now)
+	relays, _ = z.Relays(ids, now)
+	is.Equal(relays, []model.NodeID{ids[0], ids[1]})
+}
+
+// judge is the decision under test; broken variants replace it.
+type judge func(z *Zone, ranked []model.NodeID, now time.Duration) ([]model.NodeID, time.Duration)
+
+// checkZone plays a zone whose nodes end, return and lose the store, and
+// returns the first promise that is broken: soon after the last change, every
+// node that lives counts the same two nodes, which live and have the store.
+func checkZone(t *rapid.T, decide judge) string {
+	ids := nodes(rapid.IntRange(smallZone+1, 12).Draw(t, "nodes"))
+	live, store := make(map[model.NodeID]bool), make(map[model.NodeID]bool)
+	zones := make(map[model.NodeID]*Zone)
+	for _, id := range ids {
+		live[id], store[id], zones[id] = true, true, NewZone(id, 0)
+	}
+	const tick = BeaconPeriod / 3
+	now := time.Duration(0)
+	step := func(lose int) {
+		now += tick
+		for i, id := range ids {
+			if !live[id] {
+				continue
+			}
+			relays, _ := decide(zones[id], ids, now)
+			if !slices.Contains(relays, id) || (int(now/tick)+i)%3 != 0 {
+				continue
+			}
+			for _, to := range ids {
+				if to != id && live[to] && rapid.IntRange(1, 100).Draw(t, "loss") > lose {
+					zones[to].Hear(id, store[id], now)
+				}
+			}
+		}
+	}
+	for range rapid.IntRange(1, 6).Draw(t, "faults") {
+		id := rapid.SampledFrom(ids).Draw(t, "node")
+		switch rapid.IntRange(0, 2).Draw(t, "kind") {
+		case 0:
+			live[id] = false
+		case 1:
+			live[id], store[id], zones[id] = true, true, NewZone(id, now)
+		case 2:
+			store[id] = !store[id]
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "ticks") {
+			step(10)
+		}
+	}
+	for range int(time.Duration(len(ids))*Silence/tick) + 20 {
+		step(0)
+	}
+	var want []model.NodeID
+	for _, id := range ids {
+		if live[id] && store[id] && len(want) < PerZone {
+			want = append(want, id)
+		}
+	}
+	for _, id := range ids {
+		if !live[id] || !store[id] {
+			continue
+		}
+		if relays, _ := decide(zones[id], ids, now); !slices.Equal(relays, want) {
+			return "a zone does not agree on relays that work"
+		}
+	}
+	return ""
+}
+
+// Guards the choice of relays under faults in series.
+func TestZoneAgreesAfterFaults(t *testing.T) { rapidtest.Hold(t, judge((*Zone).Relays), checkZone) }
+
+// Guards the check itself: broken variants are noticed.
+func TestBrokenZonesAreNoticed(t *testing.T) {
+	const fault = "a zone does not agree on relays that work"
+	for name, broken := range map[string]judge{
+		"silence is trusted": func(z *Zone, ranked []model.NodeID, now time.Duration) ([]model.NodeID, time.Duration) {
+			for id := range z.expected {
+				z.expected[id] = now
+			}
+			return z.Relays(ranked, now)
+		},
+		"a lost store is not heard": func(z *Zone, ranked []model.NodeID, now time.Duration) ([]model.NodeID, time.Duration) {
+			for id, b := range z.heard {
+				z.heard[id] = beacon{b.at, true}
+			}
+			return z.Relays(ranked, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) { rapidtest.MustNotice(t, map[string]judge{fault: broken}, checkZone) })
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -13,9 +13,12 @@
 	Upstream         Upstream  `yaml:"upstream" required:"yes"`
 	Store            Store     `yaml:"store" required:"yes"`
 	Network          Network   `yaml:"network"`
-	Retries          Retries   `yaml:"retries"`
-	Drain            Drain     `yaml:"drain"`
-	Log              Log       `yaml:"log"`
+	// FirstStart says that the whole deployment starts for the first time: the
+	// node waits for the rows of the others before it reads them.
+	FirstStart string  `yaml:"first_start" default:"no" enum:"yes,no" unit:"word"`
+	Retries    Retries `yaml:"retries"`
+	Drain      Drain   `yaml:"drain"`
+	Log        Log     `yaml:"log"`
 }
 
 // Listeners are the addresses that a node listens on.
