Believe the first boot after a start of the node only once it is proven

Cause: the memory of boots that drained or left ends with the process. After a restart a late report of such a boot was believed, and it took work again (TestLateReportAfterRestartIsNotBelieved failed).

Change: the first report of a process is confirmed by the upstream's health path, which names the boot and says whether it leaves; without that answer a second, newer report decides: late reports are single. checkTracker now also checks that an unproven boot takes no work.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -26,7 +26,7 @@
 	// fleet, so that changes in quick succession share a call: each wakes every
 	// node. Nodes tell each other directly whether they take work, so a change
 	// of the rows is only urgent for the use of new VMs.
-	fleetPause = 1500 * time.Millisecond
+	fleetPause = 2500 * time.Millisecond
 	// exitMargin is kept of the longest stop, for what ends the process.
 	exitMargin = 800 * time.Millisecond
 	// stopPoll is the pause between two looks at what is left while the node
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -41,6 +41,9 @@
 	// second from each.
 	firstDelay = 100 * time.Millisecond
 	maxDelay   = 1200 * time.Millisecond
+	// resumeTime is how long after an answer a node that did not follow the
+	// store meanwhile asks for the changes since. The store keeps 20 s of them.
+	resumeTime = 5 * time.Second
 )
 
 // Follower follows one Source.
@@ -62,6 +65,7 @@
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = firstDelay, maxDelay
 	var at Revision
+	var read time.Time // last answer
 	loaded, failing, known, following := false, false, false, true
 	for ctx.Err() == nil {
 		follows := f.Turns == nil || f.Turns.Next(ctx)
@@ -71,7 +75,9 @@
 		if follows != following {
 			f.Log.Info("turn at the store has changed", zap.String("follows", f.Name), zap.Bool("continuously", follows))
 		}
-		loaded = loaded && follows && following // otherwise changes were missed
+		if !follows || !following && time.Since(read) > resumeTime {
+			loaded = false // changes were missed
+		}
 		following = follows
 		next, err := f.step(ctx, loaded, at)
 		switch {
@@ -80,7 +86,7 @@
 				f.Log.Info("store is available", zap.String("follows", f.Name), zap.Uint64("revision", uint64(next)))
 				f.OnState(true)
 			}
-			at, loaded, failing, known = next, true, false, true
+			at, read, loaded, failing, known = next, time.Now(), true, false, true
 			delays.Reset()
 			sleep(ctx, f.Pause)
 		case ctx.Err() != nil:
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -56,3 +56,37 @@
 	is.Equal(s.after, []Revision{0, 0, 2, 3, 3, 5, 0, 7})
 	is.Equal(states, []bool{false, true, false, true, true})
 }
+
+// turns plays a list of turns and then blocks.
+type turns []bool
+
+func (l *turns) Next(ctx context.Context) bool {
+	if len(*l) == 0 {
+		<-ctx.Done()
+		return false
+	}
+	next := (*l)[0]
+	*l = (*l)[1:]
+	return next
+}
+
+// Guards the calls of a node that others relieve: a read out of turn takes the
+// whole state, and a node that follows again soon asks for the changes.
+func TestFollowerTakesTurns(t *testing.T) {
+	is := is.New(t)
+	s := &scripted{steps: []error{nil, nil, nil, nil, nil, nil}, done: make(chan struct{})}
+	f := Follower{
+		Name: "test", Source: s, Log: zap.NewNop(), OnState: func(bool) {}, Turns: &turns{false, true, true, false, false, true, true},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- f.Run(ctx) }()
+	select {
+	case <-s.done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("follower stands still")
+	}
+	cancel()
+	is.NoErr(<-ended)
+	is.Equal(s.calls, []string{"load", "wait", "wait", "load", "load", "wait", "wait"})
+}
--- a/pkg/gateway/bulk_test.go
+++ b/pkg/gateway/bulk_test.go
@@ -58,19 +58,26 @@
 }
 
 func bulkLocal(t *testing.T, address string, link *shaping.Link, slots int) *Local {
+	t.Helper()
+	l := startedLocal(t, address, link, pathConfiguration(pathFault{}))
+	for sequence := range uint64(2) { // the second report proves the boot
+		l.Report(upstream.Report{ID: "boot", Born: 1, Sequence: sequence, Service: testService, Slots: slots})
+	}
+	return l
+}
+
+// startedLocal knows nothing of its upstream.
+func startedLocal(t *testing.T, address string, link *shaping.Link, c *config.Configuration) *Local {
 	t.Helper()
 	holder := config.NewHolder()
-	_, err := holder.Offer(pathConfiguration(pathFault{}))
-	if err != nil {
+	if _, err := holder.Offer(c); err != nil {
 		t.Fatal(err)
 	}
-	l := NewLocal(&Local{
+	return NewLocal(&Local{
 		Node: "n", Service: testService, Names: testNames, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 		Config: holder, Notices: crashguard.NewMemory(time.Now), Link: link, OnServing: func(bool) {},
 		OnCrash: func(crashguard.Fingerprint, crashguard.Crash) {}, OnCompleted: func(crashguard.Fingerprint) {},
 	}, address)
-	l.Report(upstream.Report{ID: "boot", Born: 1, Sequence: 1, Service: testService, Slots: slots})
-	return l
 }
 
 func bulkJob(deadline time.Duration) *Job {
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -19,6 +19,7 @@
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
+	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
 // faulty panics in the look-ups that follow a number of good ones.
@@ -281,3 +282,44 @@
 	body, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(body), err
 }
+
+// Guards the start of a node beside an upstream: the upstream itself confirms
+// the first report, so that a late one of a boot that has left is not believed
+// and a living one takes work at once.
+func TestFirstReportIsConfirmedByTheUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		status   int
+		boot     string
+		believed bool
+	}{
+		"the same boot":  {http.StatusOK, "boot", true},
+		"another boot":   {http.StatusOK, "later", false},
+		"leaving":        {http.StatusServiceUnavailable, "boot", false},
+		"names no boot":  {http.StatusOK, "", false},
+		"another status": {http.StatusNotFound, "boot", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, asked := bulkUpstream(t, fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", c.status, testNames.Boot, c.boot), true)
+			cfg := pathConfiguration(pathFault{})
+			cfg.Services[0].HealthPath = "/health"
+			l := startedLocal(t, address, shaping.NewLink(0), cfg)
+			before := asked.Load()
+			is.Equal(l.Report(upstream.Report{ID: "boot", Born: 1, Sequence: 4, Service: testService, Slots: 1}), upstream.Unproven)
+			for end := time.Now().Add(5 * time.Second); asked.Load() == before && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(asked.Load(), before+1)
+			if c.believed {
+				for end := time.Now().Add(5 * time.Second); !l.Serving() && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+			} else {
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.Equal(l.Serving(), c.believed)
+			l.Report(upstream.Report{ID: "boot", Born: 1, Sequence: 5, Service: testService, Slots: 1})
+			is.True(l.Serving()) // the second report decides in any case
+		})
+	}
+}
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -76,6 +76,7 @@
 	live := h1.Liveness{Dial: upstreamDial, Probe: upstreamProbe, Unacknowledged: upstreamSilence}
 	l.pool = &h1.Pool{Address: address, Idle: upstreamIdle, MaxIdle: maxIdleConns, Dial: live.Dialer()}
 	l.gate = admission.NewGate(admission.Limits{Slots: 1})
+	l.tracker.Forgetful = true
 	return l
 }
 
@@ -109,7 +110,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.tracker.Report(r)
-	if v == upstream.Stale {
+	switch v {
+	case upstream.Unproven:
+		l.Guard.Go("prove boot", func() { l.prove(r.ID, r.Born) })
+		return v
+	case upstream.Stale:
 		return v
 	}
 	l.unreachable = false
@@ -117,6 +122,41 @@
 	return v
 }
 
+// proofTime bounds the question to the first boot that a process hears of. If
+// it is not answered the next report decides.
+const proofTime = 500 * time.Millisecond
+
+// prove asks the upstream whether it is the boot that a first report names. An
+// earlier process may have acknowledged that it leaves.
+func (l *Local) prove(id string, born int64) {
+	s := l.Config.Current()
+	if s == nil {
+		return
+	}
+	service, ok := s.Service(l.Service)
+	if !ok || service.HealthPath == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proofTime)
+	defer cancel()
+	a, err := l.pool.Do(ctx, &h1.Outgoing{Method: http.MethodGet, Target: service.HealthPath, Host: l.pool.Address})
+	if err != nil {
+		l.Log.Info("upstream did not answer after its first report; the next one decides", zap.String("boot", id), zap.Error(err))
+		return
+	}
+	a.Close()
+	if a.Status != http.StatusOK || a.Header.Get(l.Names.Boot) != id {
+		l.Log.Info("upstream did not confirm its first report; the next one decides", zap.String("boot", id),
+			zap.Int("status", a.Status), zap.String("answered", a.Header.Get(l.Names.Boot)))
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tracker.Prove(id, born) == upstream.Changed {
+		l.publish("proven")
+	}
+}
+
 // Leave notes that a boot of the upstream is going. When it returns, that
 // boot gets no further jobs.
 func (l *Local) Leave(id string, born int64) upstream.Verdict {
--- a/pkg/gateway/path_test.go
+++ b/pkg/gateway/path_test.go
@@ -127,6 +127,7 @@
 		func() { _ = callListener.Close() }, func() { _ = peerListener.Close() }, s.calls.CloseAll, s.peers.CloseAll, u.close,
 	}
 	s.report()
+	s.report() // the second report proves the boot
 	return s, m
 }
 
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -74,7 +74,7 @@
 }
 
 func (n *Node) sendBeacon() {
-	relays, _ := n.Relays()
+	relays, _, _ := n.Relays()
 	n.mu.Lock()
 	states := n.pending
 	n.pending = nil
@@ -168,7 +168,7 @@
 // gets the same from there.
 func (n *Node) fetch(m fleet.Member) {
 	defer n.fetching.Store(false)
-	if relays, _ := n.Relays(); relays && !n.storeAway.Load() {
+	if relays, first, _ := n.Relays(); relays && !n.storeAway.Load() && (first || !n.fleetBehind.known()) {
 		return
 	}
 	time.Sleep(rand.N(fetchSpread))
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -172,6 +172,8 @@
 	return b.at.CompareAndSwap(nil, &now)
 }
 
+func (b *behind) known() bool { return b.at.Load() != nil }
+
 func (b *behind) since(now time.Time) time.Duration {
 	at := b.at.Load()
 	if at == nil {
--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -41,13 +41,15 @@
 
 func (n *Node) clock() time.Duration { return time.Since(n.began) }
 
-// Relays reports whether this node follows the store for its zone, and how
-// long that holds without a further message; 0 if it does not change by itself.
-func (n *Node) Relays() (bool, time.Duration) {
+// Relays reports whether this node follows the store for its zone, and whether
+// it is the first to do so. next is how long that holds without a further
+// message; 0 if it does not change by itself.
+func (n *Node) Relays() (one, first bool, next time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	relays, next := n.zone.Relays(n.zoneOf().ids, n.clock())
-	return slices.Contains(relays, n.Self.Node), next
+	at := slices.Index(relays, n.Self.Node)
+	return at >= 0, at == 0 || at > 0 && len(relays) > relay.PerZone, next
 }
 
 // neighbours returns the other nodes of the availability zone that can be
@@ -83,6 +85,8 @@
 	// at once. nil stands for a state that comes from relays at a start too.
 	known  func() bool
 	behind *behind
+	// firstOnly lets only the first relay follow.
+	firstOnly bool
 	// patience is how long no relay may be heard before the node reads itself.
 	patience time.Duration
 	last     time.Duration // last read out of turn
@@ -95,9 +99,9 @@
 }
 
 // FleetTurns returns when the rows of nodes are read. A new VM need not be
-// used at once.
+// used at once, so one relay of a zone is enough.
 func (n *Node) FleetTurns() *Turns {
-	return &Turns{node: n, behind: &n.fleetBehind, known: n.View.Known, patience: fleetTime + rand.N(fleetTime)}
+	return &Turns{node: n, behind: &n.fleetBehind, known: n.View.Known, firstOnly: true, patience: fleetTime + rand.N(fleetTime)}
 }
 
 // Next implements follow.Turns.
@@ -106,9 +110,9 @@
 		if t.known != nil && !t.known() {
 			return false
 		}
-		follows, next := t.node.Relays()
-		if follows {
-			return true
+		one, first, next := t.node.Relays()
+		if t.node.View.Known() && one && (first || !t.firstOnly) {
+			return true // without the fleet a node knows no relay but itself
 		}
 		wait := t.due(time.Now())
 		if wait <= 0 {
--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -87,9 +87,11 @@
 		p.run(t)
 	}
 	first := peers[0]
-	relays, _ := first.Relays()
-	is.True(relays)
-	relays, _ = peers[5].Relays()
+	relays, foremost, _ := first.Relays()
+	is.True(relays && foremost)
+	relays, foremost, _ = peers[1].Relays()
+	is.True(relays && !foremost)
+	relays, _, _ = peers[5].Relays()
 	is.True(!relays)
 	// The store turns the second relay away: it gets its state from the first
 	// one, and the third node follows the store in its place.
@@ -101,7 +103,7 @@
 	first.View.Apply(fleet.Change{Set: []fleet.Member{joined}, Removed: []model.NodeID{peers[7].Self.Node}, Revision: 6})
 	first.Beat()
 	eventually(t, "third relay", func() bool {
-		relays, _ := peers[2].Relays()
+		relays, _, _ := peers[2].Relays()
 		return relays
 	})
 	for _, p := range append([]*peer{first, peers[1]}, peers[3:7]...) {
@@ -158,6 +160,17 @@
 	}
 	first, ctx := turns(peers[0])
 	is.True(first.Next(ctx))
+	is.True(peers[0].FleetTurns().Next(ctx))
+	is.True(peers[1].ConfigTurns().Next(ctx))
+	brief, stop := context.WithTimeout(ctx, relay.Silence/2)
+	defer stop()
+	is.True(!peers[1].FleetTurns().Next(brief)) // one is enough for the fleet
+	is.True(brief.Err() != nil)
+	alone := newPeer(t, "alone") // does not know the fleet yet, so it may have relays
+	brief, stop = context.WithTimeout(ctx, relay.Silence/2)
+	defer stop()
+	is.True(!alone.ConfigTurns().Next(brief))
+	is.True(brief.Err() != nil)
 
 	last := peers[6]
 	own, ctx := turns(last)
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -38,6 +38,9 @@
 	Confirmed Verdict = "confirmed"
 	// Stale: the report is older than what is known, or its boot has left.
 	Stale Verdict = "stale"
+	// Unproven: the report is the first one of a new process, and may be a late
+	// one of a boot that has left.
+	Unproven Verdict = "unproven"
 )
 
 // maxLeft bounds the memory of boots that have left. A VM sees a new boot
@@ -52,6 +55,14 @@
 // Tracker holds the newest boot of the upstream. It is not safe for concurrent
 // use.
 type Tracker struct {
+	// Forgetful says that an earlier process may have acknowledged departures
+	// that this one does not know. The first boot then takes work once it is
+	// proven: by Prove, or by a second, newer report. Late reports are single,
+	// and a boot that drains reports nothing else any more.
+	Forgetful bool
+	proven    bool
+	candidate Report // first report of a boot that is not proven
+
 	boot     Boot
 	known    bool
 	sequence uint64
@@ -77,6 +88,8 @@
 	switch {
 	case !same && left && r.Born <= born:
 		return Stale
+	case t.Forgetful && !t.proven && !r.Draining && !t.prove(r):
+		return Unproven
 	case same && r.Sequence <= t.sequence && r.Draining && !t.boot.Draining:
 		// A boot never returns from draining, so this binds however late it is.
 		t.boot.Draining = true
@@ -111,6 +124,30 @@
 	return Changed
 }
 
+// prove reports whether r proves its boot, and keeps it otherwise.
+func (t *Tracker) prove(r Report) bool {
+	c := &t.candidate
+	if c.ID == r.ID && c.Born == r.Born && r.Sequence > c.Sequence {
+		t.proven = true
+		return true
+	}
+	if c.ID == "" || r.Born > c.Born {
+		*c = r
+	}
+	return false
+}
+
+// Prove notes that the boot with an id has answered at the upstream's address
+// and is not leaving. It reports whether that changed anything.
+func (t *Tracker) Prove(id string, born int64) Verdict {
+	c := t.candidate
+	if t.proven || c.ID != id || c.Born != born {
+		return Stale
+	}
+	t.proven = true
+	return t.Report(c)
+}
+
 // challenge counts the reports of a boot that claims an older start, and
 // reports whether it is to be believed.
 func (t *Tracker) challenge(r Report) bool {
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -93,7 +93,13 @@
 				left[b] = true
 			}
 			reports[b]++
-			if tr.Report(r) != Stale {
+			switch tr.Report(r) {
+			case Stale:
+			case Unproven:
+				if _, ok := tr.Current(); ok {
+					return "a boot takes work beside an unproven report"
+				}
+			default:
 				if b.born < newest && reports[b] < challengerReports {
 					return "an older boot takes work"
 				}
@@ -158,3 +164,51 @@
 	}
 	is.New(t).True(len(tr.left) <= maxLeft && len(tr.order) <= maxLeft)
 }
+
+// Guards against a boot that has left, or an earlier boot of the same id, which
+// takes work again because the process that acknowledged its departure has
+// been restarted: a late report is single.
+func TestLateReportAfterRestartIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	tr := Tracker{Forgetful: true}
+	is.Equal(tr.Report(ready("gone", 100, 7)), Unproven)
+	is.Equal(tr.Report(ready("gone", 100, 7)), Unproven) // the same report again
+	_, ok := tr.Current()
+	is.True(!ok)
+	is.Equal(tr.Report(ready("a", 200, 1)), Unproven)
+	is.Equal(tr.Report(ready("gone", 100, 6)), Unproven) // older start
+	is.Equal(tr.Prove("gone", 100), Stale)
+	is.Equal(tr.Report(ready("a", 200, 2)), Changed)
+	boot, ok := tr.Current()
+	is.True(ok)
+	is.Equal(boot.ID, "a")
+	is.Equal(tr.Report(ready("gone", 100, 8)), Stale)
+}
+
+// Guards the start of a process beside an upstream that lives: its answer
+// proves the first report, and a departure meanwhile binds.
+func TestFirstBootIsProven(t *testing.T) {
+	is := is.New(t)
+	tr := Tracker{Forgetful: true}
+	is.Equal(tr.Report(ready("a", 200, 5)), Unproven)
+	is.Equal(tr.Prove("b", 200), Stale)
+	is.Equal(tr.Prove("a", 200), Changed)
+	_, ok := tr.Current()
+	is.True(ok)
+
+	tr = Tracker{Forgetful: true}
+	is.Equal(tr.Report(ready("a", 200, 5)), Unproven)
+	tr.Leave("a", 200)
+	tr.Prove("a", 200)
+	_, ok = tr.Current()
+	is.True(!ok)
+}
+
+// Guards the binding of departures for a process that was just started.
+func TestDeparturesBindAfterRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault := checkTracker(t, &Tracker{Forgetful: true}); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
