Refuse the calls that wait elsewhere at the end of a planned stop

Change: calls taken while a node stops get a deadline before its end, so the other node says in time whether they ran. A quarter of a second before the end the node takes back its attempts that still wait for a slot; they are refused as not run. Attempts are named by node and number.

Test: TestWaitingCallsAreRefusedAtTheEnd (24 calls, all slots taken).

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -127,7 +127,7 @@
 	}, string(s.Upstream.Address))
 	a.gateway = gateway.New(&gateway.Gateway{
 		Names: names, Self: a.self, Config: a.holder, View: a.view, Local: a.local,
-		Remote: gateway.NewRemote(names, a.holder), Picker: balance.NewPicker(), Budgets: a.budgets,
+		Remote: gateway.NewRemote(a.self.Node, names, a.holder), Picker: balance.NewPicker(), Budgets: a.budgets,
 		Metrics: metrics, Log: c.Log, OnBehind: a.gossip.Behind,
 	})
 	a.calls, a.peers = a.gateway.CallServer(), a.gateway.PeerServer()
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -29,6 +29,9 @@
 	fleetPause = 2500 * time.Millisecond
 	// exitMargin is kept of the longest stop, for what ends the process.
 	exitMargin = 800 * time.Millisecond
+	// verdictMargin before the end of a stop, jobs that wait elsewhere are taken
+	// back; the answers take a way between regions and back.
+	verdictMargin = 250 * time.Millisecond
 	// stopPoll is the pause between two looks at what is left while the node
 	// stops.
 	stopPoll = 20 * time.Millisecond
@@ -177,7 +180,12 @@
 	last := began.Add(time.Duration(drain.Finish) - exitMargin)
 	a.log.Info("node stops", zap.Int("calls", a.calls.Active()), zap.Int("jobs", a.peers.Active()), zap.Time("until", last))
 	a.stopping.Store(true)
+	a.gateway.Clip(last.Add(-2 * verdictMargin))
 	a.calls.Drain()
+	withdraw := time.AfterFunc(time.Until(last.Add(-verdictMargin)), func() {
+		a.guard.Do("withdraw jobs", func() { a.gateway.Withdraw(context.Background()) })
+	})
+	defer withdraw.Stop()
 	if _, _, known := a.local.State(); !known {
 		go a.withdraw()
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -50,8 +50,16 @@
 	log   *callLog
 	epoch time.Time
 	end   atomic.Pointer[time.Time] // nil while this node stays
+	// clip bounds the deadlines of calls, and ending says that none is tried
+	// again, while this node stops.
+	clip   atomic.Pointer[time.Time]
+	ending atomic.Bool
 }
 
+// Clip bounds the deadline of every further call, so that other nodes say
+// whether it has run before this process ends.
+func (g *Gateway) Clip(t time.Time) { g.clip.Store(&t) }
+
 // EndBy turns away every further call that may last beyond a time. It follows
 // the time in which callers are told that this node goes. Calls that the
 // upstream of this VM makes for the requests that it still runs are short.
@@ -164,6 +172,9 @@
 		c.x.CloseAfter = true
 		return refuse(model.NodeDraining)
 	}
+	if clip := g.clip.Load(); clip != nil && deadline.After(*clip) {
+		deadline = *clip
+	}
 	if req.Header.Get(g.Names.RequestID) == "" {
 		req.Header[g.Names.RequestID] = []string{newRequestID()}
 	}
@@ -232,7 +243,7 @@
 		}, c.budget, rand.Float64())
 		c.verdict = verdict
 		g.Metrics.verdict(verdict)
-		if verdict != retry.Retry {
+		if verdict != retry.Retry || g.ending.Load() {
 			return g.settle(c, r)
 		}
 		g.logRetry(c, r)
@@ -341,6 +352,9 @@
 func (g *Gateway) dispatch(c *call, entry *model.Entry) (*Result, *Refusal) {
 	ctx := c.x.Context()
 	if entry.Node == g.Self.Node {
+		attempt, end := g.Remote.begin("")
+		defer end()
+		c.job.Attempt = attempt
 		return g.Local.Run(ctx, c.job)
 	}
 	return g.Remote.Run(ctx, entry.Address, c.job)
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -161,7 +161,7 @@
 	answer := fmt.Sprintf("HTTP/1.1 200 X\r\n%s: 1\r\n%s: 1\r\n%s: upstream 0 1\r\n%s: 77\r\nContent-Length: 4\r\n\r\nlate",
 		testNames.RequestID, testNames.Signature, headerAnswer, headerAttempt)
 	address, _ := bulkUpstream(t, answer, true)
-	r := NewRemote(testNames, config.NewHolder())
+	r := NewRemote("n", testNames, config.NewHolder())
 	_, refusal := r.Run(context.Background(), address, bulkJob(time.Minute))
 	is.True(refusal != nil)
 	is.Equal(refusal.Run, model.Unknown)
@@ -323,3 +323,46 @@
 		})
 	}
 }
+
+// Pattern: all upstreams are full, and a node that took calls stops. Guards
+// against calls that wait for a slot elsewhere and are cut without an answer at
+// the end of the process: they are refused, and have not run.
+func TestWaitingCallsAreRefusedAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	p := newPath(pathFault{})
+	defer p.close()
+	for _, s := range p.stations {
+		s.upstream.follow(hangs, hangs) // all slots
+	}
+	ended := make(chan outcome, 30)
+	const waiting = 24
+	for range waiting {
+		go func() { ended <- p.sendWithin(0, false, 10*time.Second) }()
+	}
+	stopping := p.stations[0].gateway
+	for end := time.Now().Add(5 * time.Second); p.waiting() < waiting-2*pathNodes && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	stopping.Withdraw(t.Context())
+	refused := 0
+	for range waiting - 2*pathNodes {
+		select {
+		case o := <-ended:
+			is.NoErr(p.judge(o))
+			is.Equal(o.status, http.StatusServiceUnavailable)
+			refused++
+		case <-time.After(5 * time.Second):
+			t.Fatalf("only %d waiting calls were refused", refused)
+		}
+	}
+}
+
+// waiting returns the jobs that wait for a slot at all nodes.
+func (p *path) waiting() int {
+	n := 0
+	for _, s := range p.stations {
+		state, _, _ := s.gateway.Local.State()
+		n += state.Waiting
+	}
+	return n
+}
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -19,6 +19,8 @@
 	// headerAttempt numbers the attempts of the asking node; the answer repeats
 	// it, so that a late copy of one is not taken for another.
 	headerAttempt = "Lentilflow-Attempt"
+	// headerWithdraw names an attempt that is to be ended unless it runs.
+	headerWithdraw = "Lentilflow-Withdraw"
 	// headerRoute and headerVersion tell a caller what decided its call.
 	headerRoute   = "Lentilflow-Route"
 	headerVersion = "Lentilflow-Version"
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -14,6 +14,7 @@
 // Job is one attempt to run a request on an upstream.
 type Job struct {
 	ID                   string // of the request
+	Attempt              string // name of this attempt among all nodes
 	Method, Target, Host string
 	Header               http.Header // what the upstream receives, but for deadline and boot
 	Body                 []byte
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -64,6 +64,7 @@
 	stopping atomic.Bool
 	running  inFlight
 	held     holding
+	waiting  waitingJobs
 
 	mu          sync.Mutex
 	tracker     upstream.Tracker
@@ -302,15 +303,29 @@
 	}
 }
 
-// admit runs a job once the upstream has a slot for it.
-func (l *Local) admit(ctx context.Context, j *Job) (*Result, *Refusal) {
-	arrived := time.Now()
+// acquire waits for a slot of the upstream.
+func (l *Local) acquire(ctx context.Context, j *Job) (admission.Slot, *Refusal) {
+	ctx, done := l.waiting.add(ctx, j.Attempt)
+	defer done()
 	slot, refused := l.gate.Acquire(ctx, admission.Call{
 		Rank: j.Rank, Rule: j.Route, Worth: j.Worth, Patience: j.Patience,
 	}, j.Deadline)
-	if refused != nil {
-		r := refuse(refused.Reason)
-		r.RetryAfter = refused.RetryAfter
+	if refused == nil {
+		return slot, nil
+	}
+	r := refuse(refused.Reason)
+	r.RetryAfter = refused.RetryAfter
+	if r.Reason == model.CallerGone && errors.Is(context.Cause(ctx), errWithdrawn) {
+		r.Reason = model.NodeDraining
+	}
+	return slot, r
+}
+
+// admit runs a job once the upstream has a slot for it.
+func (l *Local) admit(ctx context.Context, j *Job) (*Result, *Refusal) {
+	arrived := time.Now()
+	slot, r := l.acquire(ctx, j)
+	if r != nil {
 		return nil, r
 	}
 	end, kept := admission.Other, false
--- a/pkg/gateway/path_test.go
+++ b/pkg/gateway/path_test.go
@@ -39,6 +39,7 @@
 	pathNodes    = 3
 	testService  = "s"
 	testDeadline = 80 * time.Millisecond
+	pathTimeout  = 20 * time.Second
 )
 
 // station is a node with its upstream, without the store and the messages.
@@ -89,7 +90,7 @@
 	route := func(name string, idempotent bool) config.Route {
 		return config.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent || f.repeatsAll, Attempts: 3,
-			Timeout: time.Second, Split: []config.Share{{Service: testService, Weight: 1}},
+			Timeout: pathTimeout, Split: []config.Share{{Service: testService, Weight: 1}},
 		}
 	}
 	return &config.Configuration{
@@ -117,7 +118,7 @@
 		OnCrash: func(crashguard.Fingerprint, crashguard.Crash) {}, OnCompleted: func(crashguard.Fingerprint) {},
 	}, u.listener.Addr().String())
 	g := New(&Gateway{
-		Names: names, Self: m, Config: holder, View: fleet.NewView(), Local: local, Remote: NewRemote(names, holder),
+		Names: names, Self: m, Config: holder, View: fleet.NewView(), Local: local, Remote: NewRemote(m.Node, names, holder),
 		Picker: balance.NewPicker(), Budgets: NewBudgets(1, 1000), Metrics: metrics, Log: zap.NewNop(), OnBehind: func() {},
 	})
 	s := &station{gateway: g, upstream: u, calls: g.CallServer(), peers: g.PeerServer(), address: callListener.Addr().String()}
@@ -163,7 +164,9 @@
 }
 
 // send sends one request on a new connection; the library sends it once.
-func (p *path) send(node int, safe bool) outcome {
+func (p *path) send(node int, safe bool) outcome { return p.sendWithin(node, safe, testDeadline) }
+
+func (p *path) sendWithin(node int, safe bool, deadline time.Duration) outcome {
 	o := outcome{id: fmt.Sprint("r", p.sent.Add(1)), safe: safe}
 	method, prefix, content := http.MethodPost, "/unsafe/", "x"
 	if safe {
@@ -175,7 +178,7 @@
 	}
 	r.Host = "h"
 	r.Header.Set(testNames.RequestID, o.id)
-	r.Header.Set(testNames.Deadline, millis(testDeadline))
+	r.Header.Set(testNames.Deadline, millis(deadline))
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -48,16 +48,20 @@
 	Names  HeaderNames
 	Config *config.Holder
 
+	// Self is the name of this node.
+	Self model.NodeID
+
 	attempts atomic.Uint64
 	mu       sync.Mutex
+	active   map[string]string // address of the other node by attempt, "" for this one
 	pools    map[string]*h1.Pool
 	dial     h1.Liveness
 }
 
 // NewRemote returns a Remote without connections.
-func NewRemote(names HeaderNames, c *config.Holder) *Remote {
+func NewRemote(self model.NodeID, names HeaderNames, c *config.Holder) *Remote {
 	return &Remote{
-		Names: names, Config: c, pools: make(map[string]*h1.Pool),
+		Self: self, Names: names, Config: c, active: make(map[string]string), pools: make(map[string]*h1.Pool),
 		dial: h1.Liveness{Dial: maxPeerDial, Probe: peerProbe, Unacknowledged: peerSilence},
 	}
 }
@@ -85,6 +89,19 @@
 	return p
 }
 
+// begin names a new attempt at a node. end is called when its answer has begun.
+func (r *Remote) begin(address string) (attempt string, end func()) {
+	attempt = string(r.Self) + "/" + strconv.FormatUint(r.attempts.Add(1), 10)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active[attempt] = address
+	return attempt, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.active, attempt)
+	}
+}
+
 // Run sends a job to the node at an address. The request is sent at most once.
 func (r *Remote) Run(ctx context.Context, address string, j *Job) (*Result, *Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline.Add(verdictGrace))
@@ -92,7 +109,8 @@
 		service: j.Service, route: j.Route, rank: j.Rank, worth: j.Worth, remaining: time.Until(j.Deadline),
 		patience: j.Patience, idempotent: j.Idempotent, version: r.Config.Version(), bulk: j.Bulk, target: j.Objective,
 	}
-	attempt := strconv.FormatUint(r.attempts.Add(1), 10)
+	attempt, end := r.begin(address)
+	defer end()
 	o := j.outgoing(func(_ int, h http.Header) bool { return h.Get(headerAttempt) == attempt },
 		h1.Field{Name: headerCall, Value: f.String()}, h1.Field{Name: headerAttempt, Value: attempt})
 	o.DialTime = dialTime(f.remaining)
@@ -180,6 +198,11 @@
 
 // handleJob runs a job of another node.
 func (g *Gateway) handleJob(x *h1.Exchange) {
+	if attempt := x.Request.Header.Get(headerWithdraw); attempt != "" {
+		g.Local.waiting.withdraw(attempt)
+		_ = x.Reply(&h1.Reply{Status: http.StatusNoContent})
+		return
+	}
 	f, ok := parseCallFields(x.Request.Header.Get(headerCall))
 	if !ok {
 		g.log.Warn("request of another node lacks its fields")
@@ -196,7 +219,7 @@
 		ID: x.Request.Header.Get(g.Names.RequestID), Method: x.Request.Method, Target: x.Request.RequestURI, Host: x.Request.Host,
 		Header: x.Request.Header, Body: x.Body, Rest: x.Rest, Length: x.Length,
 		Service: f.service, Route: f.route, Rank: f.rank, Worth: f.worth, Idempotent: f.idempotent, Patience: f.patience,
-		Deadline: x.Arrived.Add(f.remaining), Bulk: f.bulk, Objective: f.target,
+		Deadline: x.Arrived.Add(f.remaining), Bulk: f.bulk, Objective: f.target, Attempt: attempt,
 	}
 	res, refusal := g.Local.Run(x.Context(), j)
 	if refusal != nil {
--- /dev/null
+++ b/pkg/gateway/withdraw.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/h1"
+)
+
+// withdrawTime bounds the message that withdraws a job: a way between regions
+// and back takes 24 ms.
+const withdrawTime = 200 * time.Millisecond
+
+// errWithdrawn ends the wait of a job for a slot because the node that asked
+// for it stops.
+var errWithdrawn = errors.New("job was withdrawn by the node that asked for it")
+
+// waitingJobs is the jobs of other nodes, and of this one, that wait for a slot.
+type waitingJobs struct {
+	mu   sync.Mutex
+	ends map[string]context.CancelCauseFunc // by attempt
+}
+
+// add returns a context that ends when the job is withdrawn. done must be
+// called when the job waits no more.
+func (w *waitingJobs) add(ctx context.Context, attempt string) (waiting context.Context, done func()) {
+	waiting, cancel := context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ends == nil {
+		w.ends = make(map[string]context.CancelCauseFunc)
+	}
+	w.ends[attempt] = cancel
+	return waiting, func() {
+		cancel(nil)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.ends, attempt)
+	}
+}
+
+// withdraw ends the wait of one job; a job that runs already goes on.
+func (w *waitingJobs) withdraw(attempt string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if end, ok := w.ends[attempt]; ok {
+		end(errWithdrawn)
+	}
+}
+
+// Withdraw takes back all jobs of this node that have not begun to run, at
+// this node and at others. Their calls are then refused truthfully; otherwise
+// the end of the process would cut them without an answer.
+func (g *Gateway) Withdraw(ctx context.Context) {
+	g.ending.Store(true)
+	g.Remote.mu.Lock()
+	active := make(map[string]string, len(g.Remote.active))
+	for attempt, address := range g.Remote.active {
+		active[attempt] = address
+	}
+	g.Remote.mu.Unlock()
+	var all sync.WaitGroup
+	for attempt, address := range active {
+		if address == "" {
+			g.Local.waiting.withdraw(attempt)
+			continue
+		}
+		all.Go(func() {
+			g.Local.Guard.Do("withdraw job", func() { g.Remote.withdraw(ctx, address, attempt) })
+		})
+	}
+	all.Wait()
+}
+
+func (r *Remote) withdraw(ctx context.Context, address, attempt string) {
+	ctx, cancel := context.WithTimeout(ctx, withdrawTime)
+	defer cancel()
+	a, err := r.pool(address).Do(ctx, &h1.Outgoing{
+		Method: http.MethodPost, Target: "/", Host: address, Fields: []h1.Field{{Name: headerWithdraw, Value: attempt}},
+	})
+	if err != nil {
+		return // the job ends with the connection of this process
+	}
+	a.Close()
+}
