Send changes of a configuration within a zone, and read out of turn less

Change: taking a version or a fleet ends being behind. A relay sends the changed routes to a node whose version it knows, and otherwise compresses a version once. A node fetches every 0.6 s at most, and waits for relays from the moment at which it knows the fleet.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -202,7 +202,7 @@
 	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source,
 		zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
 	a.local.Reconfigure()
-	a.gossip.Beat()
+	a.gossip.ConfigTaken()
 }
 
 // servingChanged tells the other nodes whether the upstream takes work.
--- /dev/null
+++ b/pkg/config/change.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Change is what turns one version into a later one. Versions that follow each
+// other differ in a few routes of a thousand.
+type Change struct {
+	Base     Version    `json:"base"`
+	Version  Version    `json:"version"`
+	Services []Service  `json:"services"`
+	Callers  Callers    `json:"callers"`
+	Set      []Route    `json:"set,omitempty"` // new or changed
+	Removed  []RouteKey `json:"removed,omitempty"`
+	// Routes is the number of routes of the later version, as a check.
+	Routes int `json:"routes"`
+}
+
+// RouteKey identifies a route within a configuration.
+type RouteKey struct {
+	Host    string `json:"host"`
+	Prefix  string `json:"prefix"`
+	Methods string `json:"methods,omitempty"` // joined by commas
+}
+
+// Key returns what identifies r.
+func (r *Route) Key() RouteKey { return RouteKey{r.Host, r.Prefix, strings.Join(r.Methods, ",")} }
+
+// Changes returns what turns older into newer.
+func Changes(older, newer *Configuration) *Change {
+	c := &Change{Base: older.Version, Version: newer.Version, Services: newer.Services, Callers: newer.Callers, Routes: len(newer.Routes)}
+	before := make(map[RouteKey]*Route, len(older.Routes))
+	for i := range older.Routes {
+		before[older.Routes[i].Key()] = &older.Routes[i]
+	}
+	for i := range newer.Routes {
+		r := &newer.Routes[i]
+		if b, ok := before[r.Key()]; !ok || !reflect.DeepEqual(b, r) {
+			c.Set = append(c.Set, *r)
+		}
+		delete(before, r.Key())
+	}
+	for key := range before {
+		c.Removed = append(c.Removed, key)
+	}
+	return c
+}
+
+// Apply returns the later version. It returns false if c does not belong to
+// older.
+func (c *Change) Apply(older *Configuration) (*Configuration, bool) {
+	if older.Version != c.Base {
+		return nil, false
+	}
+	set := make(map[RouteKey]*Route, len(c.Set))
+	for i := range c.Set {
+		set[c.Set[i].Key()] = &c.Set[i]
+	}
+	removed := make(map[RouteKey]bool, len(c.Removed))
+	for _, key := range c.Removed {
+		removed[key] = true
+	}
+	next := &Configuration{Version: c.Version, Services: c.Services, Callers: c.Callers}
+	next.Routes = slices.Grow(next.Routes, len(older.Routes)+len(c.Set))
+	for i := range older.Routes {
+		r := &older.Routes[i]
+		if removed[r.Key()] {
+			continue
+		}
+		if s, ok := set[r.Key()]; ok {
+			next.Routes = append(next.Routes, *s)
+			delete(set, r.Key())
+			continue
+		}
+		next.Routes = append(next.Routes, *r)
+	}
+	for i := range c.Set {
+		if _, left := set[c.Set[i].Key()]; left {
+			next.Routes = append(next.Routes, c.Set[i])
+		}
+	}
+	return next, len(next.Routes) == c.Routes
+}
--- a/pkg/config/holder.go
+++ b/pkg/config/holder.go
@@ -10,11 +10,15 @@
 type Holder struct {
 	current atomic.Pointer[Snapshot]
 	mu      sync.Mutex
-	changed chan struct{}
+	recent  []*Configuration // the newest ones, in order
 }
 
+// recentVersions is how many versions are kept for other nodes that have one
+// of them and lack the newest.
+const recentVersions = 8
+
 // NewHolder returns a Holder without a configuration.
-func NewHolder() *Holder { return &Holder{changed: make(chan struct{})} }
+func NewHolder() *Holder { return &Holder{} }
 
 // Current returns the configuration in force, or nil.
 func (h *Holder) Current() *Snapshot { return h.current.Load() }
@@ -43,14 +47,21 @@
 		return false, nil
 	}
 	h.current.Store(s)
-	close(h.changed)
-	h.changed = make(chan struct{})
+	h.recent = append(h.recent, c)
+	if len(h.recent) > recentVersions {
+		h.recent = h.recent[len(h.recent)-recentVersions:]
+	}
 	return true, nil
 }
 
-// Changed returns a channel that is closed when the next version is in force.
-func (h *Holder) Changed() <-chan struct{} {
+// Recent returns one of the newest configurations by its version, or nil.
+func (h *Holder) Recent(v Version) *Configuration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.changed
+	for _, c := range h.recent {
+		if c.Version == v {
+			return c
+		}
+	}
+	return nil
 }
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -43,6 +43,9 @@
 	statesPause = 100 * time.Millisecond
 	// fetchSpread keeps the nodes of a zone from asking a relay at once.
 	fetchSpread = 40 * time.Millisecond
+	// fetchPause is the least time between two fetches: while versions come in
+	// quick succession, 20 nodes that fetch each one fill the relay's link.
+	fetchPause = 600 * time.Millisecond
 	// fetchTime bounds the transfer of what a relay has: a configuration of
 	// 1,400 routes takes 40 KB, and 20 nodes share the relay's link.
 	fetchTime = 3 * time.Second
@@ -56,6 +59,18 @@
 	}
 }
 
+// ConfigTaken notes that a newer configuration is in force here.
+func (n *Node) ConfigTaken() {
+	n.configBehind.set(false, time.Time{})
+	n.Beat()
+}
+
+// FleetTaken notes that a newer fleet is known here.
+func (n *Node) FleetTaken() {
+	n.fleetBehind.set(false, time.Time{})
+	n.Beat()
+}
+
 // RunBeacons sends beacons while this node is a relay, and states that are to
 // be passed on, until ctx ends.
 func (n *Node) RunBeacons(ctx context.Context) error {
@@ -159,7 +174,11 @@
 	if !configBehind && !fleetBehind {
 		return
 	}
+	if last := n.fetched.Load(); last > 0 && n.clock()-time.Duration(last) < fetchPause {
+		return // the next beacon comes soon
+	}
 	if m, ok := f.Members[d.From]; ok && n.fetching.CompareAndSwap(false, true) {
+		n.fetched.Store(int64(n.clock()))
 		n.Guard.Go("fetch from relay", func() { n.fetch(m) })
 	}
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -70,6 +70,10 @@
 	began        time.Time
 	beat         chan struct{}
 	fetching     atomic.Bool
+	fetched      atomic.Int64 // when the last fetch began, on the clock of the node
+	pack         sync.Mutex
+	packedFor    config.Version
+	packedBytes  []byte
 	started      int64
 	sequence     atomic.Uint64
 	storeAway    atomic.Bool
@@ -211,7 +215,11 @@
 	n.learn(d)
 	u := Update{Digest: n.digest()}
 	if s := n.Config.Current(); d.Lacks && s != nil && s.Version > d.Config {
-		u.Configuration = s.Configuration
+		if base := n.Config.Recent(d.Config); base != nil {
+			u.Change = config.Changes(base, s.Configuration)
+		} else {
+			u.Configuration = n.packed(s.Configuration)
+		}
 	}
 	if d.Lacks {
 		u.Changes, u.Nodes = n.fleetFor(d.Fleet)
@@ -305,8 +313,14 @@
 	}
 	n.learn(u.Digest)
 	n.compare(&u.Digest)
-	if u.Configuration != nil {
-		n.takeConfiguration(u.Configuration, string(m.Node))
+	n.takeChange(&u, string(m.Node))
+	if len(u.Configuration) > 0 {
+		c := &config.Configuration{}
+		if err := unpack(u.Configuration, c); err != nil {
+			n.Log.Warn("configuration of another node cannot be read", zap.String("from", string(m.Node)), zap.Error(err))
+		} else {
+			n.takeConfiguration(c, string(m.Node))
+		}
 	}
 	n.takeFleet(&u, m.Node)
 }
@@ -325,6 +339,18 @@
 	n.OnFleet(removed)
 }
 
+// takeChange puts a configuration in force that came as a change of the one
+// here. A change of another version is left: something newer came meanwhile.
+func (n *Node) takeChange(u *Update, from string) {
+	s := n.Config.Current()
+	if u.Change == nil || s == nil {
+		return
+	}
+	if c, ok := u.Change.Apply(s.Configuration); ok {
+		n.takeConfiguration(c, from)
+	}
+}
+
 // takeConfiguration puts a configuration of another node in force if it is newer.
 func (n *Node) takeConfiguration(c *config.Configuration, from string) {
 	taken, err := n.Config.Offer(c)
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -35,7 +35,12 @@
 // asking node lacks.
 type Update struct {
 	Digest
-	Configuration *config.Configuration `json:"configuration,omitempty"`
+	// Configuration is a config.Configuration as compressed JSON. A relay makes
+	// it once for all nodes of its zone.
+	Configuration []byte `json:"configuration_zstd,omitempty"`
+	// Change is sent instead if the answering node knows the version that the
+	// asking node has.
+	Change *config.Change `json:"configuration_change,omitempty"`
 	// Nodes is the whole fleet, Changes what happened since the revision that the
 	// asking node has; one of them is set if that is older.
 	Nodes   []fleet.Member `json:"nodes,omitempty"`
--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -74,7 +74,7 @@
 	turnJitter = 400 * time.Millisecond
 	// behindTime is how long a node knows of something newer that it does not
 	// get from others before it reads the store.
-	behindTime = 600 * time.Millisecond
+	behindTime = time.Second
 )
 
 // Turns says when this node reads one kind of state from the store. It
@@ -90,6 +90,7 @@
 	// patience is how long no relay may be heard before the node reads itself.
 	patience time.Duration
 	last     time.Duration // last read out of turn
+	alone    bool          // the fleet is not known
 }
 
 // ConfigTurns returns when the configuration is read. A change must be in
@@ -111,10 +112,20 @@
 			return false
 		}
 		one, first, next := t.node.Relays()
-		if t.node.View.Known() && one && (first || !t.firstOnly) {
-			return true // without the fleet a node knows no relay but itself
+		switch {
+		case !t.node.View.Known(): // without the fleet it knows no relay but itself
+			t.alone = true
+			next = t.last + t.patience + fleetTime - t.node.clock()
+		case t.alone: // relays are heard from now on
+			t.alone, t.last = false, t.node.clock()
+			continue
+		case one && (first || !t.firstOnly):
+			return true
+		}
+		wait := next
+		if !t.alone {
+			wait = t.due(time.Now())
 		}
-		wait := t.due(time.Now())
 		if wait <= 0 {
 			t.last = t.node.clock()
 			return false
--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -147,6 +147,29 @@
 	is.Equal(c.View.Current().Digest, a.View.Current().Digest)
 }
 
+// Guards against bytes that grow with the configuration for a change of one
+// route: a node that has the version before gets the change only.
+func TestOneChangedRouteIsSentAlone(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	a.offer(t, 7)
+	b.offer(t, 7)
+	next := configuration(8)
+	next.Routes[5].Attempts = 9
+	_, err := a.Config.Offer(next)
+	is.NoErr(err)
+	d := b.digest()
+	d.Lacks = true
+	b.exchange(t.Context(), a.Self, d)
+	is.Equal(b.Config.Version(), config.Version(8))
+	is.True(b.configBehind.known()) // until the agent says otherwise
+	b.ConfigTaken()
+	is.True(!b.configBehind.known()) // else the node would read the store a second later
+	is.Equal(b.Config.Current().Routes[5].Attempts, 9)
+	is.Equal(len(b.Config.Current().Routes), len(next.Routes))
+	is.True(a.sent.Load() < 2000)
+}
+
 // Guards the turns at the store: relays follow it, the others read only when
 // they hear no relay, or know of something newer that nobody gives them.
 func TestTurnsAtTheStore(t *testing.T) {
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -9,7 +9,9 @@
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
 
+	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/text"
 )
@@ -27,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	if len(body) < packedFrom || len(body) > maxMessage {
+	if len(body)-len(u.Configuration)*4/3 < packedFrom || len(body) > maxMessage {
 		return c.JSONBlob(http.StatusOK, body)
 	}
 	packed, err := text.Compress(body)
@@ -37,6 +39,30 @@
 	return c.Blob(http.StatusOK, packedType, packed)
 }
 
+// packed returns a configuration as compressed JSON, or nil if it is too large.
+// Compression takes longer than all the rest of an answer, so the newest one is
+// kept.
+func (n *Node) packed(c *config.Configuration) []byte {
+	n.pack.Lock()
+	defer n.pack.Unlock()
+	if n.packedFor == c.Version {
+		return n.packedBytes
+	}
+	plain, err := json.Marshal(c)
+	if err == nil && len(plain) > maxMessage {
+		err = fmt.Errorf("configuration has %d bytes, at most %d are sent", len(plain), maxMessage)
+	}
+	var body []byte
+	if err == nil {
+		body, err = text.Compress(plain)
+	}
+	if err != nil {
+		n.Log.Error("configuration cannot be sent to other nodes", zap.Uint64("version", uint64(c.Version)), zap.Error(err))
+	}
+	n.packedFor, n.packedBytes = c.Version, body
+	return body
+}
+
 // decodeAnswer reads what reply wrote.
 func decodeAnswer(resp *http.Response, into any) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
