Read the configuration at once after a restart, and confirm the first report then

Cause: after a restart a node waited for the beacons of its relays before it had a configuration, and a first report that came before could not be confirmed without the path of the upstream's health, so the upstream took work a second report later (1.5 s).

Change: only when the whole deployment starts for the first time do nodes leave the first read to the relays. An unproven boot is asked again when a configuration comes into force.

Tests: TestTurnsAtTheStore, TestFirstReportIsConfirmedOnceThePathIsKnown.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -62,7 +62,7 @@
 	a.addStop(ctx, &g, callListener)
 	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.Operator(a.holder, func(v config.Version, at follow.Revision) {
 		a.inForce(v, zap.Uint64("revision", uint64(at)))
-	}), 0, a.gossip.ConfigTurns(), func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
+	}), 0, a.gossip.ConfigTurns(a.firstStart()), func(ok bool) { a.configLost.Store(!ok); a.storeChanged() }))
 	a.addLoop(&g, "follow fleet", a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.view, OnChange: a.fleetChanged}, fleetPause,
 		a.firstTurn(a.gossip.FleetTurns()), func(ok bool) { a.fleetLost.Store(!ok); a.storeChanged() }))
 	a.addLoop(&g, "exchange digests", a.gossip.Run)
@@ -96,10 +96,12 @@
 // fleet before the others have written their rows takes itself for a relay.
 const gathering = 1500 * time.Millisecond
 
+func (a *Agent) firstStart() bool { return a.settings.FirstStart == "yes" }
+
 // firstTurn lets a node of a deployment that starts for the first time write
 // its row and wait for those of others before it reads the fleet.
 func (a *Agent) firstTurn(t follow.Turns) follow.Turns {
-	if a.settings.FirstStart != "yes" {
+	if !a.firstStart() {
 		return t
 	}
 	a.announce <- struct{}{}
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -304,6 +304,7 @@
 			cfg := pathConfiguration(pathFault{})
 			cfg.Services[0].HealthPath = "/health"
 			l := startedLocal(t, address, shaping.NewLink(0), cfg)
+			l.Reconfigure() // there is nothing to prove yet
 			before := asked.Load()
 			is.Equal(l.Report(upstream.Report{ID: "boot", Born: 1, Sequence: 4, Service: testService, Slots: 1}), upstream.Unproven)
 			for end := time.Now().Add(5 * time.Second); asked.Load() == before && time.Now().Before(end); {
@@ -366,3 +367,24 @@
 	}
 	return n
 }
+
+// Guards against a node that waits for a second report although the upstream
+// could have confirmed the first one: that came before the configuration.
+func TestFirstReportIsConfirmedOnceThePathIsKnown(t *testing.T) {
+	is := is.New(t)
+	address, _ := bulkUpstream(t, fmt.Sprintf("HTTP/1.1 200 X\r\n%s: boot\r\nContent-Length: 0\r\n\r\n", testNames.Boot), true)
+	cfg := pathConfiguration(pathFault{})
+	l := startedLocal(t, address, shaping.NewLink(0), cfg)
+	l.Config = config.NewHolder()
+	is.Equal(l.Report(upstream.Report{ID: "boot", Born: 1, Sequence: 4, Service: testService, Slots: 1}), upstream.Unproven)
+	time.Sleep(10 * time.Millisecond)
+	is.True(!l.Serving())
+	cfg.Services[0].HealthPath = "/health"
+	_, err := l.Config.Offer(cfg)
+	is.NoErr(err)
+	l.Reconfigure()
+	for end := time.Now().Add(5 * time.Second); !l.Serving() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(l.Serving())
+}
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -222,6 +222,12 @@
 
 // Reconfigure follows a new configuration.
 func (l *Local) Reconfigure() {
+	l.mu.Lock()
+	r, unproven := l.tracker.Unproven()
+	l.mu.Unlock()
+	if unproven { // its report came before the path of its health was known
+		l.Guard.Go("prove boot", func() { l.prove(r.ID, r.Born) })
+	}
 	if b := l.boot.Load(); b != nil {
 		l.gate.SetLimits(l.limits(b.Slots))
 	}
--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -94,9 +94,15 @@
 }
 
 // ConfigTurns returns when the configuration is read. A change must be in
-// force within 3 s in deployments whose zones have relays.
-func (n *Node) ConfigTurns() *Turns {
-	return &Turns{node: n, behind: &n.configBehind, patience: relay.Silence + rand.N(turnJitter)}
+// force within 3 s in deployments whose zones have relays. A node that starts
+// again reads at once, because callers wait for it; when the whole deployment
+// starts for the first time the relays do it.
+func (n *Node) ConfigTurns(firstStart bool) *Turns {
+	t := &Turns{node: n, behind: &n.configBehind, patience: relay.Silence + rand.N(turnJitter)}
+	if !firstStart {
+		t.known = func() bool { return n.Config.Current() != nil }
+	}
+	return t
 }
 
 // FleetTurns returns when the rows of nodes are read. A new VM need not be
--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -179,12 +179,12 @@
 	turns := func(p *peer) (*Turns, context.Context) {
 		ctx, cancel := context.WithTimeout(t.Context(), patience)
 		t.Cleanup(cancel)
-		return p.ConfigTurns(), ctx
+		return p.ConfigTurns(true), ctx
 	}
 	first, ctx := turns(peers[0])
 	is.True(first.Next(ctx))
 	is.True(peers[0].FleetTurns().Next(ctx))
-	is.True(peers[1].ConfigTurns().Next(ctx))
+	is.True(peers[1].ConfigTurns(true).Next(ctx))
 	brief, stop := context.WithTimeout(ctx, relay.Silence/2)
 	defer stop()
 	is.True(!peers[1].FleetTurns().Next(brief)) // one is enough for the fleet
@@ -192,10 +192,14 @@
 	alone := newPeer(t, "alone") // does not know the fleet yet, so it may have relays
 	brief, stop = context.WithTimeout(ctx, relay.Silence/2)
 	defer stop()
-	is.True(!alone.ConfigTurns().Next(brief))
+	is.True(!alone.ConfigTurns(true).Next(brief))
 	is.True(brief.Err() != nil)
 
 	last := peers[6]
+	again := newPeer(t, "again") // it has started again and has no configuration
+	is.True(!again.ConfigTurns(false).Next(ctx))
+	is.NoErr(ctx.Err())
+
 	own, ctx := turns(last)
 	began := time.Now()
 	go func() { // both relays are heard for a while, then end
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -137,6 +137,11 @@
 	return false
 }
 
+// Unproven returns the first report of a boot that is not proven yet.
+func (t *Tracker) Unproven() (Report, bool) {
+	return t.candidate, t.Forgetful && !t.proven && t.candidate.ID != ""
+}
+
 // Prove notes that the boot with an id has answered at the upstream's address
 // and is not leaving. It reports whether that changed anything.
 func (t *Tracker) Prove(id string, born int64) Verdict {
