Hold off upstreams that would let a call wait too long

Change: a refusal tells the expected wait; the node does not ask that upstream for the route again for half of what is too much, 20 to 250 ms, and after a refusal in another zone none at that distance for 200 ms. If all are held off, the call waits in its own zone at once.

Test: TestBusyUpstreamsAreNotAskedAgain.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -15,6 +15,8 @@
 type Refusal struct {
 	Reason     model.Reason
 	RetryAfter time.Duration // 0 if a later try would not help
+	// Wait is the expected wait for a slot, 0 if it is not known.
+	Wait time.Duration
 }
 
 // Error implements error.
@@ -83,7 +85,7 @@
 	if v == Unreachable {
 		reason = model.DeadlineUnreachable
 	}
-	return Slot{}, &Refusal{Reason: reason, RetryAfter: spread(drain)}
+	return Slot{}, &Refusal{Reason: reason, RetryAfter: spread(drain), Wait: drain}
 }
 
 // arrive decides on a new call, and returns for a refused one when a later try
@@ -154,7 +156,7 @@
 	g.mu.Lock()
 	drain := g.core.DrainTime(g.now(), &c)
 	g.mu.Unlock()
-	return Slot{}, &Refusal{Reason: model.Overloaded, RetryAfter: spread(drain)}
+	return Slot{}, &Refusal{Reason: model.Overloaded, RetryAfter: spread(drain), Wait: drain}
 }
 
 // pump hands free slots to waiting calls. The mutex is held.
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -196,3 +196,51 @@
 		c.Evidence.End(time.Duration(i), 0, Accepted, time.Millisecond)
 	}
 }
+
+// Pattern: more calls of one route than its upstreams carry. Guards against
+// calls that ask one full upstream after the other, and above all those of
+// other zones, whose bytes are paid by volume: an upstream that would let the
+// call wait too long is not asked for its route for a while, and upstreams
+// beyond the own zone are left in peace together.
+func TestBusyUpstreamsAreNotAskedAgain(t *testing.T) {
+	p, entries := NewPicker(), fleet()
+	request := func(now time.Duration, route string) Request {
+		return Request{Entries: entries, From: here, Prefer: model.PreferZone, Rank: 1, Service: "s", Route: route, Now: now, Random: uint64(now)}
+	}
+	asked := map[model.Distance]int{}
+	busy := 0
+	const calls = 2000
+	for i := range calls { // every upstream lets calls wait too long
+		now := time.Duration(i) * time.Millisecond
+		c, res := p.Pick(request(now, "long"))
+		switch res {
+		case Picked:
+			asked[c.Distance]++
+			c.Evidence.Begin(now)
+			p.Hold(&c, "s", "long", time.Second, now, 0.5)
+			c.Evidence.End(now, 1, Neutral, 0)
+		case Busy:
+			busy++
+			if c.Distance != model.SameZone {
+				t.Fatal("a call was to wait in another zone than its own")
+			}
+		default:
+			t.Fatalf("result %d", res)
+		}
+	}
+	if asked[model.SameZone] > calls/50 || asked[model.SameRegion] > calls/150 || asked[model.OtherRegion] > calls/150 || busy < calls*9/10 {
+		t.Errorf("asked %v, busy %d of %d", asked, busy, calls)
+	}
+	now := calls * time.Millisecond
+	if c, res := p.Pick(request(now, "short")); res != Picked || c.Distance != model.SameZone {
+		t.Error("another route of the service is held off too")
+	}
+	waits := request(now, "long")
+	waits.Waits = true
+	if c, res := p.Pick(waits); res != Picked || c.Distance != model.SameZone {
+		t.Error("a call that waits anywhere was held off")
+	}
+	if c, res := p.Pick(request(now+time.Second, "long")); res != Picked || c.Distance != model.SameZone {
+		t.Error("upstreams are not asked again in the end")
+	}
+}
--- a/pkg/balance/evidence.go
+++ b/pkg/balance/evidence.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -76,6 +78,57 @@
 	failures decayed
 	sent     [ranks]decayed // calls with an answer or a refusal, by rank
 	accepted [ranks]decayed // of those, calls that were not refused
+	busy     marks
+}
+
+// marks says until when something is known to be busy, by the hash of a route.
+// Two routes that share a place are held off together, which costs a little
+// time only.
+type marks [16]atomic.Int64
+
+func (m *marks) place(route string) *atomic.Int64 {
+	return &m[xxhash.Sum64String(route)%uint64(len(m))]
+}
+
+func (m *marks) set(route string, until time.Duration) { m.place(route).Store(int64(until)) }
+
+func (m *marks) has(route string, now time.Duration) bool { return m.place(route).Load() > int64(now) }
+
+const (
+	// minHold and maxHold bound how long an upstream that would have let a call
+	// wait too long is not asked for its route again. Queues change within a
+	// few service times.
+	minHold = 20 * time.Millisecond
+	maxHold = 250 * time.Millisecond
+	// farHold is the same for all upstreams of a distance beyond the own
+	// availability zone: an attempt there that is refused costs bytes on links
+	// that are paid by volume.
+	farHold = 200 * time.Millisecond
+)
+
+// Hold notes that a call of a route would have waited longer than it may at an
+// upstream; excess is by how much. random, in [0, 1), spreads the return.
+func (p *Picker) Hold(c *Choice, service, route string, excess, now time.Duration, random float64) {
+	spread := 0.5 + random
+	hold := min(max(excess/2, minHold), maxHold)
+	c.Evidence.busy.set(route, now+time.Duration(spread*float64(hold)))
+	if c.Distance > model.SameZone {
+		p.far(service, c.Distance).set(route, now+time.Duration(spread*float64(farHold)))
+	}
+}
+
+type farKey struct {
+	service  string
+	distance model.Distance
+}
+
+// far returns the marks of a service at a distance.
+func (p *Picker) far(service string, d model.Distance) *marks {
+	m, ok := p.distances.Load(farKey{service, d})
+	if !ok {
+		m, _ = p.distances.LoadOrStore(farKey{service, d}, &marks{})
+	}
+	return m.(*marks)
 }
 
 // Outcome is how one attempt at an upstream ended.
--- a/pkg/balance/picker.go
+++ b/pkg/balance/picker.go
@@ -27,6 +27,7 @@
 	Picked     Result = iota
 	NoEntry           // no upstream is left for the call
 	Overloaded        // every distance refuses calls of this rank now
+	Busy              // every upstream would let the call wait too long; one of the nearest is chosen
 )
 
 // Request describes the choice to make.
@@ -35,6 +36,9 @@
 	From    model.Location // of this node
 	Prefer  model.Preference
 	Rank    model.Rank
+	Service string
+	Route   string
+	Waits   bool           // the call waits wherever it is taken
 	Avoid   []model.NodeID // upstreams that this call has tried
 	Now     time.Duration  // monotonic
 	Random  uint64         // seed of this choice
@@ -52,6 +56,8 @@
 type Picker struct {
 	known atomic.Pointer[map[model.NodeID]*Evidence]
 	grow  sync.Mutex
+	// distances holds what is known of upstreams beyond the own zone.
+	distances sync.Map // farKey to *marks
 }
 
 // NewPicker returns a Picker without evidence.
@@ -87,8 +93,8 @@
 
 // set is the candidates of one distance, as indexes into the entries.
 type set struct {
-	up, idle, down []int32
-	sent, accepted float64
+	up, busy, idle, down []int32
+	sent, accepted       float64
 }
 
 // scratch is reused between choices.
@@ -120,6 +126,11 @@
 	if refused {
 		return Choice{}, Overloaded
 	}
+	for i := range s.sets {
+		if c := &s.sets[i]; len(c.busy) > 0 {
+			return p.best(&r, c.busy, &rnd), Busy
+		}
+	}
 	return p.lastResort(s, &r, &rnd)
 }
 
@@ -143,9 +154,13 @@
 func (p *Picker) collect(s *scratch, r *Request, rnd *stream) int {
 	for i := range s.sets {
 		c := &s.sets[i]
-		c.up, c.idle, c.down = c.up[:0], c.idle[:0], c.down[:0]
+		c.up, c.busy, c.idle, c.down = c.up[:0], c.busy[:0], c.idle[:0], c.down[:0]
 		c.sent, c.accepted = 0, 0
 	}
+	var held [model.OtherRegion + 1]bool
+	for d := model.SameRegion; d <= model.OtherRegion && !r.Waits; d++ {
+		held[d] = p.far(r.Service, d).has(r.Route, r.Now)
+	}
 	found := 0
 	for i := range r.Entries {
 		e := &r.Entries[i]
@@ -153,7 +168,8 @@
 			continue
 		}
 		found++
-		c := &s.sets[tier(r.From.DistanceTo(e.Location), r.Prefer)]
+		distance := r.From.DistanceTo(e.Location)
+		c := &s.sets[tier(distance, r.Prefer)]
 		ev := p.Evidence(e.Node, r.Now)
 		c.sent += ev.sent[r.Rank].value(r.Now, answerHalfLife)
 		c.accepted += ev.accepted[r.Rank].value(r.Now, answerHalfLife)
@@ -162,6 +178,8 @@
 			c.down = append(c.down, int32(i))
 		case e.State == model.NotServing:
 			c.idle = append(c.idle, int32(i))
+		case !r.Waits && (held[distance] || ev.busy.has(r.Route, r.Now)):
+			c.busy = append(c.busy, int32(i))
 		default:
 			c.up = append(c.up, int32(i))
 		}
--- a/pkg/gateway/budget_test.go
+++ b/pkg/gateway/budget_test.go
@@ -95,7 +95,7 @@
 	if !ok || got != f {
 		t.Errorf("got %+v, want %+v", got, f)
 	}
-	r := Refusal{Reason: model.Overloaded, Run: model.NotRun, RetryAfter: 640e6, Unreached: true}
+	r := Refusal{Reason: model.Overloaded, Run: model.NotRun, RetryAfter: 640e6, Unreached: true, Wait: 412e6}
 	back, ok := parseRefusal(r.String())
 	if !ok || *back != r {
 		t.Errorf("got %+v, want %+v", back, r)
@@ -105,7 +105,7 @@
 			t.Errorf("fields %q were taken", text)
 		}
 	}
-	for _, text := range []string{"", "overloaded", "overloaded maybe 1 1", "overloaded not_run x 1"} {
+	for _, text := range []string{"", "overloaded", "overloaded maybe 1 1", "overloaded not_run x 1", "overloaded not_run 1 1 x"} {
 		if _, ok := parseRefusal(text); ok {
 			t.Errorf("refusal %q was taken", text)
 		}
--- a/pkg/gateway/bulk.go
+++ b/pkg/gateway/bulk.go
@@ -67,7 +67,7 @@
 		return nil
 	}
 	r := refuse(reason)
-	r.RetryAfter = wait - limit + rand.N(overloadedRetry)
+	r.RetryAfter, r.Wait = wait-limit+rand.N(overloadedRetry), wait
 	return r
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -294,6 +294,8 @@
 	switch found {
 	case balance.NoEntry:
 		return g.exhausted(c)
+	case balance.Busy:
+		c.waitAnywhere()
 	case balance.Overloaded:
 		r := refuse(model.Overloaded)
 		r.RetryAfter = overloadedRetry/2 + rand.N(overloadedRetry)
@@ -305,7 +307,7 @@
 	c.avoid = append(c.avoid, entry.Node)
 	choice.Evidence.Begin(now)
 	r := refuse(model.CallerGone) // what a panic leaves
-	defer func() { g.learn(c, entry, choice.Evidence, now, r) }()
+	defer func() { g.learn(c, entry, &choice, now, r) }()
 	var res *Result
 	if res, r = g.dispatch(c, entry); r == nil {
 		r = g.receive(c, res)
@@ -317,6 +319,7 @@
 func (g *Gateway) pick(c *call, entries []model.Entry, now time.Duration) (balance.Choice, balance.Result) {
 	return g.Picker.Pick(balance.Request{
 		Entries: entries, From: g.Self.Location, Prefer: c.route.Prefer, Rank: c.job.Rank,
+		Service: c.job.Service, Route: c.job.Route, Waits: c.job.Patience == 0,
 		Avoid: c.avoid, Now: now, Random: rand.Uint64(),
 	})
 }
@@ -364,13 +367,16 @@
 }
 
 // learn records what an attempt shows about the node that was asked.
-func (g *Gateway) learn(c *call, entry *model.Entry, e *balance.Evidence, began time.Duration, r *Refusal) {
+func (g *Gateway) learn(c *call, entry *model.Entry, choice *balance.Choice, began time.Duration, r *Refusal) {
 	now := time.Since(g.epoch)
 	outcome := balance.Accepted
 	if r != nil {
 		switch r.Reason {
 		case model.Overloaded, model.DeadlineUnreachable, model.UpstreamShed:
 			outcome = balance.Refused
+			if excess := r.Wait - c.job.Patience; r.Wait > 0 && excess > 0 {
+				g.Picker.Hold(choice, c.job.Service, c.job.Route, excess, now, rand.Float64())
+			}
 		case model.UpstreamUnreachable, model.UpstreamLost:
 			outcome = balance.Failed
 		default:
@@ -387,5 +393,5 @@
 			g.View.SetServing(entry.Node, false, time.Now())
 		}
 	}
-	e.End(now, c.job.Rank, outcome, now-began)
+	choice.Evidence.End(now, c.job.Rank, outcome, now-began)
 }
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -132,6 +132,8 @@
 	Run    model.RunState
 	// RetryAfter is when a return is worthwhile, 0 if unknown.
 	RetryAfter time.Duration
+	// Wait is the expected wait for a slot or for the link, 0 if unknown.
+	Wait time.Duration
 	// Unreached says that no upstream saw the request.
 	Unreached bool
 	// Silent says that the node did not answer a connection.
@@ -146,16 +148,19 @@
 
 // String returns the content of Lentilflow-Refusal.
 func (r *Refusal) String() string {
-	return strings.Join([]string{string(r.Reason), string(r.Run), millis(r.RetryAfter), flag(r.Unreached)}, " ")
+	return strings.Join([]string{string(r.Reason), string(r.Run), millis(r.RetryAfter), flag(r.Unreached), millis(r.Wait)}, " ")
 }
 
 func parseRefusal(s string) (*Refusal, bool) {
 	part := strings.Fields(s)
-	if len(part) != 4 {
+	if len(part) != 4 && len(part) != 5 { // an earlier program leaves the last one out
 		return nil, false
 	}
-	wait, ok := parseMillis(part[2])
-	r := &Refusal{Reason: model.Reason(part[0]), Run: model.RunState(part[1]), RetryAfter: wait, Unreached: part[3] == "1"}
+	retry, ok := parseMillis(part[2])
+	r := &Refusal{Reason: model.Reason(part[0]), Run: model.RunState(part[1]), RetryAfter: retry, Unreached: part[3] == "1"}
+	if ok && len(part) == 5 {
+		r.Wait, ok = parseMillis(part[4])
+	}
 	switch r.Run {
 	case model.NotRun, model.Ran, model.Unknown:
 		return r, ok
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -320,7 +320,7 @@
 		return slot, nil
 	}
 	r := refuse(refused.Reason)
-	r.RetryAfter = refused.RetryAfter
+	r.RetryAfter, r.Wait = refused.RetryAfter, refused.Wait
 	if r.Reason == model.CallerGone && errors.Is(context.Cause(ctx), errWithdrawn) {
 		r.Reason = model.NodeDraining
 	}
