Let a few nodes of a zone try while the store is away

Change: after four nodes of a zone that the store turns away no further one takes over, and the others read out of turn four times as rarely, unless calls or digests show something newer.

--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -72,6 +72,10 @@
 	turnPoll = 150 * time.Millisecond
 	// turnJitter spreads the reads of nodes that hear no relay.
 	turnJitter = 400 * time.Millisecond
+	// outagePatience multiplies the patience while relays live and the store
+	// answers none of them: it is probably away. Other zones may have something
+	// newer all the same; their calls and digests tell.
+	outagePatience = 4
 	// behindTime is how long a node knows of something newer that it does not
 	// get from others before it reads the store.
 	behindTime = time.Second
@@ -153,9 +157,13 @@
 func (t *Turns) due(now time.Time) time.Duration {
 	n := t.node
 	n.mu.Lock()
-	heard := n.zone.LastHealthy()
+	heard, turnedAway := n.zone.LastHealthy(), n.zone.TurnedAway(n.clock())
 	n.mu.Unlock()
-	wait := max(heard, t.last) + t.patience - n.clock()
+	patience := t.patience
+	if turnedAway {
+		patience *= outagePatience
+	}
+	wait := max(heard, t.last) + patience - n.clock()
 	if since := t.behind.since(now); since > 0 {
 		wait = min(wait, max(behindTime-since, t.last+t.patience-n.clock()))
 	}
--- a/pkg/relay/zone.go
+++ b/pkg/relay/zone.go
@@ -17,6 +17,11 @@
 	// smallZone is the size of a zone up to which every node follows the store.
 	// A few calls are not worth the time that a lost relay costs.
 	smallZone = 4
+	// maxTurnedAway is how many nodes of a zone may say that the store does not
+	// answer them before no further one takes over: it is then away for all, or
+	// for most. With each node of 194 that tried, an outage of 8 s cost 5,000
+	// calls.
+	maxTurnedAway = 4
 	// BeaconPeriod is the time between two beacons of a relay.
 	BeaconPeriod = 300 * time.Millisecond
 	// Silence is how long a relay may be silent before it is passed over: three
@@ -41,6 +46,7 @@
 	self     model.NodeID
 	heard    map[model.NodeID]beacon
 	expected map[model.NodeID]time.Duration // since when a node should send beacons
+	latest   time.Duration                  // last beacon
 	healthy  time.Duration                  // last beacon of a relay whose store answers
 	served   bool                           // there was one
 }
@@ -58,6 +64,7 @@
 // Hear notes a beacon of a relay; store says that the store answers it.
 func (z *Zone) Hear(id model.NodeID, store bool, now time.Duration) {
 	z.heard[id] = beacon{now, store}
+	z.latest = now
 	if store {
 		z.healthy, z.served = now, true
 	}
@@ -70,6 +77,12 @@
 // Served reports whether a relay whose store answers was heard a moment ago.
 func (z *Zone) Served(now time.Duration) bool { return z.served && now-z.healthy < Silence }
 
+// TurnedAway reports whether relays were heard a moment ago, and the store
+// answers none of them.
+func (z *Zone) TurnedAway(now time.Duration) bool {
+	return now-z.latest < Silence && z.healthy < z.latest && now-z.healthy >= Silence
+}
+
 // Relays returns the relays among the ranked nodes of the zone, as this node
 // sees them, and the time until that may change without a further beacon, 0 if
 // it may not.
@@ -82,8 +95,9 @@
 			next = d
 		}
 	}
+	turnedAway := 0
 	for i, id := range ranked {
-		if len(relays) == PerZone {
+		if len(relays) == PerZone || turnedAway > maxTurnedAway {
 			for _, later := range ranked[i:] {
 				delete(z.expected, later)
 			}
@@ -93,6 +107,10 @@
 			relays = append(relays, id)
 			continue
 		}
+		if b, ok := z.heard[id]; ok && !b.store && now-b.at < Silence {
+			turnedAway++
+			continue
+		}
 		if left := z.trusted(id, now); left > 0 {
 			relays = append(relays, id)
 			wait(left)
@@ -110,13 +128,8 @@
 		since = now
 		z.expected[id] = now
 	}
-	if b, ok := z.heard[id]; ok {
-		if !b.store && now-b.at < Silence {
-			return 0
-		}
-		if b.store {
-			since = max(since, b.at)
-		}
+	if b, ok := z.heard[id]; ok && b.store {
+		since = max(since, b.at)
 	}
 	return max(Silence-(now-since), 0)
 }
