Add a randomized fault soak of real processes

A seed decides which faults meet eight node processes: signals in series and overlapping, a store that is away, slow, loses answers, serves some nodes only or forgets its history, upstreams that misbehave, drain and start anew, and configurations in quick succession. What callers and upstreams see is judged against one ledger; each check has a broken case that it notices.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets need Go, make and git only; Go fetches the pinned modules.
-.PHONY: build run test fmt lint race integration performance regression clean
+.PHONY: build run test fmt lint race integration soak performance regression clean
 
 PACKAGES := ./... ./test/... ./tools/...
 
@@ -26,6 +26,10 @@
 integration: build
 	LENTILFLOW_BIN=$(CURDIR)/bin .ci/gotest -count=1 -timeout 8m ./test/...
 
+# Random faults on real processes; LENTILFLOW_SOAK_SEEDS=1-50 chooses the seeds.
+soak: build
+	LENTILFLOW_BIN=$(CURDIR)/bin go test -count=1 -timeout 60m -v -run TestSoak ./test/
+
 # The tables of docs/PERFORMANCE.md, from the journal of the users' bench.
 performance:
 	@go run ./tools/performance
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -110,8 +111,12 @@
 func (c *cluster) add(zone, service string) *node {
 	c.t.Helper()
 	_, name, _ := strings.Cut(zone, "/")
+	name += "-" + service
+	if same := len(c.named(name)); same > 0 {
+		name = fmt.Sprint(name, "-", same+1)
+	}
 	n := &node{
-		c: c, name: name + "-" + service, service: service, zone: zone,
+		c: c, name: name, service: service, zone: zone,
 		calls: free(c.t), peers: free(c.t), messages: free(c.t), reports: free(c.t), ready: free(c.t), app: free(c.t),
 	}
 	var err error
@@ -126,6 +131,11 @@
 	return n
 }
 
+// named returns the nodes whose names begin with a text.
+func (c *cluster) named(start string) []*node {
+	return slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return !strings.HasPrefix(n.name, start) })
+}
+
 // ports hands out each port once. They lie below the range from which the
 // system takes the ports of outgoing connections.
 var ports = struct {
--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,413 @@
+package test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/standin/store"
+	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
+)
+
+const (
+	// soakDrain is how long after an acknowledged departure a run may still
+	// begin; the bound of the deployments is 2 s and more.
+	soakDrain = 2 * time.Second
+	// soakRecovery bounds the time from the end of all faults until every node
+	// serves the newest version.
+	soakRecovery = 15 * time.Second
+	// soakLength is the time with faults of one seed, unless
+	// LENTILFLOW_SOAK_TIME states another one.
+	soakLength = 6 * time.Second
+)
+
+// regressionSeeds are played in every run. A seed that failed once stays, with
+// a line on the cause.
+var regressionSeeds = []uint64{1, 2}
+
+// TestSoak runs real processes and lets a seed decide which faults meet them:
+// processes that are stopped, paused, killed and restarted, in series and
+// overlapping; a store that is away, slow, loses answers, serves some nodes
+// only or forgets its history; upstreams that lose, break off, repeat or fail
+// answers, slow down, drain and start anew; configurations in quick
+// succession. Callers keep their connections. What callers and upstreams see is
+// checked against one ledger.
+//
+//	LENTILFLOW_SOAK_SEEDS=1-50 LENTILFLOW_SOAK_TIME=10s make soak
+func TestSoak(t *testing.T) {
+	for _, seed := range soakSeeds(t) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { playSoak(t, seed) })
+	}
+}
+
+func soakSeeds(t *testing.T) []uint64 {
+	text := os.Getenv("LENTILFLOW_SOAK_SEEDS")
+	if text == "" {
+		return regressionSeeds
+	}
+	first, last, found := strings.Cut(text, "-")
+	if !found {
+		last = first
+	}
+	from, err := strconv.ParseUint(first, 10, 32)
+	to, terr := strconv.ParseUint(last, 10, 32)
+	if err != nil || terr != nil || to < from {
+		t.Fatalf("LENTILFLOW_SOAK_SEEDS is %q, want for example 7 or 1-50", text)
+	}
+	var seeds []uint64
+	for s := from; s <= to; s++ {
+		seeds = append(seeds, s)
+	}
+	return seeds
+}
+
+// observed is an answer, with what is needed to judge it.
+type observed struct {
+	answer
+	order  bool // not idempotent
+	node   string
+	life   int64 // of the process, increased before each start and after each end
+	before bool  // the process lived through the whole request
+}
+
+// soak is one play of a seed.
+type soak struct {
+	*cluster
+	rnd     *rand.Rand
+	version model.Version
+	lives   map[string]*atomic.Int64
+
+	tasks sync.WaitGroup
+	busy  map[string]*atomic.Bool // nodes that an action is working on
+
+	mu      sync.Mutex
+	seen    []observed
+	left    map[string]time.Time // acknowledged departures by boot
+	actions []string
+}
+
+func playSoak(t *testing.T, seed uint64) {
+	s := &soak{
+		cluster: &cluster{t: t, dir: t.TempDir(), store: store.New()}, rnd: rand.New(rand.NewPCG(seed, seed)), version: 1,
+		lives: make(map[string]*atomic.Int64), busy: make(map[string]*atomic.Bool), left: make(map[string]time.Time),
+	}
+	s.put(routes(1))
+	for range 3 { // a zone with relays
+		for _, service := range services {
+			s.add(zones[0], service)
+		}
+	}
+	for _, service := range services {
+		s.add(zones[1], service)
+	}
+	for _, n := range s.nodes {
+		s.lives[n.name], s.busy[n.name] = &atomic.Int64{}, &atomic.Bool{}
+		n.run()
+	}
+	t.Cleanup(s.end)
+	t.Cleanup(func() { s.keep(seed) })
+	s.await(startTime, "all nodes ready", func() bool { return s.ready(len(s.nodes)) })
+	stop := s.callers()
+	length := soakLength
+	if text := os.Getenv("LENTILFLOW_SOAK_TIME"); text != "" {
+		var err error
+		if length, err = time.ParseDuration(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		s.act()
+		time.Sleep(time.Duration(s.rnd.IntN(400)) * time.Millisecond)
+	}
+	s.tasks.Wait()
+	s.heal()
+	s.await(soakRecovery, "every node serves the newest version", func() bool {
+		return s.ready(len(s.nodes)) && s.inForce(s.version) && s.allServe()
+	})
+	stop()
+	time.Sleep(500 * time.Millisecond) // what was given up ends
+	for _, fault := range judgeSoak(s.seen, s.ledger.Runs(), s.left) {
+		t.Error(fault)
+	}
+	t.Logf("seed %d: %d requests, %d actions", seed, len(s.seen), len(s.actions))
+}
+
+// keep saves what a failed play left.
+func (s *soak) keep(seed uint64) {
+	if !s.t.Failed() {
+		return
+	}
+	dir := filepath.Join(os.TempDir(), fmt.Sprintf("lentilflow-soak-%d", seed))
+	_ = os.MkdirAll(dir, 0o755)
+	_ = os.WriteFile(filepath.Join(dir, "actions"), []byte(strings.Join(s.actions, "\n")), 0o600)
+	for _, n := range s.nodes {
+		if text, err := os.ReadFile(n.log); err == nil {
+			_ = os.WriteFile(filepath.Join(dir, filepath.Base(n.log)), text, 0o600)
+		}
+	}
+	s.t.Logf("again: LENTILFLOW_SOAK_SEEDS=%d make soak; logs are in %s", seed, dir)
+}
+
+// callers sends orders and reads at every node until stop is called.
+func (s *soak) callers() (stop func()) {
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	for _, n := range s.nodes {
+		for _, order := range []bool{true, false} {
+			caller, life := newCaller(n), s.lives[n.name]
+			wait.Go(func() {
+				for {
+					select {
+					case <-ended:
+						return
+					default:
+					}
+					o := observed{order: order, node: n.name, life: life.Load()}
+					if order {
+						o.answer = caller.send(http.MethodPost, "/bookings/1", 2*time.Second)
+					} else {
+						o.answer = caller.send(http.MethodGet, "/status/1", 2*time.Second)
+					}
+					o.before = life.Load() == o.life
+					s.mu.Lock()
+					s.seen = append(s.seen, o)
+					s.mu.Unlock()
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+	return func() {
+		close(ended)
+		wait.Wait()
+	}
+}
+
+// act lets one fault happen, or end. Actions on different nodes overlap; all
+// that is random is drawn here, so that a seed decides it.
+func (s *soak) act() {
+	n := s.nodes[s.rnd.IntN(len(s.nodes))]
+	pause := time.Duration(200+s.rnd.IntN(1500)) * time.Millisecond
+	fault, behaviour, jump := s.storeFault(), s.behaviour(), model.Version(1+s.rnd.IntN(3))
+	actions := []struct {
+		name string
+		do   func()
+	}{
+		{"kill", func() { s.restart(n, syscall.SIGKILL) }},
+		{"stop", func() { s.restart(n, syscall.SIGTERM) }},
+		{"pause", func() { s.pause(n, pause) }},
+		{"store fault", func() { n.endpoint.Set(fault) }},
+		{"store fault everywhere", func() {
+			for _, n := range s.nodes {
+				n.endpoint.Set(fault)
+			}
+		}},
+		{"store sound", func() {
+			for _, n := range s.nodes {
+				n.endpoint.Set(store.Fault{})
+			}
+		}},
+		{"history lost", s.store.Compact},
+		{"configuration", func() { s.change(jump) }},
+		{"configurations", func() {
+			for range 5 {
+				s.change(jump)
+				time.Sleep(30 * time.Millisecond)
+			}
+		}},
+		{"upstream", func() { n.upstream.Set(behaviour) }},
+		{"upstream sound", func() { n.upstream.Set(upstream.Behaviour{}) }},
+		{"replace", func() { s.replace(n, pause/3) }},
+		{"crash", func() {
+			n.upstream.Crash()
+			n.startUpstream()
+		}},
+	}
+	a := actions[s.rnd.IntN(len(actions))]
+	if s.busy[n.name].Swap(true) {
+		return
+	}
+	s.actions = append(s.actions, time.Now().Format(time.RFC3339Nano)+" "+a.name+" "+n.name)
+	s.tasks.Go(func() {
+		defer s.busy[n.name].Store(false)
+		a.do()
+	})
+}
+
+// restart ends a process and starts it again. A planned stop is not waited for
+// beyond its grace period.
+func (s *soak) restart(n *node, sig syscall.Signal) {
+	life := s.lives[n.name]
+	life.Add(1)
+	n.signal(syscall.SIGCONT)
+	n.signal(sig)
+	if !n.process.endsWithin(8 * time.Second) {
+		s.t.Errorf("%s has not ended 8 s after signal %s", n.name, sig)
+		n.kill()
+	}
+	life.Add(1)
+	n.run()
+}
+
+func (s *soak) pause(n *node, d time.Duration) {
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	n.signal(syscall.SIGCONT)
+}
+
+func (s *soak) storeFault() store.Fault {
+	faults := []store.Fault{
+		{Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}, {Silent: true}, {Reset: true},
+		{Delay: 300 * time.Millisecond}, {LoseAnswers: true},
+	}
+	return faults[s.rnd.IntN(len(faults))]
+}
+
+func (s *soak) behaviour() upstream.Behaviour {
+	all := []upstream.Behaviour{
+		{LoseAnswers: true}, {Truncate: true}, {Fail: true}, {Duplicate: true}, {Work: 200 * time.Millisecond}, {Work: 5 * time.Second},
+	}
+	return all[s.rnd.IntN(len(all))]
+}
+
+// change puts the next version in force.
+func (s *soak) change(jump model.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += jump
+	c := routes(s.version)
+	c.Routes = append(c.Routes, config.Route{
+		Name: "extra", Host: host, Prefix: fmt.Sprintf("/extra%d/", s.version), Attempts: 1,
+		Split: []config.Share{{Service: services[0], Weight: 1}},
+	})
+	s.put(c)
+}
+
+// replace drains the upstream of a VM and starts another boot at its address.
+func (s *soak) replace(n *node, serves time.Duration) {
+	if n.upstream.Drain() {
+		s.mu.Lock()
+		s.left[n.upstream.ID] = time.Now()
+		s.mu.Unlock()
+	}
+	time.Sleep(serves)
+	n.upstream.Leave()
+	n.upstream.Crash()
+	n.startUpstream()
+}
+
+// heal ends all faults.
+func (s *soak) heal() {
+	for _, n := range s.nodes {
+		n.endpoint.Set(store.Fault{})
+		n.upstream.Set(upstream.Behaviour{})
+		n.signal(syscall.SIGCONT)
+	}
+	s.change(1)
+}
+
+// allServe reports whether a call at each node is served.
+func (s *soak) allServe() bool {
+	for _, n := range s.nodes {
+		c := newCaller(n)
+		a := c.send(http.MethodGet, "/status/1", time.Second)
+		c.client.CloseIdleConnections()
+		if !a.served() {
+			return false
+		}
+	}
+	return true
+}
+
+// judgeSoak returns the promises that were broken.
+func judgeSoak(seen []observed, runs []upstream.Run, left map[string]time.Time) (faults []string) {
+	count := make(map[string]int)
+	for _, r := range runs {
+		count[r.ID]++
+		if at, ok := left[r.Boot]; ok && r.Start.Sub(at) > soakDrain {
+			faults = append(faults, fmt.Sprintf("request %s began at boot %s %s after its departure was acknowledged", r.ID, r.Boot, r.Start.Sub(at)))
+		}
+	}
+	inForce := make(map[string]uint64)
+	for _, o := range seen {
+		n := count[o.id]
+		switch {
+		case o.order && n > 1:
+			faults = append(faults, fmt.Sprintf("order %s ran %d times", o.id, n))
+		case n > 3:
+			faults = append(faults, fmt.Sprintf("read %s ran %d times, its route allows 3", o.id, n))
+		case o.refused() && n > 0:
+			faults = append(faults, fmt.Sprintf("request %s was answered %d, which promises that it has not run", o.id, o.status))
+		case o.status == http.StatusOK && (!o.served() || n == 0):
+			faults = append(faults, fmt.Sprintf("request %s got the success %q, %d runs", o.id, o.body, n))
+		case o.status == http.StatusNotFound:
+			faults = append(faults, fmt.Sprintf("request %s was answered 404, every version has its route", o.id))
+		}
+		if !o.before || o.header == nil {
+			continue
+		}
+		v, err := strconv.ParseUint(o.header.Get("Lentilflow-Version"), 10, 64)
+		key := fmt.Sprint(o.node, o.order, o.life)
+		if err != nil {
+			continue
+		}
+		if v < inForce[key] {
+			faults = append(faults, fmt.Sprintf("node %s went back from version %d to %d", o.node, inForce[key], v))
+		}
+		inForce[key] = v
+	}
+	slices.SortFunc(faults, cmp.Compare[string])
+	return faults
+}
+
+// Guards the checks of the soak: each notices what it is there for.
+func TestSoakChecksNoticeFaults(t *testing.T) {
+	now := time.Now()
+	run := func(id, boot string, after time.Duration) upstream.Run {
+		return upstream.Run{ID: id, Boot: boot, Start: now.Add(after)}
+	}
+	got := func(id string, status int, body string, version string) observed {
+		return observed{
+			answer: answer{id: id, status: status, body: body, header: http.Header{"Lentilflow-Version": {version}}}, node: "n", before: true,
+		}
+	}
+	order := func(o observed) observed {
+		o.order = true
+		return o
+	}
+	for name, c := range map[string]struct {
+		seen   []observed
+		runs   []upstream.Run
+		faults int
+	}{
+		"sound":            {[]observed{got("1", 200, "ran 1", "3"), order(got("2", 503, "", "3"))}, []upstream.Run{run("1", "a", 0)}, 0},
+		"sound drain":      {[]observed{got("1", 200, "ran 1", "3")}, []upstream.Run{run("1", "gone", soakDrain)}, 0},
+		"lost answer":      {[]observed{order(got("1", 0, "", ""))}, []upstream.Run{run("1", "a", 0)}, 0},
+		"ran twice":        {[]observed{order(got("1", 200, "ran 1", "3"))}, []upstream.Run{run("1", "a", 0), run("1", "b", 0)}, 1},
+		"ran too often":    {[]observed{got("1", 200, "ran 1", "3")}, []upstream.Run{run("1", "a", 0), run("1", "b", 0), run("1", "a", 1), run("1", "b", 1)}, 1},
+		"untrue":           {[]observed{got("1", 503, "", "3")}, []upstream.Run{run("1", "a", 0)}, 1},
+		"foreign":          {[]observed{got("1", 200, "ran 2", "3")}, []upstream.Run{run("1", "a", 0)}, 1},
+		"broken off":       {[]observed{got("1", 200, "ran", "3")}, []upstream.Run{run("1", "a", 0)}, 1},
+		"made up":          {[]observed{got("1", 200, "ran 1", "3")}, nil, 1},
+		"dropped route":    {[]observed{got("1", 404, "", "3")}, nil, 1},
+		"went back":        {[]observed{got("1", 503, "", "3"), got("2", 503, "", "2")}, nil, 1},
+		"left and running": {nil, []upstream.Run{run("1", "gone", soakDrain+time.Millisecond)}, 1},
+	} {
+		if faults := judgeSoak(c.seen, c.runs, map[string]time.Time{"gone": now}); len(faults) != c.faults {
+			t.Errorf("%s: %q, want %d", name, faults, c.faults)
+		}
+	}
+}
