--- /dev/null
+++ b/pkg/h1/fault_test.go
@@ -0,0 +1,167 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a fault of one call that ends the process: its connection
+// ends with an honest failure, and the next one is served.
+func TestPanicEndsItsConnectionOnly(t *testing.T) {
+	is := is.New(t)
+	var panics atomic.Int64
+	s := &Server{
+		Handle: func(x *Exchange) {
+			if x.Request.URL.Path == "/bad" {
+				panic("fault of the program")
+			}
+			_ = x.Reply(text(200, "good"))
+		},
+		OnPanic: func(any, []byte) { panics.Add(1) },
+	}
+	address := start(t, s)
+	for range 3 {
+		nc, r := dial(t, address)
+		send(t, nc, get("/bad"))
+		resp, _ := read(t, r)
+		is.Equal(resp.StatusCode, http.StatusInternalServerError)
+		is.True(resp.Close)
+		nc, r = dial(t, address)
+		send(t, nc, get("/"))
+		resp, body := read(t, r)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body, "good")
+	}
+	is.Equal(panics.Load(), int64(3))
+	for end := time.Now().Add(patience); s.Active() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(s.Active(), 0)
+}
+
+// endless writes text again and again until the connection is closed.
+func endless(t *testing.T, prefix, text string, pause time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+					return
+				}
+				_, err := io.WriteString(nc, prefix)
+				for err == nil {
+					_, err = io.WriteString(nc, text)
+					time.Sleep(pause)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a server that sends bytes without end, at once or a few at a
+// time, in each place of an answer's head and in an answer to another request:
+// the exchange fails long before its deadline.
+func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
+	many := strings.Repeat("x", 1<<10)
+	for name, c := range map[string]struct{ prefix, text string }{
+		"no answer":     {"", many},
+		"status line":   {"HTTP/1.1 200 ", many},
+		"field":         {"HTTP/1.1 200 OK\r\nA: ", many},
+		"fields":        {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"stray sized":   {"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 1000000000\r\n\r\n", many},
+		"stray chunked": {"HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + many + "\r\n"},
+		"stray closed":  {"HTTP/1.1 200 OK\r\nId: 7\r\n\r\n", many},
+		"chunk size":    {"HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"trailer":       {"HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	} {
+		for speed, pause := range map[string]time.Duration{"fast": 0, "slow": 50 * time.Millisecond} {
+			t.Run(name+" "+speed, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				p := pool(endless(t, c.prefix, c.text, pause))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				began := time.Now()
+				_, err := p.Do(ctx, request("1"))
+				is.True(err != nil)
+				var f *Failure
+				is.True(errors.As(err, &f))
+				is.True(f.Sent)
+				is.True(time.Since(began) < patience)
+			})
+		}
+	}
+}
+
+// Guards against requests that are cut off by a planned stop: one that has
+// reached the node before its idle connections are closed is answered.
+func TestRequestBesideTheEndOfIdleConnectionsIsAnswered(t *testing.T) {
+	is := is.New(t)
+	for range 200 {
+		s := &Server{Handle: func(x *Exchange) { _ = x.Reply(text(200, "good")) }}
+		nc, r := dial(t, start(t, s))
+		send(t, nc, get("/"))
+		_, _ = read(t, r)
+		s.Drain()
+		send(t, nc, get("/"))
+		s.CloseIdle()
+		resp, body := read(t, r)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body, "good")
+		_ = nc.Close()
+	}
+}
+
+// Guards against connections that wait to be accepted when the listener is
+// closed by a planned stop: their requests are answered.
+func TestWaitingConnectionsAreServedAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Handle: func(x *Exchange) { _ = x.Reply(text(200, "good")) }}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	type caller struct {
+		net.Conn
+		*bufio.Reader
+	}
+	var callers []caller
+	for range 50 { // none is accepted yet
+		nc, r := dial(t, l.Addr().String())
+		send(t, nc, get("/"))
+		callers = append(callers, caller{nc, r})
+	}
+	s.Limits, s.OnFault = func() Limits { return Limits{} }, func(net.Addr, Fault, error) {}
+	s.Drain()
+	ended := make(chan error, 1)
+	go func() {
+		s.Close(l)
+		ended <- s.Serve(l)
+	}()
+	for _, c := range callers {
+		resp, body := read(t, c.Reader)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body, "good")
+	}
+	is.NoErr(<-ended)
+}
