Let every node follow the store where a change has to be in force sooner than in 3 s

A relay that the store leaves without an answer notices that after 1.2 s; with the beacons and a read 2 s may pass.

Change: the setting store.apply holds the bound; below 3 s no zone has relays, as before this change.

Test: TestCalmZoneHasTwoRelays, TestTemplateIsAcceptable.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -116,6 +116,7 @@
 		Client:   messageClient(),
 		OnConfig: func(v config.Version, from string) { a.inForce(v, zap.String("from_node", from)) },
 		OnFleet:  a.fleetChanged,
+		Apply:    time.Duration(s.Store.Apply),
 		Guard:    a.guard,
 	}
 	a.gossip.Start(time.Now())
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -63,6 +63,8 @@
 	// OnFleet is told of a fleet that came from another node, with the nodes
 	// that were removed as far as they are known.
 	OnFleet func(removed []model.NodeID)
+	// Apply is the time in which a change has to be in force.
+	Apply time.Duration
 	// Datagrams carries beacons and states within the zone.
 	Datagrams *net.UDPConn
 	Guard     *contain.Guard
@@ -116,6 +118,7 @@
 	n.began = now
 	n.hurry, n.beat = make(chan struct{}, 1), make(chan struct{}, 1)
 	n.zone = relay.NewZone(n.Self.Node, 0)
+	n.zone.Everyone = n.Apply < relay.ShortestApply
 	n.heard = make(map[model.NodeID]heard)
 }
 
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -22,6 +22,7 @@
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/relay"
 )
 
 // peer is a node with a listener that counts the bytes that it sends.
@@ -57,7 +58,7 @@
 			Location: model.Location{Region: "r", AvailabilityZone: "z"},
 		},
 		Config: config.NewHolder(), View: fleet.NewView(), Notices: crashguard.NewMemory(time.Now), Serving: p.serving.Load,
-		Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ string) { p.taken.Store(int64(v)) },
+		Apply: relay.ShortestApply, Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ string) { p.taken.Store(int64(v)) },
 	}
 	p.OnFleet = func([]model.NodeID) {}
 	// The same port as that of the messages, as on a node.
--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -97,8 +97,7 @@
 	alone    bool          // the fleet is not known
 }
 
-// ConfigTurns returns when the configuration is read. A change must be in
-// force within 3 s in deployments whose zones have relays. A node that starts
+// ConfigTurns returns when the configuration is read. A node that starts
 // again reads at once, because callers wait for it; when the whole deployment
 // starts for the first time the relays do it.
 func (n *Node) ConfigTurns(firstStart bool) *Turns {
--- a/pkg/relay/zone.go
+++ b/pkg/relay/zone.go
@@ -25,10 +25,13 @@
 	// BeaconPeriod is the time between two beacons of a relay.
 	BeaconPeriod = 300 * time.Millisecond
 	// Silence is how long a relay may be silent before it is passed over: three
-	// beacons, since datagrams get lost. With the time to read the store a
-	// change is in force well before 3 s, the shortest bound of a deployment
-	// with zones that have relays.
+	// beacons, since datagrams get lost.
 	Silence = 950 * time.Millisecond
+	// ShortestApply is the shortest time in which a change has to be in force
+	// with which a zone has relays: a relay that the store leaves without an
+	// answer notices that after 1.2 s, and the others have to hear of it and
+	// read.
+	ShortestApply = 3 * time.Second
 )
 
 // Rank returns the nodes in the order in which they become relays.
@@ -43,6 +46,9 @@
 // Zone is what a node has heard of the relays of its zone. Times are on any
 // monotonic clock. It is not safe for concurrent use.
 type Zone struct {
+	// Everyone lets every node follow the store, however large the zone is.
+	Everyone bool
+
 	self     model.NodeID
 	heard    map[model.NodeID]beacon
 	expected map[model.NodeID]time.Duration // since when a node should send beacons
@@ -87,7 +93,7 @@
 // sees them, and the time until that may change without a further beacon, 0 if
 // it may not.
 func (z *Zone) Relays(ranked []model.NodeID, now time.Duration) (relays []model.NodeID, next time.Duration) {
-	if len(ranked) <= smallZone {
+	if z.Everyone || len(ranked) <= smallZone {
 		return ranked, 0
 	}
 	wait := func(d time.Duration) {
--- a/pkg/relay/zone_test.go
+++ b/pkg/relay/zone_test.go
@@ -45,6 +45,10 @@
 	small := nodes(smallZone)
 	relays, _ := NewZone(small[3], 0).Relays(small, 0)
 	is.Equal(relays, small)
+	all := NewZone(nodes(22)[21], 0)
+	all.Everyone = true
+	relays, _ = all.Relays(nodes(22), 0)
+	is.Equal(relays, nodes(22))
 }
 
 // Guards against relays of one zone that all sort first because of their
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -55,6 +55,9 @@
 // Store says where the platform's store is.
 type Store struct {
 	Address Address `yaml:"address" required:"yes" unit:"address"`
+	// Apply is the time in which an accepted change has to be in force
+	// everywhere. If it is shorter than 3 s every node follows the store itself.
+	Apply Duration `yaml:"apply" default:"3s" min:"0s" max:"10m" unit:"duration"`
 }
 
 // Network describes the link of the VM.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -53,7 +53,7 @@
 		{"out of range", "extra: 62", "extra: -1", `node.yaml:17: retries.extra: out of range "-1"`},
 		{"above the maximum", "extra: 62", "extra: 1000001", `node.yaml:17: retries.extra: out of range "1000001"`},
 		{"too long", "finish: 6s", "finish: 601s", `node.yaml:19: drain.finish: out of range "601s"`},
-		{"mapping expected", "store:\n  address: 127.0.0.1:7390", "store: here", `node.yaml:13: store: wrong type (accepted: mapping with the fields address)`},
+		{"mapping expected", "store:\n  address: 127.0.0.1:7390", "store: here", `node.yaml:13: store: wrong type (accepted: mapping with the fields address, apply)`},
 		{"wrong unit", "6s", "6us", `node.yaml:19: drain.finish: malformed duration or wrong unit "6us" (accepted: number with unit ms, s or m, such as 500ms, from 0s to 10m)`},
 		{"no unit", "6s", "6", `node.yaml:19: drain.finish: malformed duration or wrong unit "6"`},
 		{"ratio above 1", "ratio: 0.2", "ratio: 1.2", `node.yaml:16: retries.ratio: out of range "1.2" (accepted: number from 0 to 1, such as 0.2)`},
