--- a/pkg/standin/upstream/report.go
+++ b/pkg/standin/upstream/report.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -49,7 +50,7 @@
 	u.mu.Lock()
 	u.sequence++
 	r := report{
-		Address: u.addr, Born: u.born,
+		Address: cmp.Or(u.cfg.Reported, u.addr), Born: u.born,
 		Info:   info{Service: u.cfg.Service, Version: "v1", Zone: u.cfg.Zone, Slots: u.cfg.Slots},
 		Status: status{State: "ready", Sequence: u.sequence, Cold: "0ms"},
 	}
--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -36,6 +36,9 @@
 	Slots   int // runs at a time; a request beyond them is shed
 	// Control takes reports, and Outbound requests, of the node on the VM.
 	Control, Outbound string
+	// Reported is the address that reports state, such as that of a proxy in
+	// front; empty stands for its own.
+	Reported string
 	// Work is how long a run takes.
 	Work time.Duration
 }
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -48,9 +48,11 @@
 	calls, peers, messages, reports, ready, app string
 	endpoint                                    *store.Endpoint
 	storeAddress                                string
-	process                                     *process
-	upstream                                    *upstream.Upstream
-	log, settings                               string
+	// upstreamAddress is that of app, or of a proxy in front of it.
+	upstreamAddress string
+	process         *process
+	upstream        *upstream.Upstream
+	log, settings   string
 }
 
 var zones = []string{"serra/caxias", "litoral/joinville", "oeste/cascavel"}
@@ -109,6 +111,14 @@
 }
 
 func (c *cluster) add(zone, service string) *node {
+	c.t.Helper()
+	n := c.place(zone, service)
+	n.startUpstream()
+	return n
+}
+
+// place adds a node whose upstream is not started.
+func (c *cluster) place(zone, service string) *node {
 	c.t.Helper()
 	_, name, _ := strings.Cut(zone, "/")
 	name += "-" + service
@@ -123,10 +133,9 @@
 	if n.endpoint, err = c.store.Listen("127.0.0.1:0"); err != nil {
 		c.t.Fatal(err)
 	}
-	n.storeAddress = n.endpoint.Address()
+	n.storeAddress, n.upstreamAddress = n.endpoint.Address(), n.app
 	n.log = filepath.Join(c.dir, n.name+".log")
 	n.settings = filepath.Join(c.dir, n.name+".yaml")
-	n.startUpstream()
 	c.nodes = append(c.nodes, n)
 	return n
 }
@@ -165,7 +174,7 @@
 func (n *node) startUpstream() {
 	n.c.t.Helper()
 	u, err := upstream.Start(upstream.Config{
-		Service: n.service, Zone: n.zone, Slots: slots, Control: n.reports, Outbound: n.calls, Work: 10 * time.Millisecond,
+		Service: n.service, Zone: n.zone, Slots: slots, Control: n.reports, Outbound: n.calls, Reported: n.upstreamAddress, Work: 10 * time.Millisecond,
 	}, n.app, &n.c.ledger)
 	if err != nil {
 		n.c.t.Fatal(err)
@@ -185,7 +194,7 @@
 store: {address: "%s"}
 retries: {ratio: %g, extra: 60}
 drain: {announce: 500ms, finish: 6s}
-`, n.name, region, zone, n.calls, n.peers, n.messages, n.reports, n.ready, n.service, n.app, n.storeAddress, ratio)
+`, n.name, region, zone, n.calls, n.peers, n.messages, n.reports, n.ready, n.service, n.upstreamAddress, n.storeAddress, ratio)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		n.c.t.Fatal(err)
 	}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/faultproxy"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/standin/store"
 	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
@@ -41,7 +42,8 @@
 // TestSoak runs real processes and lets a seed decide which faults meet them:
 // processes that are stopped, paused, killed and restarted, in series and
 // overlapping; a store that is away, slow, loses answers, serves some nodes
-// only or forgets its history; upstreams that lose, break off, repeat or fail
+// only or forgets its history; connections to it and to upstreams that are
+// reset, delayed, silenced one way or broken off; upstreams that lose, break off, repeat or fail
 // answers, slow down, drain and start anew; configurations in quick
 // succession. Callers keep their connections. What callers and upstreams see is
 // checked against one ledger.
@@ -90,6 +92,7 @@
 	version model.Version
 	lives   map[string]*atomic.Int64
 
+	links map[string]*links
 	tasks sync.WaitGroup
 	busy  map[string]*atomic.Bool // nodes that an action is working on
 
@@ -102,19 +105,20 @@
 func playSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		cluster: &cluster{t: t, dir: t.TempDir(), store: store.New()}, rnd: rand.New(rand.NewPCG(seed, seed)), version: 1,
-		lives: make(map[string]*atomic.Int64), busy: make(map[string]*atomic.Bool), left: make(map[string]time.Time),
+		lives: make(map[string]*atomic.Int64), links: make(map[string]*links), busy: make(map[string]*atomic.Bool), left: make(map[string]time.Time),
 	}
 	s.put(routes(1))
 	for range 3 { // a zone with relays
 		for _, service := range services {
-			s.add(zones[0], service)
+			s.place(zones[0], service)
 		}
 	}
 	for _, service := range services {
-		s.add(zones[1], service)
+		s.place(zones[1], service)
 	}
 	for _, n := range s.nodes {
-		s.lives[n.name], s.busy[n.name] = &atomic.Int64{}, &atomic.Bool{}
+		s.lives[n.name], s.busy[n.name], s.links[n.name] = &atomic.Int64{}, &atomic.Bool{}, newLinks(t, n)
+		n.startUpstream()
 		n.run()
 	}
 	t.Cleanup(s.end)
@@ -201,6 +205,7 @@
 func (s *soak) act() {
 	n := s.nodes[s.rnd.IntN(len(s.nodes))]
 	pause := time.Duration(200+s.rnd.IntN(1500)) * time.Millisecond
+	conditions, forward := s.conditions(), s.rnd.IntN(2) == 0
 	fault, behaviour, jump := s.storeFault(), s.behaviour(), model.Version(1+s.rnd.IntN(3))
 	actions := []struct {
 		name string
@@ -228,6 +233,10 @@
 				time.Sleep(30 * time.Millisecond)
 			}
 		}},
+		{"store link", func() { s.links[n.name].store.set(conditions, forward) }},
+		{"upstream link", func() { s.links[n.name].upstream.set(conditions, forward) }},
+		{"links reset", s.links[n.name].reset},
+		{"links sound", s.links[n.name].heal},
 		{"upstream", func() { n.upstream.Set(behaviour) }},
 		{"upstream sound", func() { n.upstream.Set(upstream.Behaviour{}) }},
 		{"replace", func() { s.replace(n, pause/3) }},
@@ -247,6 +256,58 @@
 	})
 }
 
+// link is a proxy on the way from a node to what it depends on.
+type link struct{ *faultproxy.Proxy }
+
+// links are those of one node.
+type links struct{ store, upstream link }
+
+// newLinks puts proxies between a node that has not started yet and its store
+// and upstream. The upstream reports the address of the proxy.
+func newLinks(t *testing.T, n *node) *links {
+	t.Helper()
+	proxy := func(target string) link {
+		p, err := faultproxy.New(faultproxy.Config{Target: target})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		return link{p}
+	}
+	l := &links{store: proxy(n.storeAddress), upstream: proxy(n.app)}
+	n.storeAddress, n.upstreamAddress = l.store.Addr(), l.upstream.Addr()
+	return l
+}
+
+// set changes one direction of a link.
+func (l link) set(c faultproxy.Conditions, forward bool) {
+	if forward {
+		l.Forward.Set(c)
+	} else {
+		l.Backward.Set(c)
+	}
+}
+
+func (l *links) reset() {
+	l.store.Reset()
+	l.upstream.Reset()
+}
+
+func (l *links) heal() {
+	for _, one := range []link{l.store, l.upstream} {
+		one.Forward.Set(faultproxy.Conditions{})
+		one.Backward.Set(faultproxy.Conditions{})
+	}
+}
+
+// conditions delays, silences or breaks off one direction of a link.
+func (s *soak) conditions() faultproxy.Conditions {
+	all := []faultproxy.Conditions{
+		{Latency: 40 * time.Millisecond}, {Blackhole: true}, {CutAfter: int64(1 + s.rnd.IntN(4000))}, {Bandwidth: 20_000},
+	}
+	return all[s.rnd.IntN(len(all))]
+}
+
 // restart ends a process and starts it again. A planned stop is not waited for
 // beyond its grace period.
 func (s *soak) restart(n *node, sig syscall.Signal) {
@@ -314,6 +375,7 @@
 	for _, n := range s.nodes {
 		n.endpoint.Set(store.Fault{})
 		n.upstream.Set(upstream.Behaviour{})
+		s.links[n.name].heal()
 		n.signal(syscall.SIGCONT)
 	}
 	s.change(1)
