--- a/pkg/admission/doc.go
+++ b/pkg/admission/doc.go
@@ -5,7 +5,8 @@
 // A free slot goes to the most urgent waiting rank that runs fewer calls than
 // its floor, and otherwise to the most urgent waiting rank, so unused floors
 // are lent out. Within a rank the rules share by worth; worth does not change
-// the order of ranks.
+// the order of ranks. Within a rule, calls that can still meet their latency
+// target go before those that have missed it.
 //
 // A call is refused at once when it cannot finish before its deadline at the
 // current service times. When the queue is full the last call of the least
--- a/pkg/balance/doc.go
+++ b/pkg/balance/doc.go
@@ -10,4 +10,7 @@
 // failures lower the chance of an upstream. Nodes that said that they take no
 // work are used when no other is left, unreachable ones never: probes of
 // pkg/gossip find out when they are back.
+//
+// An upstream that would let a call of a route wait too long is held off for
+// that route (Hold); if all are, the call waits at one of the nearest.
 package balance
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -17,11 +17,15 @@
 //
 // # Headers between nodes
 //
-//	Lentilflow-Call     service, rank, worth, remaining milliseconds, latency target in
-//	                    milliseconds, patience in milliseconds, 1 if idempotent,
-//	                    version in force where the call was taken
-//	Lentilflow-Answer   milliseconds waited for a slot, milliseconds at the upstream
-//	Lentilflow-Refusal  reason, run state, milliseconds until a return is worthwhile
+//	Lentilflow-Call      service, route, rank, worth, remaining milliseconds, patience in
+//	                     milliseconds, 1 if idempotent, version in force where the call
+//	                     was taken, 1 if the answer is large, latency target and what is
+//	                     left of it in milliseconds
+//	Lentilflow-Attempt   name of the attempt, repeated by the answer
+//	Lentilflow-Answer    milliseconds waited for a slot, milliseconds at the upstream
+//	Lentilflow-Refusal   reason, run state, milliseconds until a return is worthwhile, 1 if
+//	                     no upstream saw it, milliseconds of the expected wait
+//	Lentilflow-Withdraw  name of an attempt that is to end unless it runs
 //
 // They are removed from requests of callers and from answers of upstreams.
 package gateway
--- a/pkg/gossip/doc.go
+++ b/pkg/gossip/doc.go
@@ -1,11 +1,11 @@
 // Package gossip carries messages between nodes: what each has of the
 // configuration and of the fleet, whether it takes work, and crash notices.
-// The store is the usual way of configuration and fleet; these messages serve
-// nodes that the store does not answer, and nodes that start anew while it is
-// away. Every node asks one other node at a time, so the load of a node does
-// not grow with the fleet; only announcements and crash notices go to all.
 //
-// Nodes that did not answer a connection are probed (Probe), and while
-// configurations come in quick succession one node of each availability zone
-// passes them to its neighbours (Reads, Spread).
+// Within an availability zone the relays (package relay) tell the other nodes
+// by datagrams what they have, and these fetch what they lack (Turns, Datagram).
+// Across zones every node exchanges digests with one other node at a time, which
+// serves nodes that the store does not answer and nodes that start anew while it
+// is away. Whether a node takes work is told to its zone by datagram and to one
+// node of each other zone, which passes it on (Announce). Only crash notices go
+// to all nodes. Nodes that did not answer a connection are probed (Probe).
 package gossip
