Let the test of turns hear its relays before it waits

The peer that waits is made a second before, so its patience may have passed before the goroutine that plays the relays has sent the first beacon (failed after 0.96 s, before any beacon). The relays are now heard once before the wait; the bounds stay.

--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -202,12 +202,16 @@
 
 	own, ctx := turns(last)
 	began := time.Now()
-	go func() { // both relays are heard for a while, then end
-		for range 6 {
-			for _, p := range peers[:2] {
-				last.takeDatagram(&Datagram{From: p.Self.Node, Relay: true, Store: true})
-			}
+	relaysHeard := func() {
+		for _, p := range peers[:2] {
+			last.takeDatagram(&Datagram{From: p.Self.Node, Relay: true, Store: true})
+		}
+	}
+	relaysHeard() // the peer was made a second ago
+	go func() {   // both relays are heard for a while, then end
+		for range 5 {
 			time.Sleep(relay.BeaconPeriod)
+			relaysHeard()
 		}
 	}()
 	is.True(!own.Next(ctx)) // a read out of turn
