Give every call an answer before a planned stop ends

Only the deadlines of calls that are taken later were bounded, and only jobs that wait for a slot taken back.

Change: 100 ms before the end of a stop, in the last sixth of the grace period, the context of every call ends, whatever it waits for (slot, upstream, another node, pause). It is answered 503 if it has not run, and 502 if that is not known. Answers that are ready pass the link unpaced. A body that is still on its way, or that comes too slowly, is refused with 408 instead of a closed connection; its connection is read on until the caller has the answer. One function turns an ended context into a reason, where four places did.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -33,8 +33,9 @@
 	// back; the answers take a way between regions and back.
 	verdictMargin = 250 * time.Millisecond
 	// clipMargin is what is left after the deadlines of calls that are taken
-	// during a stop, for the answers of other nodes. A call whose upstream is at
-	// work may be given up in the last sixth of the longest stop only.
+	// during a stop, and after those that were taken before are given up, for the
+	// answers of other nodes and the way to the callers. A call whose upstream is
+	// at work may be given up in the last sixth of the longest stop only.
 	clipMargin = 100 * time.Millisecond
 	// stopPoll is the pause between two looks at what is left while the node
 	// stops.
@@ -192,6 +193,14 @@
 		a.guard.Do("withdraw jobs", func() { a.gateway.Withdraw(context.Background()) })
 	})
 	defer withdraw.Stop()
+	giveUp := time.AfterFunc(time.Until(last.Add(-clipMargin)), func() {
+		a.guard.Do("give calls up", func() {
+			a.log.Info("calls without an answer are given up", zap.Int("calls", a.calls.Active()))
+			a.calls.EndBodies()
+			a.gateway.GiveUp()
+		})
+	})
+	defer giveUp.Stop()
 	if _, _, known := a.local.State(); !known {
 		go a.withdraw()
 	}
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -40,8 +40,8 @@
 	if err != nil {
 		r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
 		switch {
-		case c.x.Context().Err() != nil:
-			r.Reason = model.CallerGone
+		case c.ctx.Err() != nil:
+			r.Reason = endedReason(c.ctx)
 		case time.Until(c.job.Deadline) <= 0:
 			r.Reason = model.DeadlineExceeded
 		}
--- a/pkg/gateway/bulk.go
+++ b/pkg/gateway/bulk.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -88,10 +87,8 @@
 	n, err := io.Copy(&body, io.LimitReader(res, size+1))
 	if err != nil {
 		r := &Refusal{Reason: model.UpstreamLost, Run: model.Unknown, Cause: err}
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			r.Reason = model.DeadlineExceeded
-		} else if ctx.Err() != nil {
-			r.Reason = model.CallerGone
+		if ctx.Err() != nil {
+			r.Reason = endedReason(ctx)
 		}
 		return r
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -54,6 +55,9 @@
 	// again, while this node stops.
 	clip   atomic.Pointer[time.Time]
 	ending atomic.Bool
+	// life ends when the calls that still wait are given up.
+	life   context.Context
+	giveUp context.CancelFunc
 }
 
 // Clip bounds the deadline of every further call, so that other nodes say
@@ -69,6 +73,7 @@
 func New(g *Gateway) *Gateway {
 	g.epoch = time.Now()
 	g.log = newCallLog(g.Log)
+	g.life, g.giveUp = context.WithCancel(context.Background())
 	return g
 }
 
@@ -109,6 +114,7 @@
 // call is a request of a caller on its way.
 type call struct {
 	x       *h1.Exchange
+	ctx     context.Context // ends when the caller leaves or the node gives the call up
 	job     *Job
 	version config.Version
 	route   *config.Target
@@ -128,7 +134,9 @@
 }
 
 func (g *Gateway) handleCall(x *h1.Exchange) {
-	c := &call{x: x}
+	ctx, end := g.callContext(x.Context())
+	defer end()
+	c := &call{x: x, ctx: ctx}
 	r := g.prepare(c)
 	if r == nil {
 		r = g.enter(c)
@@ -256,7 +264,7 @@
 			c.made++
 		}
 		if !g.pause(c, delay) {
-			return g.settle(c, refuse(model.CallerGone))
+			return g.settle(c, refuse(endedReason(c.ctx)))
 		}
 	}
 }
@@ -275,7 +283,7 @@
 	if d > 0 {
 		time.Sleep(d)
 	}
-	return c.x.Context().Err() == nil
+	return c.ctx.Err() == nil
 }
 
 // attempt sends a call to one node and delivers the answer. It returns the
@@ -356,14 +364,13 @@
 }
 
 func (g *Gateway) dispatch(c *call, entry *model.Entry) (*Result, *Refusal) {
-	ctx := c.x.Context()
 	if entry.Node == g.Self.Node {
 		attempt, end := g.Remote.begin("")
 		defer end()
 		c.job.Attempt = attempt
-		return g.Local.Run(ctx, c.job)
+		return g.Local.Run(c.ctx, c.job)
 	}
-	return g.Remote.Run(ctx, entry.Address, c.job)
+	return g.Remote.Run(c.ctx, entry.Address, c.job)
 }
 
 // learn records what an attempt shows about the node that was asked.
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -321,8 +321,8 @@
 	}
 	r := refuse(refused.Reason)
 	r.RetryAfter, r.Wait = refused.RetryAfter, refused.Wait
-	if r.Reason == model.CallerGone && errors.Is(context.Cause(ctx), errWithdrawn) {
-		r.Reason = model.NodeDraining
+	if r.Reason == model.CallerGone {
+		r.Reason = endedReason(ctx)
 	}
 	return slot, r
 }
@@ -467,10 +467,8 @@
 		run = model.NotRun
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &Refusal{Reason: model.DeadlineExceeded, Run: run, Unreached: run == model.NotRun, Cause: err}
 	case ctx.Err() != nil:
-		return &Refusal{Reason: model.CallerGone, Run: run, Unreached: run == model.NotRun, Cause: err}
+		return &Refusal{Reason: endedReason(ctx), Run: run, Unreached: run == model.NotRun, Cause: err}
 	case run == model.NotRun:
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			l.lost(e.boot, "refuses connections")
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -169,6 +169,8 @@
 		return model.HeadersTooLarge
 	case h1.BodyTooLarge:
 		return model.BodyTooLarge
+	case h1.BodyTooSlow:
+		return model.BodyTooSlow
 	}
 	return model.BadRequest
 }
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -20,7 +20,7 @@
 	switch {
 	case run == model.NotRun && (s == http.StatusBadGateway || s == http.StatusGatewayTimeout):
 		return http.StatusServiceUnavailable
-	case run != model.NotRun && (s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests):
+	case run != model.NotRun && (s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests || s == http.StatusRequestTimeout):
 		return http.StatusBadGateway
 	}
 	return s
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -170,11 +170,8 @@
 		// the bound of a connection would never show that a node is gone.
 		r.Silent = silent && !errors.Is(err, syscall.ECONNREFUSED)
 	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		r.Reason = model.DeadlineExceeded
-	case ctx.Err() != nil:
-		r.Reason = model.CallerGone
+	if ctx.Err() != nil {
+		r.Reason = endedReason(ctx)
 	}
 	return r
 }
--- /dev/null
+++ b/pkg/gateway/stop_test.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// endTime bounds what follows GiveUp; the agent leaves 100 ms.
+const endTime = 5 * time.Second
+
+// giveUp does what the agent does at the end of a planned stop.
+func (s *station) giveUp() {
+	s.calls.EndBodies()
+	s.gateway.GiveUp()
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(endTime); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %s", what, endTime)
+		}
+	}
+}
+
+// Pattern: a node stops while the answers to its calls are lost and further
+// calls wait for the slots that these hold. Guards against calls that wait for
+// their own deadlines and are cut without an answer when the process ends.
+func TestEveryWaitEndsWithAnAnswer(t *testing.T) {
+	is := is.New(t)
+	p := newPath(pathFault{})
+	defer p.close()
+	const running, waiting = 2 * pathNodes, 6
+	for _, s := range p.stations {
+		s.upstream.follow(hangs, hangs) // all slots
+	}
+	ended := make(chan outcome, running+waiting)
+	for i := range running + waiting {
+		go func() { ended <- p.sendWithin(0, i%2 == 0, 10*time.Second) }()
+	}
+	stopping := p.stations[0]
+	await(t, "calls run and wait", func() bool { return p.running()+p.waiting() == running+waiting })
+	is.Equal(len(ended), 0) // nothing is given up sooner than it must be
+	stopping.giveUp()
+	for range running + waiting {
+		select {
+		case o := <-ended:
+			is.NoErr(p.judge(o))
+			switch o.status {
+			case http.StatusOK, http.StatusServiceUnavailable, http.StatusBadGateway:
+			default:
+				t.Errorf("request %s: status %d", o.id, o.status)
+			}
+		case <-time.After(endTime):
+			t.Fatal("a call has no answer")
+		}
+	}
+	await(t, "calls end", func() bool { return stopping.calls.Active() == 0 })
+}
+
+// Guards against a call that waits for another node that has gone silent: the
+// message that takes a job back reaches nobody there.
+func TestWaitForASilentNodeEndsWithAnAnswer(t *testing.T) {
+	is := is.New(t)
+	p := newPath(pathFault{})
+	defer p.close()
+	silent := mustListen()
+	defer func() { _ = silent.Close() }()
+	s := p.stations[0]
+	s.gateway.View.Replace([]fleet.Member{{
+		Node: "silent", Service: testService, CallAddress: silent.Addr().String(), MessageAddress: "unused",
+		Location: model.Location{Region: "r", AvailabilityZone: "z"},
+	}}, 2)
+	ended := make(chan outcome, 1)
+	go func() { ended <- p.sendWithin(0, false, 10*time.Second) }()
+	nc, err := silent.Accept()
+	is.NoErr(err)
+	defer func() { _ = nc.Close() }()
+	var b [1]byte
+	_, err = nc.Read(b[:]) // the request has been sent
+	is.NoErr(err)
+	s.giveUp()
+	select {
+	case o := <-ended:
+		is.Equal(o.status, http.StatusBadGateway) // it may have run
+	case <-time.After(endTime):
+		t.Fatal("the call has no answer")
+	}
+}
+
+// Guards against a request whose body is still on its way and that is cut at
+// the end of a planned stop: its caller is told that it has not run, or at
+// least that it failed.
+func TestWaitForABodyEndsWithAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		length, sent int
+		status       string
+	}{
+		"held in memory": {100, 50, "HTTP/1.1 408 "},
+		"streamed":       {1 << 20, 300 << 10, "HTTP/1.1 50"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPath(pathFault{})
+			defer p.close()
+			s := p.stations[0]
+			nc, err := net.Dial("tcp", s.address)
+			is.NoErr(err)
+			defer func() { _ = nc.Close() }()
+			_, err = fmt.Fprintf(nc, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\n%s: r\r\nContent-Length: %d\r\n\r\n%s",
+				testNames.RequestID, c.length, strings.Repeat("x", c.sent))
+			is.NoErr(err)
+			await(t, "the request is read", func() bool { return s.calls.Active() == 1 })
+			if c.sent > 256<<10 {
+				await(t, "the request is passed on", func() bool { return p.running() > 0 })
+			}
+			s.giveUp()
+			is.NoErr(nc.SetReadDeadline(time.Now().Add(endTime)))
+			answer, err := io.ReadAll(nc)
+			is.NoErr(err)
+			is.True(strings.HasPrefix(string(answer), c.status))
+			is.Equal(p.ledger.count("r"), 0)
+		})
+	}
+}
+
+// running returns the jobs that run at all nodes.
+func (p *path) running() int {
+	n := 0
+	for _, s := range p.stations {
+		state, _, _ := s.gateway.Local.State()
+		n += state.Running
+	}
+	return n
+}
--- a/pkg/gateway/withdraw.go
+++ b/pkg/gateway/withdraw.go
@@ -8,15 +8,53 @@
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/h1"
+	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
 // withdrawTime bounds the message that withdraws a job: a way between regions
 // and back takes 24 ms.
 const withdrawTime = 200 * time.Millisecond
 
-// errWithdrawn ends the wait of a job for a slot because the node that asked
-// for it stops.
-var errWithdrawn = errors.New("job was withdrawn by the node that asked for it")
+var (
+	// errWithdrawn ends the wait of a job for a slot because the node that asked
+	// for it stops.
+	errWithdrawn = errors.New("job was withdrawn by the node that asked for it")
+	// errGivenUp ends the calls that still wait at the end of a planned stop.
+	errGivenUp = errors.New("node ends before the answer came")
+)
+
+// endedReason returns why a call or job whose context has ended has no answer.
+func endedReason(ctx context.Context) model.Reason {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errWithdrawn), errors.Is(cause, errGivenUp):
+		return model.NodeDraining
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return model.DeadlineExceeded
+	}
+	return model.CallerGone
+}
+
+// callContext returns the context of a call, which ends with that of its
+// connection or when this node gives its calls up.
+func (g *Gateway) callContext(parent context.Context) (ctx context.Context, end func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	detach := context.AfterFunc(g.life, func() { cancel(errGivenUp) })
+	return ctx, func() {
+		detach()
+		cancel(nil)
+	}
+}
+
+// GiveUp ends every wait of this node's calls, whatever they wait for, so that
+// each has an answer before the process ends: a refusal if it has not run, and
+// otherwise a failure that promises nothing. Answers that have begun follow the
+// link no more.
+func (g *Gateway) GiveUp() {
+	g.ending.Store(true)
+	g.giveUp()
+	g.Local.Link.Release()
+}
 
 // waitingJobs is the jobs of other nodes, and of this one, that wait for a slot.
 type waitingJobs struct {
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -103,8 +103,11 @@
 		return c.linger()
 	}
 	if err := x.readBody(limits.BodyBytes); err != nil {
-		if errors.Is(err, errTooLarge) {
+		switch {
+		case errors.Is(err, errTooLarge):
 			return c.refuseExchange(x, BodyTooLarge, nil)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return c.refuseExchange(x, BodyTooSlow, nil)
 		}
 		x.end()
 		return c.lost()
@@ -182,6 +185,7 @@
 	HeadTooLarge: http.StatusRequestHeaderFieldsTooLarge,
 	HeadTooSlow:  http.StatusRequestTimeout,
 	BodyTooLarge: http.StatusRequestEntityTooLarge,
+	BodyTooSlow:  http.StatusRequestTimeout,
 }
 
 // refuse answers what is no acceptable request, in its turn, and ends the
@@ -202,7 +206,7 @@
 	x.CloseAfter = true
 	_ = x.Reply(&Reply{Status: faultStatus[f]})
 	x.end()
-	return c.finish()
+	return c.linger()
 }
 
 // exchange appends a request to those that wait for their answer. It returns
--- a/pkg/h1/exchange.go
+++ b/pkg/h1/exchange.go
@@ -104,6 +104,9 @@
 		stall = b.until
 	}
 	_ = b.conn.nc.SetReadDeadline(stall)
+	if b.conn.server.ending.Load() { // the line above may have come after EndBodies
+		_ = b.conn.nc.SetReadDeadline(time.Unix(1, 0))
+	}
 	n, err := b.Reader.Read(p)
 	b.left -= int64(n)
 	return n, err
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -66,6 +66,7 @@
 	HeadTooLarge Fault = "head_too_large"
 	HeadTooSlow  Fault = "head_too_slow"
 	BodyTooLarge Fault = "body_too_large"
+	BodyTooSlow  Fault = "body_too_slow"
 	// NotAccepted is a connection that could not be accepted, such as for lack
 	// of descriptors.
 	NotAccepted Fault = "not_accepted"
@@ -89,6 +90,7 @@
 	OnPanic func(value any, stack []byte)
 
 	draining atomic.Bool
+	ending   atomic.Bool // no request body is waited for
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	active   atomic.Int64
@@ -164,6 +166,17 @@
 	}
 }
 
+// EndBodies ends the wait for the bodies of requests. A request whose body is
+// not complete is refused if no handler has it yet.
+func (s *Server) EndBodies() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // CloseAll closes all connections, whatever they are doing.
 func (s *Server) CloseAll() {
 	s.mu.Lock()
--- a/pkg/model/reason.go
+++ b/pkg/model/reason.go
@@ -32,6 +32,7 @@
 	BadRequest          Reason = "bad_request"
 	BodyTooLarge        Reason = "body_too_large"
 	HeadersTooLarge     Reason = "headers_too_large"
+	BodyTooSlow         Reason = "body_too_slow"
 	CallerGone          Reason = "caller_gone"
 )
 
@@ -55,6 +56,7 @@
 	BadRequest:          http.StatusBadRequest,
 	BodyTooLarge:        http.StatusRequestEntityTooLarge,
 	HeadersTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
+	BodyTooSlow:         http.StatusRequestTimeout,
 	CallerGone:          StatusCallerGone,
 }
 
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -37,6 +37,7 @@
 	model.BadRequest:          "The request is not valid",
 	model.BodyTooLarge:        "The request body is too large",
 	model.HeadersTooLarge:     "The request headers are too large",
+	model.BodyTooSlow:         "The request body came too slowly",
 	model.CallerGone:          "The caller has left",
 }
 
--- a/pkg/shaping/link.go
+++ b/pkg/shaping/link.go
@@ -50,6 +50,19 @@
 	return l.core.Expected(time.Since(l.start), int64(l.sizes[route]))
 }
 
+// Release lets everything that waits, and all that follows, be sent at once.
+func (l *Link) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.core == nil {
+		return
+	}
+	for _, p := range l.core.waiting {
+		close(p.ready)
+	}
+	l.core = nil
+}
+
 // Transfer is one large answer on its way.
 type Transfer struct {
 	link  *Link
@@ -103,10 +116,7 @@
 	select {
 	case <-p.ready:
 	case <-ctx.Done():
-		l.mu.Lock()
-		cancelled := l.core.Cancel(p)
-		l.mu.Unlock()
-		if cancelled {
+		if l.cancel(p) {
 			return ctx.Err()
 		}
 	}
@@ -119,9 +129,16 @@
 	return nil
 }
 
+// cancel takes a part out. It returns false if it was granted already.
+func (l *Link) cancel(p *part) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core != nil && l.core.Cancel(p)
+}
+
 // grant wakes the transfers that may send. The mutex is held.
 func (l *Link) grant() {
-	for {
+	for l.core != nil {
 		p, wait := l.core.Next(time.Since(l.start))
 		if p != nil {
 			close(p.ready)
--- a/pkg/shaping/shaping_test.go
+++ b/pkg/shaping/shaping_test.go
@@ -162,6 +162,29 @@
 	is.Equal(len(l.core.waiting), 0)
 }
 
+// Guards against answers that are ready and are cut at the end of a planned
+// stop because they wait for the link.
+func TestReleasedLinkHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	l := NewLink(0.01)
+	a, b := l.Begin("r"), l.Begin("r")
+	a.SetSize(1 << 20)
+	is.NoErr(a.Take(t.Context(), 1<<16)) // into debt
+	sent := make(chan error)
+	go func() { sent <- b.Take(context.Background(), 1<<16) }()
+	for waits := false; !waits; {
+		l.mu.Lock()
+		waits = len(l.core.waiting) > 0
+		l.mu.Unlock()
+	}
+	l.Release()
+	is.NoErr(<-sent)
+	is.NoErr(a.Take(t.Context(), 1<<20))
+	a.Done(true)
+	b.Done(true)
+	is.Equal(l.Expected("r"), time.Duration(0))
+}
+
 // Guards the mean size of a route, by which an answer is judged before it is
 // made, and a link whose bandwidth is not known.
 func TestSizesAreLearnt(t *testing.T) {
