Find the upstream at a node's start, and let first calls wait for the configuration

Change: a node asks its upstream once for its boot as soon as the path of its health is known. An answer 200 with the boot's id proves it as it proves a first report; anything the upstream has said since is believed rather than the answer. Calls that come within 0.5 s of the start wait for configuration and fleet, for at most 0.3 of their time.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,11 +72,13 @@
 	reports      *echo.Echo
 	readiness    *echo.Echo
 
-	drain      atomic.Pointer[settings.Drain]
-	stopping   atomic.Bool
-	announce   chan struct{} // the row of this node is missing or wrong
-	configLost atomic.Bool
-	fleetLost  atomic.Bool
+	drain    atomic.Pointer[settings.Drain]
+	stopping atomic.Bool
+	// findUpstream asks the upstream once which boot it is.
+	findUpstream sync.Once
+	announce     chan struct{} // the row of this node is missing or wrong
+	configLost   atomic.Bool
+	fleetLost    atomic.Bool
 	// inForceSince is when the version in force began to be so.
 	inForceSince atomic.Pointer[time.Time]
 }
@@ -203,6 +206,8 @@
 	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source,
 		zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
 	a.local.Reconfigure()
+	a.findUpstream.Do(func() { a.guard.Go("find upstream", a.local.Find) })
+	a.gateway.Open()
 	a.gossip.ConfigTaken()
 }
 
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -232,6 +232,7 @@
 // fleetChanged follows a change of the fleet.
 func (a *Agent) fleetChanged(removed []model.NodeID) {
 	members := a.view.Current().Members
+	a.gateway.Open()
 	a.gossip.FleetTaken()
 	if a.holder.Current() == nil {
 		a.gossip.Hurry() // another node has the configuration sooner than the next beacon comes
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +24,13 @@
 	// without a timeout.
 	defaultDeadline = 30 * time.Second
 	// startRetry is the Retry-After of a node that does not know the
-	// configuration yet: it usually has it a second after its start.
+	// configuration although startWait has passed.
 	startRetry = 500 * time.Millisecond
+	// startWait is how long after its start a node lets calls wait for the
+	// configuration and the fleet. It has both after 0.2 s if the store answers.
+	startWait = 500 * time.Millisecond
+	// startWaitShare bounds that wait by the time that a call has.
+	startWaitShare = 0.3
 	// patienceShare is the part of the latency target that a call may be
 	// expected to wait for a slot while another upstream may be free.
 	patienceShare = 0.25
@@ -55,6 +61,9 @@
 	// again, while this node stops.
 	clip   atomic.Pointer[time.Time]
 	ending atomic.Bool
+	// open is closed when configuration and fleet are known.
+	open     chan struct{}
+	openOnce sync.Once
 	// life ends when the calls that still wait are given up.
 	life   context.Context
 	giveUp context.CancelFunc
@@ -73,10 +82,45 @@
 func New(g *Gateway) *Gateway {
 	g.epoch = time.Now()
 	g.log = newCallLog(g.Log)
+	g.open = make(chan struct{})
 	g.life, g.giveUp = context.WithCancel(context.Background())
 	return g
 }
 
+// informed reports whether this node knows where calls may go.
+func (g *Gateway) informed() bool { return g.Config.Current() != nil && g.View.Known() }
+
+// Open lets the calls pass that wait for the first configuration and fleet, once
+// both are known.
+func (g *Gateway) Open() {
+	if g.informed() {
+		g.openOnce.Do(func() { close(g.open) })
+	}
+}
+
+// awaitOpen lets a call wait while this node has just started: its callers come
+// back at once after a loss of all nodes, and one that is refused for the lack
+// of a configuration may not come a third time.
+func (g *Gateway) awaitOpen(c *call) {
+	if g.informed() {
+		return
+	}
+	wait := startWait - time.Since(g.epoch)
+	if d, ok := parseMillis(c.x.Request.Header.Get(g.Names.Deadline)); ok {
+		wait = min(wait, time.Duration(startWaitShare*float64(d)))
+	}
+	if wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-g.open:
+	case <-t.C:
+	case <-c.ctx.Done():
+	}
+}
+
 // CallServer returns the server for calls of the VM.
 func (g *Gateway) CallServer() *h1.Server {
 	return &h1.Server{
@@ -137,6 +181,7 @@
 	ctx, end := g.callContext(x.Context())
 	defer end()
 	c := &call{x: x, ctx: ctx}
+	g.awaitOpen(c)
 	r := g.prepare(c)
 	if r == nil {
 		r = g.enter(c)
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -123,32 +123,65 @@
 	return v
 }
 
-// proofTime bounds the question to the first boot that a process hears of. If
-// it is not answered the next report decides.
+// proofTime bounds the question to the upstream which boot it is. If it is not
+// answered the next report decides.
 const proofTime = 500 * time.Millisecond
 
-// prove asks the upstream whether it is the boot that a first report names. An
-// earlier process may have acknowledged that it leaves.
-func (l *Local) prove(id string, born int64) {
+// foundSlots is taken for the slots of an upstream that has answered and has
+// not reported yet. What is more than it has waits at the upstream itself.
+const foundSlots = 8
+
+// Find asks the upstream which boot it is, so that a node that starts anew
+// beside a running upstream need not wait for its next report, which may be
+// 1.5 s away.
+func (l *Local) Find() {
+	id, ok := l.ask()
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tracker.Found(id, foundSlots) == upstream.Changed {
+		l.publish("found")
+	}
+}
+
+// ask returns the boot that answers at the upstream's address, unless that is
+// leaving.
+func (l *Local) ask() (boot string, ok bool) {
 	s := l.Config.Current()
 	if s == nil {
-		return
+		return "", false
 	}
 	service, ok := s.Service(l.Service)
 	if !ok || service.HealthPath == "" {
-		return
+		return "", false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proofTime)
 	defer cancel()
 	a, err := l.pool.Do(ctx, &h1.Outgoing{Method: http.MethodGet, Target: service.HealthPath, Host: l.pool.Address})
 	if err != nil {
-		l.Log.Info("upstream did not answer after its first report; the next one decides", zap.String("boot", id), zap.Error(err))
-		return
+		l.Log.Info("upstream did not say which boot it is; its reports decide", zap.Error(err))
+		return "", false
 	}
 	a.Close()
-	if a.Status != http.StatusOK || a.Header.Get(l.Names.Boot) != id {
-		l.Log.Info("upstream did not confirm its first report; the next one decides", zap.String("boot", id),
-			zap.Int("status", a.Status), zap.String("answered", a.Header.Get(l.Names.Boot)))
+	boot = a.Header.Get(l.Names.Boot)
+	if a.Status != http.StatusOK || boot == "" {
+		l.Log.Info("upstream is not healthy or names no boot; its reports decide", zap.Int("status", a.Status), zap.String("boot", boot))
+		return "", false
+	}
+	return boot, true
+}
+
+// prove asks the upstream whether it is the boot that a first report names. An
+// earlier process may have acknowledged that it leaves.
+func (l *Local) prove(id string, born int64) {
+	answered, ok := l.ask()
+	if !ok {
+		return
+	}
+	if answered != id {
+		l.Log.Info("upstream did not confirm its first report; the next one decides", zap.String("boot", id), zap.String("answered", answered))
 		return
 	}
 	l.mu.Lock()
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
@@ -135,6 +137,50 @@
 	}
 }
 
+// Pattern: all nodes were lost and start anew, and their callers are back at
+// once. Guards against calls that are refused although the node has its
+// configuration a moment later, and against waits that lead nowhere.
+func TestFirstCallsWaitForTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	p := &path{ledger: &ledger{runs: make(map[string]int)}}
+	defer p.close()
+	holder := config.NewHolder()
+	s, m := newStation("n", holder, p.ledger, pathFault{})
+	p.stations = []*station{s}
+	s.gateway.View.Replace([]fleet.Member{m}, 1)
+	// A call with little time does not wait for long.
+	is.Equal(p.sendWithin(0, true, 20*time.Millisecond).status, http.StatusServiceUnavailable)
+	ended := make(chan outcome, 1)
+	go func() { ended <- p.sendWithin(0, true, 10*time.Second) }()
+	await(t, "the call is read", func() bool { return s.calls.Active() == 1 })
+	_, err := holder.Offer(pathConfiguration(pathFault{}))
+	is.NoErr(err)
+	s.gateway.Open()
+	o := <-ended
+	is.NoErr(p.judge(o))
+	is.Equal(o.status, http.StatusOK)
+}
+
+// Guards a node that starts anew beside a running upstream: it takes work
+// before the next report of the upstream, unless that is leaving.
+func TestUpstreamIsFoundBeforeItsReport(t *testing.T) {
+	for status, found := range map[int]bool{http.StatusOK: true, http.StatusServiceUnavailable: false} {
+		is := is.New(t)
+		address, _ := bulkUpstream(t, fmt.Sprintf("HTTP/1.1 %d X\r\n%s: boot\r\nContent-Length: 0\r\n\r\n", status, testNames.Boot), true)
+		l := NewLocal(&Local{
+			Service: testService, Names: testNames, Log: zap.NewNop(), Config: config.NewHolder(), OnServing: func(bool) {},
+		}, address)
+		l.Find()
+		is.True(!l.Serving()) // the path of its health is not known
+		c := pathConfiguration(pathFault{})
+		c.Services[0].HealthPath = "/health"
+		_, err := l.Config.Offer(c)
+		is.NoErr(err)
+		l.Find()
+		is.Equal(l.Serving(), found)
+	}
+}
+
 // running returns the jobs that run at all nodes.
 func (p *path) running() int {
 	n := 0
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -62,6 +62,8 @@
 	Forgetful bool
 	proven    bool
 	candidate Report // first report of a boot that is not proven
+	found     bool   // the boot is known by Found only; its start is not
+	heard     bool   // the upstream has said something of itself
 
 	boot     Boot
 	known    bool
@@ -81,8 +83,23 @@
 // Newest returns the newest boot that has not left.
 func (t *Tracker) Newest() (Boot, bool) { return t.boot, t.known }
 
+// Found notes that a boot of which no report has come has answered at the
+// upstream's address and is not leaving. Its first report says the rest.
+func (t *Tracker) Found(id string, slots int) Verdict {
+	if t.known || t.heard { // its answer may be older than what it has said
+		return Stale
+	}
+	t.boot, t.known, t.found = Boot{ID: id, Slots: slots}, true, true
+	return Changed
+}
+
 // Report takes a report. A boot that was said to be draining stays so.
 func (t *Tracker) Report(r Report) Verdict {
+	t.heard = true
+	if t.found && r.ID == t.boot.ID { // it has answered, which proves it
+		t.boot.Born, t.newest = r.Born, r.Born
+		t.found, t.proven = false, true
+	}
 	same := t.known && t.boot.ID == r.ID && t.boot.Born == r.Born
 	born, left := t.left[r.ID]
 	switch {
@@ -172,6 +189,7 @@
 // Leave notes that a boot is going. The start is 0 if the message does not
 // state it; it then means the newest boot of that id.
 func (t *Tracker) Leave(id string, born int64) Verdict {
+	t.heard = true
 	current := t.known && t.boot.ID == id
 	if current && born == 0 {
 		born = t.boot.Born
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -212,3 +212,34 @@
 		}
 	})
 }
+
+// Guards a node that starts anew beside a running upstream: the upstream's own
+// answer lets it work before its next report, and late reports of other boots
+// are believed no sooner for it.
+func TestUpstreamThatAnswersIsFound(t *testing.T) {
+	is := is.New(t)
+	tr := Tracker{Forgetful: true}
+	is.Equal(tr.Found("a", 8), Changed)
+	b, ok := tr.Current()
+	is.True(ok)
+	is.Equal(b, Boot{ID: "a", Slots: 8})
+	is.Equal(tr.Report(ready("gone", 100, 7)), Unproven) // late
+	b, _ = tr.Current()
+	is.Equal(b.ID, "a")
+	is.Equal(tr.Report(ready("a", 200, 5)), Changed) // it states its slots
+	b, _ = tr.Current()
+	is.Equal(b, Boot{ID: "a", Born: 200, Slots: 3})
+	is.Equal(tr.Report(ready("gone", 100, 8)), Stale)
+	is.Equal(tr.Found("b", 8), Stale) // reports decide from now on
+
+	tr = Tracker{Forgetful: true}
+	is.Equal(tr.Found("a", 8), Changed)
+	is.Equal(tr.Leave("a", 0), Changed)
+	_, ok = tr.Current()
+	is.True(!ok)
+	is.Equal(tr.Found("a", 8), Stale) // its answer may have crossed its leave
+
+	tr = Tracker{Forgetful: true}
+	tr.Report(ready("a", 200, 5))
+	is.Equal(tr.Found("a", 8), Stale) // its report is being proven
+}
