--- /dev/null
+++ b/tools/bounds/main_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const testSite = `
+machines = [{ link_mbps = 8.0, count = 2, app = "files" }, { link_mbps = 1000.0, count = 1, app = "shop" }]
+services = [{ name = "files", slots = 10, cold_s = 3.0, cold_x = 2.0 }, { name = "shop", slots = 10, cold_s = 3.0, cold_x = 2.0 }]
+classes = [
+  { name = "order", service = "shop", kind = "unsafe", aim_ms = 300, worth = 2, late_worth = 0.2, work_ms = { mean = 100.0 }, resp_bytes = { mean = 400.0, spread = 0.6 }, calls = [{ class = "index", times = 1, share = 0.5 }] },
+  { name = "plan", service = "files", kind = "download", aim_ms = 300, worth = 1, late_worth = 0.1, work_ms = { mean = 40.0 }, resp_bytes = { mean = 100000.0, spread = 0.0 } },
+  { name = "index", service = "files", kind = "safe", inner = true, aim_ms = 60, worth = 0, work_ms = { mean = 20.0 } },
+]
+[[day]]
+name = "heavy"
+closing = { kind = "power_off_all", down_s = 1.3 }
+`
+
+const testReport = `{
+  "parts": [["worst windows", 0.4, 0.3]],
+  "windows": [{"name": "0", "n": 200, "worth": 0.9}, {"name": "2", "n": 400, "worth": 0.5}, {"name": "4", "n": 200, "worth": 0.2}],
+  "classes": [{"name": "order", "n": 600, "worth": 0.6}, {"name": "plan", "n": 200, "worth": 0.5}],
+  "events": [{"at_s": 4.0, "kind": "closing (power_off_all)"}]
+}`
+
+func files(t *testing.T, siteText, reportText string) (sitePath, reportPath string) {
+	t.Helper()
+	sitePath, reportPath = filepath.Join(t.TempDir(), "site.toml"), filepath.Join(t.TempDir(), "report.json")
+	for path, text := range map[string]string{sitePath: siteText, reportPath: reportText} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return sitePath, reportPath
+}
+
+// Guards what a page says of how far a day is from what is possible: slots,
+// links, and the time in which nothing runs, each where it binds.
+func TestBoundsNameWhatBinds(t *testing.T) {
+	sitePath, reportPath := files(t, testSite, testReport)
+	var out bytes.Buffer
+	if err := run(&out, sitePath, "heavy", reportPath); err != nil {
+		t.Fatal(err)
+	}
+	// Orders keep their slots for 10 ms more, during the call of every second one.
+	// Second 0: 150 orders take 16.5 of 20 slot seconds, 50 plans 5 of 4 MB: 40.
+	// Second 2: 300 orders, slots for 182; 100 plans, links for 40.
+	// Second 4: 1.3 s down, then 0.7 s at half the speed for 32 of 150 orders; links for 14 of 50 plans.
+	for _, want := range []string{
+		"       0      200    0.900    0.974  links of files",
+		"       2      400    0.500    0.619  links of files, slots of shop",
+		"       4      200    0.200    0.300  links of files, slots of shop",
+		"two worst windows: reached 0.300, bound 0.459",
+		"plan: reached 0.500 of its worth, bound in time 0.470",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
+
+// Guards against a page made from a file that says something else.
+func TestUnusableInputIsAnError(t *testing.T) {
+	sitePath, reportPath := files(t, testSite, testReport)
+	if err := run(&bytes.Buffer{}, sitePath, "other", reportPath); err == nil {
+		t.Error("a day that the deployment does not have was taken")
+	}
+	sitePath, reportPath = files(t, testSite, "{")
+	if err := run(&bytes.Buffer{}, sitePath, "heavy", reportPath); err == nil {
+		t.Error("a damaged report was taken")
+	}
+}
+
+// Guards the linear program by cases whose answer is known.
+func TestProgram(t *testing.T) {
+	p := program{worth: []float64{3, 2}}
+	p.add([]float64{1, 1}, 4, "both")
+	p.add([]float64{1, 0}, 3, "first")
+	p.add([]float64{0, 1}, 9, "second")
+	x, tight := p.solve()
+	if math.Abs(x[0]-3)+math.Abs(x[1]-1) > 1e-9 || strings.Join(tight, " ") != "both first" {
+		t.Errorf("amounts %v, used up %v", x, tight)
+	}
+	p.add([]float64{0, 1}, 0, "")
+	if x, _ = p.solve(); math.Abs(x[0]-3)+math.Abs(x[1]) > 1e-9 {
+		t.Errorf("amounts %v with none of the second", x)
+	}
+}
--- /dev/null
+++ b/tools/bounds/program.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"math"
+	"slices"
+)
+
+// program is a small linear program: the most worth of amounts of at least 0
+// whose rows stay within their limits.
+type program struct {
+	worth  []float64
+	rows   [][]float64
+	limits []float64
+	names  []string // of the rows that are worth naming
+}
+
+func (p *program) add(row []float64, limit float64, name string) {
+	p.rows = append(p.rows, row)
+	p.limits = append(p.limits, max(limit, 0))
+	p.names = append(p.names, name)
+}
+
+// tolerance is the relative error within which a row counts as used up.
+const tolerance = 1e-7
+
+// solve tries every corner: a few kinds of request and services have some
+// hundred. It returns the best amounts and the names of the rows that are used up.
+func (p *program) solve() (best []float64, tight []string) {
+	n := len(p.worth)
+	rows, limits := slices.Clone(p.rows), slices.Clone(p.limits)
+	for i := range n {
+		row := make([]float64, n)
+		row[i] = -1
+		rows, limits = append(rows, row), append(limits, 0)
+	}
+	best, most := make([]float64, n), 0.0
+	chosen := make([]int, 0, n)
+	var try func(from int)
+	try = func(from int) {
+		if len(chosen) < n {
+			for i := from; i < len(rows); i++ {
+				chosen = append(chosen, i)
+				try(i + 1)
+				chosen = chosen[:len(chosen)-1]
+			}
+			return
+		}
+		x, ok := corner(rows, limits, chosen)
+		if !ok || !within(rows, limits, x) {
+			return
+		}
+		if v := dot(p.worth, x); v > most {
+			best, most = x, v
+		}
+	}
+	try(0)
+	for i, row := range p.rows {
+		if p.names[i] != "" && dot(row, best) >= p.limits[i]*(1-tolerance) {
+			tight = append(tight, p.names[i])
+		}
+	}
+	return best, tight
+}
+
+func within(rows [][]float64, limits, x []float64) bool {
+	for i, row := range rows {
+		if dot(row, x) > limits[i]+tolerance*(1+math.Abs(limits[i])) {
+			return false
+		}
+	}
+	return true
+}
+
+func dot(a, b []float64) float64 {
+	sum := 0.0
+	for i := range a {
+		sum += a[i] * b[i]
+	}
+	return sum
+}
+
+// corner returns where the chosen rows are all used up (Gauss and Jordan). It
+// returns false if they do not meet in one point.
+func corner(rows [][]float64, limits []float64, chosen []int) (x []float64, ok bool) {
+	n := len(chosen)
+	m := make([][]float64, n)
+	for i, r := range chosen {
+		m[i] = append(slices.Clone(rows[r]), limits[r])
+	}
+	for col := range n {
+		pivot := col
+		for i := col; i < n; i++ {
+			if math.Abs(m[i][col]) > math.Abs(m[pivot][col]) {
+				pivot = i
+			}
+		}
+		if math.Abs(m[pivot][col]) < 1e-12 {
+			return nil, false
+		}
+		m[col], m[pivot] = m[pivot], m[col]
+		for i := range n {
+			if i == col {
+				continue
+			}
+			f := m[i][col] / m[col][col]
+			for j := col; j <= n; j++ {
+				m[i][j] -= f * m[col][j]
+			}
+		}
+	}
+	x = make([]float64, n)
+	for i := range n {
+		x[i] = m[i][n] / m[i][i]
+	}
+	return x, true
+}
