Play named loads against the decisions of many nodes in virtual time

The plays in the tests of admission, balance and shaping each look at one decision of one node. pkg/play joins them: admission, choice, retry, budgets and links of all nodes are the real ones, callers that come back, upstreams that are cold, slow, grey or lost, calls of upstreams, links and distances are events on one clock. A test in pkg/gateway holds the play's policy to the gateway's constants.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets need Go, make and git only; Go fetches the pinned modules.
-.PHONY: build run test fmt lint race integration soak performance bounds regression clean
+.PHONY: build run test fmt lint race integration soak performance play bounds regression clean
 
 PACKAGES := ./... ./test/... ./tools/...
 
@@ -34,6 +34,10 @@
 performance:
 	@go run ./tools/performance
 
+# Policies on the named loads of pkg/play, in virtual time; SEEDS=8 chooses their number.
+play:
+	@go run ./tools/play $(SEEDS)
+
 # How much of a day any system could have served: SITE, DAY, and the REPORT of a play.
 bounds:
 	@go run ./tools/bounds "$(SITE)" "$(DAY)" "$(REPORT)"
--- a/pkg/gateway/budget_test.go
+++ b/pkg/gateway/budget_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/play"
 )
 
 // The figures of haneul-hq: 190 requests a second for a service of which half
@@ -111,3 +112,16 @@
 		}
 	}
 }
+
+// Guards the comparisons of pkg/play: its product policy is what this package
+// does.
+func TestPlayFollowsTheGateway(t *testing.T) {
+	want := play.Product()
+	if got := (play.Policy{
+		Patience: patienceShare, LargePatience: bulkPatienceShare, LinkShare: linkShare, LinkRetryShare: linkRetryShare, Hold: true,
+		LargeInRegion: true, ShortestFirst: true, InTimeFirst: true, Shares: true, Retries: true,
+		BudgetShare: budgetShare * testRatio, ReserveShare: reserveShare,
+	}); got != want {
+		t.Errorf("the gateway decides by %+v, the play by %+v", got, want)
+	}
+}
--- /dev/null
+++ b/tools/play/main.go
@@ -0,0 +1,63 @@
+// Play compares policies on the named loads of pkg/play, and prints for each the
+// mean over a number of seeds: worth by the users' measures without prices, the
+// two worst windows, and the kind that is served worst.
+//
+//	go run ./tools/play [SEEDS]
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+
+	"github.com/lentilflow/lentilflow/pkg/play"
+)
+
+// defaultSeeds takes about three minutes on one core.
+const defaultSeeds = 4
+
+func main() {
+	seeds := defaultSeeds
+	if len(os.Args) > 1 {
+		n, err := strconv.Atoi(os.Args[1])
+		if err != nil || n < 1 {
+			fmt.Fprintf(os.Stderr, "play: %q is no number of seeds\n", os.Args[1])
+			os.Exit(2)
+		}
+		seeds = n
+	}
+	for _, p := range play.Patterns() {
+		fmt.Println(p.Name)
+		for _, v := range play.Variants() {
+			policy := play.Product()
+			v.Change(&policy)
+			r := mean(p, policy, seeds)
+			fmt.Printf("  %-40s worth %.3f  worst windows %.3f  worst kind %.3f  download %.3f\n",
+				v.Name, r.Worth(), r.Windows, r.Kind, r.Kinds["download"])
+		}
+	}
+}
+
+// mean plays a pattern with each seed and returns the means.
+func mean(p play.Pattern, policy play.Policy, seeds int) play.Result {
+	results := make([]play.Result, seeds)
+	var all sync.WaitGroup
+	for i := range seeds {
+		all.Go(func() { results[i] = play.Run(p, policy, uint64(i)) })
+	}
+	all.Wait()
+	m := play.Result{Kinds: make(map[string]float64)}
+	n := float64(seeds)
+	for _, r := range results {
+		m.Whole += r.Whole / n
+		m.Windows += r.Windows / n
+		m.Kind += r.Kind / n
+		m.Zone += r.Zone / n
+		m.Served += r.Served / n
+		for kind, share := range r.Kinds {
+			m.Kinds[kind] += share / n
+		}
+	}
+	return m
+}
