--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -144,3 +144,32 @@
 		t.Errorf("answer %+v after a faulty settings file", a)
 	}
 }
+
+// Guards a planned stop while the answers to calls are lost: each call has an
+// answer before the process ends, and none is told that it has not run.
+func TestPlannedStopAnswersCallsThatHaveNoAnswer(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 2)
+	for _, n := range c.nodes {
+		n.upstream.Set(upstream.Behaviour{Work: time.Minute})
+	}
+	n := c.nodes[0]
+	const calls = 6
+	answers := make(chan answer, calls)
+	for i := range calls {
+		method, path := http.MethodPost, "/bookings/1"
+		if i%2 == 0 {
+			method, path = http.MethodGet, "/status/1"
+		}
+		go func() { answers <- newCaller(n).send(method, path, 30*time.Second) }()
+	}
+	c.await(patience, "calls run", func() bool { return len(c.ledger.Runs()) >= calls })
+	n.signal(syscall.SIGTERM)
+	is.True(n.process.endsWithin(7 * time.Second)) // grace period and a second for a busy machine
+	for range calls {
+		a := <-answers
+		if a.err != nil || a.status != http.StatusBadGateway {
+			t.Errorf("request %s: status %d, error %v", a.id, a.status, a.err)
+		}
+	}
+}
