--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilflow/lentilflow/pkg/admission"
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
@@ -359,11 +360,16 @@
 }
 
 // waiting returns the jobs that wait for a slot at all nodes.
-func (p *path) waiting() int {
+func (p *path) waiting() int { return p.sum(func(s admission.State) int { return s.Waiting }) }
+
+// running returns the jobs that run at all nodes.
+func (p *path) running() int { return p.sum(func(s admission.State) int { return s.Running }) }
+
+func (p *path) sum(of func(admission.State) int) int {
 	n := 0
 	for _, s := range p.stations {
 		state, _, _ := s.gateway.Local.State()
-		n += state.Waiting
+		n += of(state)
 	}
 	return n
 }
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -180,13 +180,3 @@
 		is.Equal(l.Serving(), found)
 	}
 }
-
-// running returns the jobs that run at all nodes.
-func (p *path) running() int {
-	n := 0
-	for _, s := range p.stations {
-		state, _, _ := s.gateway.Local.State()
-		n += state.Running
-	}
-	return n
-}
