Offer the parts of a played transfer in one place

send and pump of pkg/play built the next part of a transfer each for itself, and a job kept its call, which nothing read.

--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -124,7 +124,7 @@
 	began := p.clock.now
 	d := way(choice.Distance)
 	p.clock.after(d, func() {
-		target.arrive(&job{call: c, kind: c.kind, deadline: c.deadline, due: c.due, patience: c.patience, end: func(r *refusal) {
+		target.arrive(&job{kind: c.kind, deadline: c.deadline, due: c.due, patience: c.patience, end: func(r *refusal) {
 			p.clock.after(d, func() {
 				c.learn(&choice, began, r)
 				c.ended(r)
@@ -190,7 +190,6 @@
 
 // job is a call at the node beside an upstream.
 type job struct {
-	call     *call
 	kind     *Kind
 	deadline time.Duration
 	due      time.Duration
@@ -211,8 +210,7 @@
 func (n *node) arrive(j *job) {
 	now := n.play.clock.now
 	if down, _, _ := n.fault(); down {
-		r := notRun(model.UpstreamUnreachable)
-		j.finish(r)
+		j.finish(notRun(model.UpstreamUnreachable))
 		return
 	}
 	if r := n.linkRefusal(j); r != nil {
--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -125,13 +125,14 @@
 	}
 	n.link.Backlog(bytes)
 	n.offer(t)
+	n.pump()
 }
 
+// offer lets the next part of a transfer wait for the link.
 func (n *node) offer(t *transfer) {
 	part := shaping.NewPart(t.order, t.due, t.left, min(t.left, partBytes))
 	n.parts[part] = t
 	n.link.Wait(part)
-	n.pump()
 }
 
 // pump sends what the link takes.
@@ -154,9 +155,7 @@
 		t.left -= sent
 		n.link.Backlog(-sent)
 		if t.left > 0 {
-			next := shaping.NewPart(t.order, t.due, t.left, min(t.left, partBytes))
-			n.parts[next] = t
-			n.link.Wait(next)
+			n.offer(t)
 			continue
 		}
 		t.done()
