Log and count what upstreams state about themselves in responses

What was missing: no log line and no metric told whether a node had read the rate limit of its upstream, nor how many requests that upstream got, so the hypotheses of docs/incidents/upstream-rate-limit.md could not be told apart.

Change: the node reads the fields for the rate limit and for leaving, logs each change and counts requests sent to its upstream. No decision uses them yet.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -199,6 +199,7 @@
 	gauge("calls_active", "Calls without a complete answer.", func() float64 { return float64(a.callServer.Active()) })
 	gauge("jobs_active", "Jobs of other nodes without a complete answer.", func() float64 { return float64(a.peerServer.Active()) })
 	gauge("ready", "1 while the node takes new callers.", func() float64 { return boolFloat(a.ready()) })
+	gauge("upstream_rate_limit", "Requests per second that the upstream of this node states as its limit, -1 without one.", a.local.RateLimit)
 	gauge("serving", "1 while the upstream of this node takes work.", func() float64 { return boolFloat(a.local.Serving()) })
 }
 
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -32,7 +32,7 @@
 // testNames are the header field names in the tests of this package.
 var testNames = HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Left", Signature: "X-Signature", ExpectedBoot: "X-Expected", Boot: "X-Boot",
-	NotRun: "X-Not-Run", Caller: "X-Caller",
+	NotRun: "X-Not-Run", Caller: "X-Caller", RateLimit: "X-Rate-Limit", Leaving: "X-Leaving",
 }
 
 const (
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -45,6 +45,11 @@
 	NotRun string
 	// Caller is the service of the VM on which the call was made.
 	Caller string
+	// RateLimit is present in the responses of an upstream that takes only so
+	// many requests per second from all nodes together, a decimal number.
+	RateLimit string
+	// Leaving is set in the responses of an upstream that is about to leave.
+	Leaving string
 }
 
 // stripInternalFields removes the header fields of this package.
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/lentilflow/lentilflow/pkg/admission"
 	"github.com/lentilflow/lentilflow/pkg/config"
@@ -72,9 +73,15 @@
 	pool     *h1.Pool
 	gate     *admission.Gate
 	stopping atomic.Bool
-	running  inFlightAttempts
-	buffered bufferedBytes
-	waiting  waitingAttempts
+	// requestsSent counts the requests that were sent to the upstream, without
+	// health checks.
+	requestsSent atomic.Int64
+	stated       statedLimit
+	statementLog lineLimiter
+	startTime    time.Time
+	running      inFlightAttempts
+	buffered     bufferedBytes
+	waiting      waitingAttempts
 
 	mu          sync.Mutex
 	tracker     upstream.Tracker
@@ -89,6 +96,8 @@
 	l.pool = &h1.Pool{Address: address, IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns, Dial: live.Dialer()}
 	l.gate = admission.NewGate(admission.Limits{Slots: 1})
 	l.tracker.VerifyFirstBoot = true
+	l.startTime = time.Now()
+	l.statementLog.limiter = rate.NewLimiter(statementLinesPerSecond, statementLinesPerSecond)
 	return l
 }
 
@@ -466,6 +475,8 @@
 			end()
 		}
 	}()
+	l.requestsSent.Add(1)
+	l.Metrics.countRequestSent()
 	a, err := l.pool.Do(ctx, att.outgoing(l.matchesRequest(att.RequestID),
 		h1.Field{Name: l.Names.Deadline, Value: millis(remaining)},
 		h1.Field{Name: l.Names.ExpectedBoot, Value: boot.ID},
@@ -473,6 +484,7 @@
 	if err != nil {
 		return nil, l.refusalFor(ctx, entry, err)
 	}
+	l.observeResponse(att.RequestID, boot, a.Header, entry.started)
 	if r := l.notRunRefusal(a, boot); r != nil {
 		if a.Header.Get(l.Names.RequestID) != "" {
 			discard(a)
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -19,6 +19,9 @@
 	// as much processor time as a tenth of a call.
 	answeredLinesPerSecond = 5
 	decisionLinesPerSecond = 100
+	// statementLinesPerSecond limits the log lines about what the upstream states
+	// in its responses.
+	statementLinesPerSecond = 5
 )
 
 // callLog writes the log lines about calls. Lines above the limits are counted,
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -20,8 +20,19 @@
 	callTime    *prometheus.HistogramVec
 	queueTime   *prometheus.HistogramVec
 	serviceTime *prometheus.HistogramVec
+	sent        prometheus.Counter
+	statements  *prometheus.CounterVec
 }
 
+// statementKind is what a response states about its upstream.
+type statementKind string
+
+const (
+	statementLimit   statementKind = "limit"
+	statementLeaving statementKind = "leaving"
+	statementInvalid statementKind = "invalid_limit"
+)
+
 // latencyBuckets are upper bounds in seconds. They range from 1 ms, for calls
 // within an availability zone, to 8.2 s, for the longest timeouts.
 var latencyBuckets = prometheus.ExponentialBuckets(0.001, 2, 14)
@@ -49,6 +60,14 @@
 		callTime:    histogram("call_seconds", "From the arrival of a call to its whole answer."),
 		queueTime:   histogram("queue_seconds", "Wait for a slot of the upstream."),
 		serviceTime: histogram("upstream_seconds", "From admission to the head of the upstream's answer."),
+		sent: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "lentilflow", Name: "upstream_requests_total", Help: "Requests sent to the upstream, without health checks.",
+		}),
+		statements: counter("upstream_statements_total", "Responses that state something about their upstream, by kind.", "statement"),
+	}
+	r.MustRegister(m.sent)
+	for _, k := range []statementKind{statementLimit, statementLeaving, statementInvalid} {
+		m.statements.WithLabelValues(string(k))
 	}
 	for _, r := range model.Reasons() { // export every reason, also at 0
 		m.refusals.WithLabelValues(string(r))
@@ -80,6 +99,9 @@
 	m.callTime.WithLabelValues(rankLabels[min(r, model.MaxRank)]).Observe(d.Seconds())
 }
 
+func (m *Metrics) countRequestSent()              { m.sent.Inc() }
+func (m *Metrics) countStatement(k statementKind) { m.statements.WithLabelValues(string(k)).Inc() }
+
 func (m *Metrics) countRefusal(r model.Reason)  { m.refusals.WithLabelValues(string(r)).Inc() }
 func (m *Metrics) countVerdict(v retry.Verdict) { m.verdicts.WithLabelValues(string(v)).Inc() }
 func (m *Metrics) countFault(f string)          { m.faults.WithLabelValues(f).Inc() }
