Add failing tests of what upstreams state in their responses

What callers and upstreams see: an upstream that states a rate limit gets what its slots let through, and one that states that it leaves gets further requests while its reports still say ready; both also by way of a node that has restarted.

The test cluster can restart a node beside a running upstream.

--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -38,6 +38,7 @@
 const (
 	clusterSize  = 3
 	testService  = "s"
+	testSlots    = 2
 	testDeadline = 80 * time.Millisecond
 	testTimeout  = 20 * time.Second
 )
@@ -49,9 +50,12 @@
 	upstream *scriptedUpstream
 	calls    *h1.Server
 	peers    *h1.Server
+	member   fleet.Member
 	address  string // for calls
+	slots    int    // in the reports of the upstream
 	sequence uint64
-	closers  []func()
+	// listeners are those for calls and for other nodes, in this order.
+	listeners []net.Listener
 }
 
 // injectedFault is a deliberate fault of a node.
@@ -87,6 +91,22 @@
 	return p
 }
 
+// restart replaces a node by a new process at the same addresses, which knows
+// nothing of before. Its upstream keeps running and sends it two reports.
+func (p *testCluster) restart(i int) {
+	old := p.nodes[i]
+	old.end()
+	s := newTestNodeBeside(string(old.member.Node), old.gateway.Config, old.upstream, old.address, old.member.CallAddress, injectedFault{})
+	s.slots, s.sequence = old.slots, old.sequence
+	var members []fleet.Member
+	for _, n := range p.nodes {
+		members = append(members, n.member)
+	}
+	s.gateway.View.Replace(members, 1)
+	p.nodes[i] = s
+	s.start()
+}
+
 func testConfiguration(f injectedFault) *config.Configuration {
 	route := func(name string, idempotent bool) config.Route {
 		return config.Route{
@@ -99,15 +119,23 @@
 	}
 }
 
+// newTestNode starts a node beside a new upstream.
 func newTestNode(name string, holder *config.Holder, l *runCounter, f injectedFault) (*testNode, fleet.Member) {
+	s := newTestNodeBeside(name, holder, newScriptedUpstream(l, testNames), "127.0.0.1:0", "127.0.0.1:0", f)
+	s.start()
+	return s, s.member
+}
+
+// newTestNodeBeside returns a node beside an upstream that listens at the given
+// addresses for calls and for other nodes, but does not serve them yet.
+func newTestNodeBeside(name string, holder *config.Holder, u *scriptedUpstream, callAddress, peerAddress string, f injectedFault) *testNode {
 	names := testNames
-	u := newScriptedUpstream(l, names)
 	if f.acceptsAnyResponse {
 		// No response of the upstream has the request ID, and each seems to
 		// have been sent before a run, which is the kind that needs no ID.
 		names.RequestID, names.NotRun = "X-Unknown", "Content-Length"
 	}
-	callListener, peerListener := mustListen(), mustListen()
+	callListener, peerListener := mustListenAt(callAddress), mustListenAt(peerAddress)
 	m := fleet.Member{
 		Node: model.NodeID(name), Service: testService, CallAddress: peerListener.Addr().String(), MessageAddress: "unused",
 		Location: model.Location{Region: "r", AvailabilityZone: "z"},
@@ -122,36 +150,56 @@
 		Names: names, Self: m, Config: holder, View: fleet.NewView(), Local: local, Remote: NewRemote(m.Node, names, holder),
 		Picker: balance.NewPicker(), Budgets: NewBudgets(1, 1000), Metrics: metrics, Log: zap.NewNop(), OnNewerConfig: func(config.Version) {},
 	})
-	s := &testNode{gateway: g, upstream: u, calls: g.CallServer(), peers: g.PeerServer(), address: callListener.Addr().String()}
-	go func() { _ = s.calls.Serve(callListener) }()
-	go func() { _ = s.peers.Serve(peerListener) }()
-	s.closers = []func(){
-		func() { _ = callListener.Close() }, func() { _ = peerListener.Close() }, s.calls.CloseAll, s.peers.CloseAll, u.close,
+	s := &testNode{
+		gateway: g, upstream: u, member: m, calls: g.CallServer(), peers: g.PeerServer(), address: callListener.Addr().String(), slots: testSlots,
 	}
-	s.report()
-	s.report() // the second report confirms the boot
-	return s, m
+	s.listeners = []net.Listener{callListener, peerListener}
+	return s
 }
 
-func mustListen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func mustListen() net.Listener { return mustListenAt("127.0.0.1:0") }
+
+func mustListenAt(address string) net.Listener {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		panic(err)
 	}
 	return l
 }
 
+// start serves calls and attempts, after two reports of the upstream; the second
+// one confirms its boot.
+func (s *testNode) start() {
+	s.report()
+	s.report()
+	go func() { _ = s.calls.Serve(s.listeners[0]) }()
+	go func() { _ = s.peers.Serve(s.listeners[1]) }()
+}
+
+// close ends the node and its upstream.
+func (s *testNode) close() {
+	s.end()
+	s.upstream.close()
+}
+
+// end ends the process of the node, but not its upstream.
+func (s *testNode) end() {
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.calls.CloseAll()
+	s.peers.CloseAll()
+}
+
 // report sends a node the next report of its upstream.
 func (s *testNode) report() {
 	s.sequence++
-	s.gateway.Local.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: s.sequence, Service: testService, Slots: 2})
+	s.gateway.Local.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: s.sequence, Service: testService, Slots: s.slots})
 }
 
 func (p *testCluster) close() {
 	for _, s := range p.nodes {
-		for _, end := range s.closers {
-			end()
-		}
+		s.close()
 	}
 }
 
--- a/pkg/gateway/download_test.go
+++ b/pkg/gateway/download_test.go
@@ -215,11 +215,7 @@
 	_, err := holder.Offer(c)
 	is.NoErr(err)
 	s, m := newTestNode("n0", holder, &runCounter{runs: make(map[string]int)}, injectedFault{})
-	defer func() {
-		for _, end := range s.closers {
-			end()
-		}
-	}()
+	defer s.close()
 	address, _ := rawUpstream(t, rawResponse(fmt.Sprintf("Content-Length: %d\r\n", downloadSize), downloadSize), false)
 	link := shaping.NewLink(20)
 	s.gateway.Local = newTestLocal(t, address, link, 2)
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -232,11 +232,8 @@
 	l := &runCounter{runs: make(map[string]int)}
 	first, m := newTestNode("n0", holder, l, injectedFault{})
 	second, other := newTestNode("n1", holder, l, injectedFault{})
-	defer func() {
-		for _, end := range append(first.closers, second.closers...) {
-			end()
-		}
-	}()
+	defer first.close()
+	defer second.close()
 	address, set := truncatingUpstream(t, reset)
 	upstreamNode, member := first, m
 	if nodes == 2 {
--- a/pkg/gateway/scripted_test.go
+++ b/pkg/gateway/scripted_test.go
@@ -68,9 +68,12 @@
 	names     HeaderNames
 	openConns atomic.Int64
 
-	mu     sync.Mutex
-	script []action
-	conns  map[net.Conn]bool
+	mu       sync.Mutex
+	script   []action
+	conns    map[net.Conn]bool
+	fields   string        // header lines that every response has
+	delay    time.Duration // before each response
+	arrivals []time.Time   // of all requests
 }
 
 func newScriptedUpstream(l *runCounter, names HeaderNames) *scriptedUpstream {
@@ -89,6 +92,44 @@
 	u.script = append(u.script, c...)
 }
 
+// state sets the header lines of all further responses, each "Name: value".
+func (u *scriptedUpstream) state(lines ...string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fields = ""
+	for _, line := range lines {
+		u.fields += line + "\r\n"
+	}
+}
+
+func (u *scriptedUpstream) setDelay(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.delay = d
+}
+
+// arrived records the arrival of a request and returns the delay and the header
+// lines of its response.
+func (u *scriptedUpstream) arrived() (delay time.Duration, fields string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.arrivals = append(u.arrivals, time.Now())
+	return u.delay, u.fields
+}
+
+// arrivalsSince returns the times of the requests that arrived after t.
+func (u *scriptedUpstream) arrivalsSince(t time.Time) []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var since []time.Time
+	for _, at := range u.arrivals {
+		if at.After(t) {
+			since = append(since, at)
+		}
+	}
+	return since
+}
+
 func (u *scriptedUpstream) next() action {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -158,8 +199,10 @@
 
 // respond performs one action and reports whether the connection stays open.
 func (u *scriptedUpstream) respond(nc net.Conn, id string, c action) bool {
+	delay, stated := u.arrived()
+	time.Sleep(delay)
 	write := func(status int, id, fields, body string, length int) {
-		_, _ = fmt.Fprintf(nc, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, u.names.RequestID, id, fields, length, body)
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 %d X\r\n%s: %s\r\n%s%sContent-Length: %d\r\n\r\n%s", status, u.names.RequestID, id, stated, fields, length, body)
 	}
 	signed := u.names.Signature + ": 1\r\n"
 	notRun := u.names.NotRun + ": 1\r\n"
--- /dev/null
+++ b/pkg/gateway/statement_test.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// limitWindow is the span in which the users count the requests that a
+	// limited upstream gets.
+	limitWindow = 4 * time.Second
+	// statedRate is the rate limit of the upstreams in these tests, per second.
+	statedRate = 8.0
+)
+
+// permitted is the number of requests that the users permit in limitWindow.
+func permitted(rate float64) int { return int(1.5*rate*limitWindow.Seconds()) + 5 }
+
+// mostArrivals returns the largest number of arrivals within limitWindow.
+func mostArrivals(arrivals []time.Time) int {
+	most, first := 0, 0
+	for i, at := range arrivals {
+		for at.Sub(arrivals[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// flood sends calls to the given nodes, from several callers at each, until stop
+// is called.
+func (p *testCluster) flood(nodes []int, deadline time.Duration) (stop func()) {
+	const callers = 8
+	ended := make(chan struct{})
+	var all sync.WaitGroup
+	for i := range callers * len(nodes) {
+		all.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				if o := p.sendWithin(nodes[i%len(nodes)], i%2 == 0, deadline); o.status != http.StatusOK {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+	return func() {
+		close(ended)
+		all.Wait()
+	}
+}
+
+// stateRate makes all upstreams of the cluster state a rate limit, and waits
+// until every node has forwarded such a response of every upstream.
+func (p *testCluster) stateRate(rate float64) {
+	for _, s := range p.nodes {
+		s.upstream.state(testNames.RateLimit + ": " + strconv.FormatFloat(rate, 'f', -1, 64))
+	}
+}
+
+// Guards against an upstream that states a rate limit in its responses and gets
+// whatever its slots let through.
+func TestUpstreamGetsNoMoreThanItsRateLimit(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	p.stateRate(statedRate)
+	stop := p.flood([]int{0, 1, 2}, 500*time.Millisecond)
+	time.Sleep(500 * time.Millisecond) // the users count from half a second after a node has seen the limit
+	from := time.Now()
+	time.Sleep(limitWindow + limitWindow/4)
+	stop()
+	for _, s := range p.nodes {
+		got := mostArrivals(s.upstream.arrivalsSince(from))
+		t.Logf("%d requests in %s, permitted %d", got, limitWindow, permitted(statedRate))
+		is.True(got <= permitted(statedRate))
+		is.True(got >= int(statedRate*limitWindow.Seconds()/2)) // the limit is used
+	}
+}
+
+// Guards against a limited upstream that gets a burst after its node has
+// restarted and has not seen a response yet, from nodes that know the limit.
+func TestRateLimitHoldsAfterRestart(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	const manySlots = 100
+	limited := p.nodes[0]
+	limited.slots = manySlots
+	limited.report()
+	p.stateRate(statedRate)
+	stop := p.flood([]int{1, 2}, 500*time.Millisecond)
+	time.Sleep(time.Second)
+	limited.upstream.setDelay(300 * time.Millisecond) // the new process sees no response for so long
+	from := time.Now()
+	for range 2 {
+		p.restart(0)
+		time.Sleep(time.Second)
+	}
+	time.Sleep(limitWindow)
+	stop()
+	got := mostArrivals(limited.upstream.arrivalsSince(from))
+	t.Logf("%d requests in %s, permitted %d", got, limitWindow, permitted(statedRate))
+	is.True(got <= permitted(statedRate))
+	is.True(got > 0)
+}
+
+// Guards against an upstream that gets further requests after it has stated in a
+// response that it leaves, because its reports still say that it is ready.
+func TestUpstreamThatStatesLeavingGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	leaving := p.nodes[0]
+	leaving.upstream.state(testNames.Leaving + ": 1")
+	p.sendUntilArrival(t, 1, leaving)
+	from := time.Now()
+	leaving.report() // a ready report, as a late one
+	for i := range 60 {
+		is.Equal(p.sendWithin(i%clusterSize, true, time.Second).status, http.StatusOK)
+	}
+	is.Equal(len(leaving.upstream.arrivalsSince(from)), 0)
+}
+
+// Guards against requests from a node that has seen that an upstream leaves, by
+// way of the upstream's node, which has restarted and believes a late report.
+func TestLeavingUpstreamGetsNoRequestsAfterRestart(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	leaving := p.nodes[0]
+	leaving.upstream.state(testNames.Leaving + ": 1")
+	p.sendUntilArrival(t, 1, leaving)
+	from := time.Now()
+	p.restart(0)
+	for range 60 {
+		is.Equal(p.sendWithin(1, true, time.Second).status, http.StatusOK)
+	}
+	is.Equal(len(leaving.upstream.arrivalsSince(from)), 0)
+}
+
+// sendUntilArrival sends calls to a node, one after the other, until one has
+// reached the upstream of another node.
+func (p *testCluster) sendUntilArrival(t *testing.T, node int, s *testNode) {
+	t.Helper()
+	for end := time.Now().Add(cancelTimeout); len(s.upstream.arrivalsSince(time.Time{})) == 0; {
+		if time.Now().After(end) {
+			t.Fatalf("no call reached the upstream within %s", cancelTimeout)
+		}
+		p.sendWithin(node, true, time.Second)
+	}
+}
