Keep requests within the rate limit that an upstream states

What upstreams saw: one that stated a limit in its responses got two to three times that, whatever its slots let through, until it withdrew the limit.

Cause: the node read from a response only what concerns its request. What a response says about the upstream itself was forwarded and not used; only reports and health checks changed what a node believes about its upstream.

Change: the node beside the upstream, which every request passes, starts calls by a token bucket at the stated rate. Waiting time, queue length and floors are derived from the rate while it is lower than what the slots permit. A response carries the statement and its boot to the node of the caller, which repeats it with its next attempts, so that a restarted node keeps the limit before its first response; a health check at the start names it too. The limit ends with the first response without it to a request that was sent under the limit, and with the boot.

Why it works: no other process can connect to the upstream, so one bucket bounds the sum of all nodes: 4.25 times the rate plus 1 in 4 s, of 6 times plus 5.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -21,7 +22,11 @@
 // rules file the floors.
 type Limits struct {
 	Slots  int        // calls that the upstream runs at a time
-	Floors [Ranks]int // percent of the slots, by rank
+	Floors [Ranks]int // percent of the slots, or of the rate limit, by rank
+	// RateLimited says that at most RateLimit calls per second may start. 0 is
+	// a valid limit.
+	RateLimited bool
+	RateLimit   float64
 }
 
 // Call holds the properties of a call on which admission depends.
@@ -56,6 +61,7 @@
 // the Core.
 type Core struct {
 	limits       Limits
+	rate         rateLimiter
 	serviceTimes serviceTimes
 	ranks        [Ranks]rankQueue
 	running      int
@@ -65,15 +71,16 @@
 // NewCore returns an idle Core.
 func NewCore(l Limits) *Core {
 	c := &Core{}
-	c.SetLimits(l)
+	c.SetLimits(0, l)
 	return c
 }
 
 // SetLimits changes the capacity. Running and waiting calls are not affected.
 // Fewer than one slot counts as one.
-func (c *Core) SetLimits(l Limits) {
+func (c *Core) SetLimits(now time.Duration, l Limits) {
 	l.Slots = max(l.Slots, 1)
 	c.limits = l
+	c.rate.set(now, l.RateLimited, l.RateLimit)
 }
 
 // Limit returns how many calls may run now: all slots that the upstream states.
@@ -81,14 +88,30 @@
 // while calls wait (docs/decisions/admission.md).
 func (c *Core) Limit() int { return c.limits.Slots }
 
-// QueueLimit returns how many calls may wait.
-func (c *Core) QueueLimit() int { return queuePerSlot*c.limits.Slots + queueExtra }
+// QueueLimit returns how many calls may wait. Under a rate limit that leaves
+// slots idle, only the slots in use count: rate times service time (Little's
+// law). With more waiting calls, most would miss their latency target or wait
+// until they are displaced.
+func (c *Core) QueueLimit(now time.Duration) int {
+	full := queuePerSlot*c.limits.Slots + queueExtra
+	if !c.rate.limited {
+		return full
+	}
+	busy := int(math.Ceil(min(c.rate.rate*c.serviceTimes.mean(now).Seconds(), float64(c.limits.Slots))))
+	limit := queuePerSlot * max(busy, 1)
+	for _, floor := range c.limits.Floors {
+		if floor > 0 {
+			limit++ // a protected place
+		}
+	}
+	return min(limit, full)
+}
 
 // Arrive decides on a new call. If a queued call is dropped to make room, it is
 // returned as dropped and counts as refused with Overloaded.
 func (c *Core) Arrive(now time.Duration, w *Waiter) (d Decision, dropped *Waiter) {
 	w.Rank = min(w.Rank, model.MaxRank)
-	free := c.running < c.Limit() && c.waiting == 0
+	free := c.waiting == 0 && c.mayStart(now)
 	if c.cannotFinish(now, w, free) {
 		return DeadlineUnreachable, nil
 	}
@@ -99,7 +122,7 @@
 	if w.MaxQueueTime > 0 && c.expectedQueueTime(now, &w.Call) > w.MaxQueueTime {
 		return Overloaded, nil
 	}
-	if c.waiting >= c.QueueLimit() {
+	if c.waiting >= c.QueueLimit(now) {
 		if dropped = c.lateEvictionCandidate(now, w); dropped == nil {
 			dropped = c.evictionCandidate(w)
 		}
@@ -113,6 +136,10 @@
 	return Queued, dropped
 }
 
+// mayStart reports whether a call may start now: a slot is free, and the rate
+// limit permits it.
+func (c *Core) mayStart(now time.Duration) bool { return c.running < c.Limit() && c.rate.ready(now) }
+
 // cannotFinish estimates whether the call cannot finish before its deadline. An
 // idle upstream gets every call whose deadline has not passed, so that the
 // estimate is updated.
@@ -121,7 +148,7 @@
 	if left <= 0 {
 		return true
 	}
-	if c.running == 0 {
+	if c.running == 0 && free {
 		return false
 	}
 	need := c.requiredTime(now, &w.Call)
@@ -162,16 +189,67 @@
 	if f := c.floorSlots(r); f > 0 {
 		wait = min(wait, (float64(mean)+ahead)/float64(f))
 	}
-	return time.Duration(wait)
+	return max(time.Duration(wait), c.rateWait(now, w))
+}
+
+// rateWait is the time until the rate limit permits a call that arrives now,
+// after the calls that go before it. If the floor of its rank lets it start
+// sooner, that time counts.
+func (c *Core) rateWait(now time.Duration, w *Call) time.Duration {
+	if !c.rate.limited {
+		return 0
+	}
+	r := min(w.Rank, model.MaxRank)
+	ownCalls := c.ranks[r].callsAhead(now, w) + 1
+	calls, share := ownCalls, 1.0
+	for q := range r {
+		calls += float64(c.ranks[q].waiting)
+	}
+	for q := int(r) + 1; q < Ranks; q++ {
+		if c.ranks[q].waiting > 0 {
+			share -= float64(c.limits.Floors[q]) / 100 // taken by the floors of less urgent ranks
+		}
+	}
+	wait := c.rate.wait(now, calls, max(share, minRateShare))
+	if f := c.limits.Floors[r]; f > 0 {
+		wait = min(wait, c.rate.wait(now, ownCalls, float64(f)/100))
+	}
+	return wait
 }
 
+// minRateShare is the least share of the rate limit that is expected for a rank,
+// for floors that add up to the whole limit.
+const minRateShare = 0.1
+
 // floorSlots is the floor of r in whole slots of the current limit, rounded up.
 func (c *Core) floorSlots(r model.Rank) int {
 	return (c.limits.Floors[r]*c.Limit() + 99) / 100
 }
 
-// belowFloor reports whether r runs fewer calls than its floor.
-func (c *Core) belowFloor(r model.Rank) bool { return c.ranks[r].running < c.floorSlots(r) }
+// belowFloor reports whether r runs fewer calls than its floor. Under a rate
+// limit, few calls run at a time, and the floor is a share of the starts.
+func (c *Core) belowFloor(r model.Rank) bool {
+	if c.rate.limited {
+		return c.ranks[r].floorCredit >= oneStart
+	}
+	return c.ranks[r].running < c.floorSlots(r)
+}
+
+// creditFloors gives each waiting rank its share of a start under a rate limit,
+// and deducts the start from the rank that gets it.
+func (c *Core) creditFloors(started model.Rank) {
+	for r := range c.ranks {
+		q := &c.ranks[r]
+		if q.waiting > 0 || model.Rank(r) == started {
+			q.floorCredit = min(q.floorCredit+c.limits.Floors[r], 2*oneStart)
+		}
+	}
+	q := &c.ranks[started]
+	q.floorCredit = max(q.floorCredit-oneStart, 0)
+}
+
+// oneStart is the credit of one start, in percent.
+const oneStart = 100
 
 // evictionCandidate returns the waiting call that is dropped to make room for w,
 // or nil. It is the newest call of the rule with the most waiting calls, in the
@@ -220,7 +298,7 @@
 // longer finish before its deadline. Next returns nil if no call waits or no
 // slot is free.
 func (c *Core) Next(now time.Duration) (w *Waiter, admitted bool) {
-	if c.waiting == 0 || c.running >= c.Limit() {
+	if c.waiting == 0 || !c.mayStart(now) {
 		return nil, false
 	}
 	r := c.nextRank()
@@ -233,6 +311,16 @@
 	return w, true
 }
 
+// NextStart returns how long it takes until the rate limit lets a waiting call
+// start. ok is false if no call waits for the rate limit: none waits at all, or
+// every slot is in use.
+func (c *Core) NextStart(now time.Duration) (wait time.Duration, ok bool) {
+	if !c.rate.limited || c.waiting == 0 || c.running >= c.Limit() {
+		return 0, false
+	}
+	return c.rate.wait(now, 1, 1), true
+}
+
 // nextRank returns the most urgent waiting rank that is below its floor, or else
 // the most urgent waiting rank. Other ranks can thus use the slots of an unused
 // floor.
@@ -256,6 +344,10 @@
 	c.running++
 	c.ranks[w.Rank].running++
 	w.started = now
+	if c.rate.limited {
+		c.rate.take(now)
+		c.creditFloors(w.Rank)
+	}
 }
 
 // Expire takes one waiting call whose deadline has passed out of its queue and
@@ -307,16 +399,21 @@
 }
 
 // State is a copy of the load figures of a Core: numbers of calls, and a time.
-// Limit is that of Core.Limit.
+// Limit is that of Core.Limit. RateLimit is -1 without a rate limit.
 type State struct {
 	Slots, Limit, Running, Waiting int
 	RunningByRank, WaitingByRank   [Ranks]int
 	ServiceTime                    time.Duration // mean service time of recent calls
+	RateLimit                      float64       // calls per second that may start
 }
 
 // State returns the current load figures.
 func (c *Core) State(now time.Duration) State {
 	s := State{Slots: c.limits.Slots, Limit: c.Limit(), Running: c.running, Waiting: c.waiting, ServiceTime: c.serviceTimes.mean(now)}
+	s.RateLimit = -1
+	if c.rate.limited {
+		s.RateLimit = c.rate.rate
+	}
 	for r := range c.ranks {
 		s.RunningByRank[r], s.WaitingByRank[r] = c.ranks[r].running, c.ranks[r].waiting
 	}
--- a/pkg/admission/core_test.go
+++ b/pkg/admission/core_test.go
@@ -194,7 +194,7 @@
 			return c.Arrive(now, w)
 		}, correct.next},
 		"a call was refused while a less urgent one waits": {func(c *Core, now time.Duration, w *Waiter) (Decision, *Waiter) {
-			if c.waiting >= c.QueueLimit() {
+			if c.waiting >= c.QueueLimit(0) {
 				return Overloaded, nil
 			}
 			return c.Arrive(now, w)
@@ -208,7 +208,7 @@
 func TestRulesShareRankByWeight(t *testing.T) {
 	c := NewCore(Limits{Slots: 2})
 	var run []*Waiter
-	for i := range c.QueueLimit() {
+	for i := range c.QueueLimit(0) {
 		rule, weight := "a", 2
 		if i%2 == 1 {
 			rule, weight = "b", 1
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/contain"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -26,10 +27,15 @@
 // concurrent use. One mutex guards the Core: it is held for well under a
 // microsecond, and one upstream runs at most about 15 calls.
 type Gate struct {
+	// Guard recovers panics in the timer of the rate limit.
+	Guard *contain.Guard
+
 	mu    sync.Mutex
 	core  *Core
 	start time.Time
 	pool  sync.Pool
+	// nextStart calls dispatch when the rate limit lets a waiting call start.
+	nextStart *time.Timer
 }
 
 // NewGate returns a Gate for one upstream.
@@ -46,7 +52,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.core.limits != l {
-		g.core.SetLimits(l)
+		g.core.SetLimits(g.now(), l)
 		g.dispatch()
 	}
 }
@@ -113,9 +119,15 @@
 	return d, queueTime
 }
 
+// maxRetryAfter limits what is stated as the time after which to retry, before
+// the jitter: a rate limit may rise or end at any time.
+const maxRetryAfter = 10 * time.Second
+
 // addJitter returns a time between half of d and one and a half times d, plus up
-// to 1 s, so that refused callers do not all retry at once.
+// to 1 s, so that refused callers do not all retry at once. d counts as
+// maxRetryAfter at most.
 func addJitter(d time.Duration) time.Duration {
+	d = min(d, maxRetryAfter)
 	return time.Duration((0.5+rand.Float64())*float64(d)) + rand.N(time.Second)
 }
 
@@ -173,10 +185,25 @@
 	for {
 		w, admitted := g.core.Next(g.now())
 		if w == nil {
-			return
+			break
 		}
 		w.ready <- admitted
 	}
+	wait, ok := g.core.NextStart(g.now())
+	if !ok {
+		return
+	}
+	if g.nextStart == nil {
+		g.nextStart = time.AfterFunc(wait, func() { g.Guard.Do("rate limit", g.dispatchLocked) })
+		return
+	}
+	g.nextStart.Reset(wait)
+}
+
+func (g *Gate) dispatchLocked() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch()
 }
 
 // Release frees the slot and records how the call ended.
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -60,10 +60,10 @@
 		t.Fatalf("call cancelled: got refusal %v, want reason %s", r, model.CallerGone)
 	}
 	waiting, stop := context.WithCancel(context.Background())
-	for range g.core.QueueLimit() {
+	for range g.core.QueueLimit(0) {
 		go func() { _, _ = g.Acquire(waiting, Call{Rank: 3}, far, time.Time{}) }()
 	}
-	for g.State().Waiting < g.core.QueueLimit() {
+	for g.State().Waiting < g.core.QueueLimit(0) {
 		time.Sleep(time.Millisecond)
 	}
 	if _, r := g.Acquire(context.Background(), Call{Rank: 3}, far, time.Time{}); r == nil || r.Reason != model.Overloaded || r.RetryAfter <= 0 {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -40,6 +40,7 @@
 	virtualTime float64 // of the flow whose call was taken last
 	waiting     int
 	running     int
+	floorCredit int // percent of a start that the floor owes the rank, under a rate limit
 }
 
 func (q *rankQueue) push(w *Waiter) {
@@ -187,6 +188,23 @@
 	return n
 }
 
+// callsAhead is the expected number of calls of this rank that start before a new
+// call w: the calls of the same flow that go before it, and of every other flow
+// as many as its weight entitles it to meanwhile.
+func (q *rankQueue) callsAhead(now time.Duration, w *Call) float64 {
+	own, weight := 0.0, float64(max(w.Weight, 1))
+	if f, ok := q.flows[w.Rule]; ok {
+		own = float64(f.callsAhead(now, w))
+	}
+	sum := own
+	for r, f := range q.flows {
+		if r != w.Rule && f.waiting > 0 {
+			sum += min(float64(f.waiting), own*float64(f.weight)/weight+1)
+		}
+	}
+	return sum
+}
+
 // totalWork is the expected service time of all waiting calls of this rank, in
 // nanoseconds.
 func (q *rankQueue) totalWork(defaultTime time.Duration) float64 {
--- /dev/null
+++ b/pkg/admission/rate_test.go
@@ -0,0 +1,199 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// limitWindow is the span in which the users count the requests that a limited
+// upstream gets. They permit one and a half times what the limit allows, and 5
+// requests more.
+const limitWindow = 4 * time.Second
+
+// limitedRun is what happened to the calls of a simulation.
+type limitedRun struct {
+	started     []time.Duration // in the order of time
+	startedBy   [Ranks]int
+	inTime      int // calls that ended within their latency target
+	refused     int
+	longestHeld time.Duration // from the arrival of a call to its refusal
+}
+
+// limitedLoad is a Poisson load of one rank.
+type limitedLoad struct {
+	rank model.Rank
+	rate float64 // calls per second
+}
+
+// simulateLimited offers loads to an upstream with a rate limit and 13 slots of
+// 62 ms for 20 s of virtual time. Calls have a latency target of 250 ms and a
+// deadline of 800 ms.
+func simulateLimited(limits Limits, loads []limitedLoad) limitedRun {
+	const (
+		length   = 20 * time.Second
+		service  = 62 * time.Millisecond
+		target   = 250 * time.Millisecond
+		deadline = 800 * time.Millisecond
+	)
+	limits.Slots = 13
+	rnd := rand.New(rand.NewPCG(3, 9))
+	c := NewCore(limits)
+	var res limitedRun
+	type end struct {
+		at time.Duration
+		w  *Waiter
+	}
+	var running []end
+	next := make([]time.Duration, len(loads))
+	for now := time.Duration(0); now < length; now += time.Millisecond {
+		start := func(w *Waiter) {
+			res.started = append(res.started, now)
+			res.startedBy[w.Rank]++
+			running = append(running, end{now + service, w})
+			if now+service <= w.Due {
+				res.inTime++
+			}
+		}
+		refuse := func(w *Waiter) {
+			res.refused++
+			res.longestHeld = max(res.longestHeld, now+deadline-w.Deadline)
+		}
+		kept := running[:0]
+		for _, r := range running {
+			if r.at > now {
+				kept = append(kept, r)
+				continue
+			}
+			c.Done(now, r.w, Completed)
+		}
+		running = kept
+		for w := c.Expire(now); w != nil; w = c.Expire(now) {
+			refuse(w)
+		}
+		for i, l := range loads {
+			for ; next[i] <= now; next[i] += time.Duration(rnd.ExpFloat64() / l.rate * float64(time.Second)) {
+				w := &Waiter{Call: Call{Rank: l.rank, Rule: "r", Deadline: now + deadline, Due: now + target}}
+				d, dropped := c.Arrive(now, w)
+				if dropped != nil {
+					refuse(dropped)
+				}
+				switch d {
+				case Admitted:
+					start(w)
+				case Overloaded, DeadlineUnreachable:
+					refuse(w)
+				}
+			}
+		}
+		for w, admitted := c.Next(now); w != nil; w, admitted = c.Next(now) {
+			if admitted {
+				start(w)
+			} else {
+				refuse(w)
+			}
+		}
+	}
+	return res
+}
+
+// most returns the largest number of starts within limitWindow.
+func (r *limitedRun) most() int {
+	most, first := 0, 0
+	for i, at := range r.started {
+		for at-r.started[first] > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against more requests in some window than the users permit, at any rate
+// and load, and against a limit that is not used while calls wait.
+func TestRateLimitBoundsEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 60).Draw(t, "rate")
+		load := rapid.Float64Range(1, 200).Draw(t, "load")
+		res := simulateLimited(Limits{RateLimited: true, RateLimit: rate}, []limitedLoad{{0, load}})
+		if got, permitted := res.most(), int(1.5*rate*limitWindow.Seconds())+5; got > permitted {
+			t.Fatalf("%d calls started in %s, permitted %d", got, limitWindow, permitted)
+		}
+		if expected := 20 * rate; load > 3*rate && rate > 5 && float64(len(res.started)) < 0.9*expected {
+			t.Fatalf("%d calls started, the limit permits %.0f", len(res.started), expected)
+		}
+	})
+}
+
+// Guards against a less urgent rank that gets nothing under a rate limit: few
+// calls run at a time, so that every rank seems to be below its floor of slots.
+func TestFloorsHoldUnderRateLimit(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{RateLimited: true, RateLimit: 20}
+	limits.Floors[0], limits.Floors[5] = 10, 10
+	res := simulateLimited(limits, []limitedLoad{{0, 100}, {5, 100}})
+	share := float64(res.startedBy[5]) / float64(len(res.started))
+	t.Logf("rank 5 got %.3f of the starts", share)
+	is.True(share >= 0.09) // the floor, less the calls in progress at the start and the end
+	is.True(res.startedBy[0] > res.startedBy[5])
+}
+
+// The load of the users' capped day: calls for a limited upstream exceed its rate
+// by half. Guards against a queue as long as the slots permit, in which nearly
+// every call misses its latency target or is held until its deadline.
+func TestQueueOfLimitedUpstreamKeepsTargets(t *testing.T) {
+	is := is.New(t)
+	res := simulateLimited(Limits{RateLimited: true, RateLimit: 40}, []limitedLoad{{0, 60}})
+	t.Logf("%d started, %d in time, %d refused, held for %s at most", len(res.started), res.inTime, res.refused, res.longestHeld)
+	is.True(float64(res.inTime) >= 0.9*float64(len(res.started)))
+	is.True(res.longestHeld < 250*time.Millisecond) // the latency target
+}
+
+// Guards against calls that wait for an upstream which takes none: they are
+// refused at once.
+func TestZeroRateLimitRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	res := simulateLimited(Limits{RateLimited: true, RateLimit: 0}, []limitedLoad{{0, 50}})
+	is.Equal(len(res.started), 0)
+	is.Equal(res.longestHeld, time.Duration(0))
+	is.True(res.refused > 500)
+}
+
+// Guards against calls that wait for a timer of the old rate after the limit has
+// ended, and against calls that none wakes when the limit lets them start.
+func TestGateStartsCallsAtTheRateLimit(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(Limits{Slots: 50, RateLimited: true, RateLimit: 50})
+	far := time.Now().Add(time.Minute)
+	ended := make(chan *Refusal, 20)
+	acquire := func(n int) {
+		for range n {
+			go func() {
+				_, r := g.Acquire(t.Context(), Call{}, far, time.Time{})
+				ended <- r
+			}()
+		}
+	}
+	for range 3 {
+		acquire(2) // as many as may wait without a known service time
+		for range 2 {
+			is.Equal(<-ended, nil)
+		}
+	}
+	g.SetLimits(Limits{Slots: 50, RateLimited: true, RateLimit: 0.02})
+	before := g.State().Running
+	g.mu.Lock()
+	queued := &Waiter{Call: Call{Deadline: time.Hour}, ready: make(chan bool, 1)}
+	d, _ := g.core.Arrive(g.now(), queued)
+	g.dispatch()
+	g.mu.Unlock()
+	is.Equal(d, Queued)
+	is.Equal(g.State().Running, before)
+	g.SetLimits(Limits{Slots: 50})
+	is.True(<-queued.ready)
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -71,6 +71,8 @@
 	// by the local node of the upstream.
 	QueueTime, ServiceTime time.Duration
 	finish                 func(complete bool)
+	// statement is what the upstream states about itself.
+	statement bootStatement
 	// transfer accounts for the response on the link of the upstream's VM. It
 	// is nil for responses that are not downloads and for those of remote
 	// upstreams.
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -25,6 +25,9 @@
 //	Lentilflow-Answer    the word upstream, queue time and service time in milliseconds
 //	Lentilflow-Refusal   reason, run state, milliseconds until a retry is worthwhile, 1 if
 //	                     no upstream saw the request, expected wait in milliseconds
+//	Lentilflow-Upstream  start of a boot in Unix milliseconds, its rate limit per second
+//	                     or -, 1 if it is leaving, and its ID; in responses, and in
+//	                     attempts as the sender knows it from an earlier response
 //	Lentilflow-Withdraw  ID of an attempt to cancel unless it is running
 //
 // They are removed from requests of callers and from responses of upstreams.
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -22,6 +22,9 @@
 	// headerWithdraw is the ID of an attempt that is to be cancelled unless it
 	// is running.
 	headerWithdraw = "Lentilflow-Withdraw"
+	// headerUpstream says what the upstream has stated about itself, in
+	// responses and, as the sender knows it, in attempts.
+	headerUpstream = "Lentilflow-Upstream"
 	// headerRoute and headerVersion inform a caller which route of which
 	// version decided its call.
 	headerRoute   = "Lentilflow-Route"
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -95,6 +95,7 @@
 	live := h1.Liveness{DialTimeout: upstreamDialTimeout, ProbeInterval: upstreamProbeInterval, UserTimeout: upstreamUserTimeout}
 	l.pool = &h1.Pool{Address: address, IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns, Dial: live.Dialer()}
 	l.gate = admission.NewGate(admission.Limits{Slots: 1})
+	l.gate.Guard = l.Guard
 	l.tracker.VerifyFirstBoot = true
 	l.startTime = time.Now()
 	l.statementLog.limiter = rate.NewLimiter(statementLinesPerSecond, statementLinesPerSecond)
@@ -185,6 +186,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	a, err := l.pool.Do(ctx, &h1.Request{Method: http.MethodGet, Target: service.HealthPath, Host: l.pool.Address})
 	if err != nil {
 		l.Log.Info("upstream did not respond to the health check for its boot; its next report decides", zap.Error(err))
@@ -196,6 +198,9 @@
 		l.Log.Info("upstream is unhealthy or its response names no boot; its next report decides", zap.Int("status", a.Status), zap.String("boot", boot))
 		return "", false
 	}
+	if l.observeHealthCheck(boot, a.Header, sentAt).Leaving {
+		return "", false
+	}
 	return boot, true
 }
 
@@ -238,7 +243,7 @@
 	ok = ok && !l.unreachable
 	if ok {
 		l.boot.Store(&b)
-		l.gate.SetLimits(l.limits(b.Slots))
+		l.gate.SetLimits(l.limits(&b))
 	} else {
 		l.boot.Store(nil)
 	}
@@ -257,10 +262,11 @@
 	}
 }
 
-// limits returns the slots of the upstream and the floors of the ranks that
-// have a route to its service.
-func (l *Local) limits(slots int) admission.Limits {
-	limits := admission.Limits{Slots: slots}
+// limits returns the slots and the rate limit of a boot, and the floors of the
+// ranks that have a route to its service.
+func (l *Local) limits(b *upstream.Boot) admission.Limits {
+	limits := admission.Limits{Slots: b.Slots}
+	limits.RateLimit, limits.RateLimited = l.stated.of(b)
 	s := l.Config.Current()
 	if s == nil {
 		return limits
@@ -290,9 +296,7 @@
 	if unverified { // its report arrived before the health path was known
 		l.Guard.Go("prove boot", func() { l.verifyBoot(r.ID, r.StartedAt) })
 	}
-	if b := l.boot.Load(); b != nil {
-		l.gate.SetLimits(l.limits(b.Slots))
-	}
+	l.updateLimits()
 }
 
 // markUnreachable marks a boot as unreachable because it does not accept
@@ -484,7 +488,7 @@
 	if err != nil {
 		return nil, l.refusalFor(ctx, entry, err)
 	}
-	l.observeResponse(att.RequestID, boot, a.Header, entry.started)
+	statement := l.observeResponse(att.RequestID, boot, a.Header, entry.started)
 	if r := l.notRunRefusal(a, boot); r != nil {
 		if a.Header.Get(l.Names.RequestID) != "" {
 			discard(a)
@@ -494,7 +498,7 @@
 	}
 	stripInternalFields(a.Header)
 	returned = true
-	return &Response{Response: a, finish: func(complete bool) {
+	return &Response{Response: a, statement: statement, finish: func(complete bool) {
 		defer end()
 		if complete {
 			l.reportCompleted(att)
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -62,6 +62,7 @@
 	activeAttempts map[string]string // address of the remote node by attempt ID, "" for this node
 	pools          map[string]*h1.Pool
 	liveness       h1.Liveness
+	statements     remoteStatements
 }
 
 // NewRemote returns a Remote without connections. self is the name of this
@@ -74,8 +75,9 @@
 }
 
 // CloseUnusedPools closes the idle connections to every address for which used
-// returns false. used must not call methods of the Remote, whose mutex is held.
+// returns false, and removes what is known of the upstream there. used must not call methods of the Remote, whose mutex is held.
 func (r *Remote) CloseUnusedPools(used func(address string) bool) {
+	r.statements.retain(used)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for address, p := range r.pools {
@@ -127,6 +129,9 @@
 	o := att.outgoing(func(_ int, h http.Header) bool { return h.Get(headerAttempt) == attemptID },
 		h1.Field{Name: headerCall, Value: f.String()}, h1.Field{Name: headerAttempt, Value: attemptID})
 	o.DialTimeout = dialTimeout(f.remaining)
+	if s, ok := r.statements.get(address); ok {
+		o.Fields = append(o.Fields, h1.Field{Name: headerUpstream, Value: s.String()})
+	}
 	began := time.Now()
 	a, err := r.pool(address).Do(ctx, o)
 	if err != nil {
@@ -149,8 +154,12 @@
 		cancel()
 		return nil, &Refusal{Reason: model.UpstreamLost, RunState: model.RunUnknown, Cause: errNotFromNode}
 	}
+	r.statements.observe(address, a.Header.Get(headerUpstream), began)
 	stripInternalFields(a.Header)
 	res := &Response{Response: a, finish: func(bool) { cancel() }}
+	if s, ok := r.statements.get(address); ok {
+		res.statement = s.bootStatement
+	}
 	if waited, ran, ok := strings.Cut(times, " "); ok {
 		res.QueueTime, _ = parseMillis(waited)
 		res.ServiceTime, _ = parseMillis(ran)
@@ -229,6 +238,9 @@
 		g.OnNewerConfig(f.version)
 	}
 	attemptID := x.Request.Header.Get(headerAttempt)
+	if text := x.Request.Header.Get(headerUpstream); text != "" {
+		g.Local.adoptStatement(x.Request.Header.Get(g.Names.RequestID), text)
+	}
 	h1.RemoveHopByHopFields(x.Request.Header)
 	stripInternalFields(x.Request.Header)
 	att := &Attempt{
@@ -249,6 +261,9 @@
 	defer res.Finish(false)
 	res.Header[headerAnswer] = []string{formatTimes(res)}
 	res.Header[headerAttempt] = []string{attemptID}
+	if res.statement.notable() {
+		res.Header[headerUpstream] = []string{res.statement.String()}
+	}
 	reply := &h1.Reply{Status: res.Status, Header: res.Header, Rest: res, Length: res.Length}
 	if res.transfer != nil && isSuccess(res.Status) {
 		paceReply(x.Context(), g.Local.Link, att, res.transfer, reply)
--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -24,20 +24,23 @@
 		return s, true
 	}
 	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || !upstream.ValidRateLimit(rate) {
-		return s, false
+	if err != nil || !upstream.ValidRateLimit(rate) || strings.Trim(text, "0123456789.") != "" {
+		return s, false // also for the notations that only Go has, such as 1_0
 	}
 	s.Limited, s.RateLimit = true, rate
 	return s, true
 }
 
-// statedLimit is the rate limit that the serving boot states. It is safe for
-// concurrent use.
+// statedLimit is the rate limit that a boot states in its responses. It is safe
+// for concurrent use.
 type statedLimit struct {
-	limited atomic.Bool // copy of the limit's state, so that most responses need no lock
+	// limited and seen are copies of the state for the path of a call. seen is
+	// the boot of the last response.
+	limited atomic.Bool
+	seen    atomic.Pointer[upstream.Boot]
 
 	mu    sync.Mutex
-	boot  upstream.Boot // only ID and StartedAt are set
+	boot  upstream.Boot // the boot that limit belongs to
 	limit upstream.RateLimit
 	// sent and since are the number of requests that were sent to the upstream
 	// when the limit last changed, and the time of that change.
@@ -45,9 +48,9 @@
 	since time.Time
 }
 
-// observeResponse applies what a response says about the upstream. sentAt is when
-// its request was sent to boot.
-func (l *Local) observeResponse(requestID string, boot *upstream.Boot, h http.Header, sentAt time.Time) {
+// observeResponse applies what a response says about the upstream, and returns it.
+// sentAt is when its request was sent to boot.
+func (l *Local) observeResponse(requestID string, boot *upstream.Boot, h http.Header, sentAt time.Time) bootStatement {
 	s, ok := l.Names.statement(h)
 	if !ok {
 		l.Metrics.countStatement(statementInvalid)
@@ -59,9 +62,56 @@
 	if s.Leaving {
 		l.observeLeaving(requestID, boot)
 	}
+	if l.stated.seen.Load() != boot {
+		l.stated.seen.Store(boot)
+	}
+	if s.Limited {
+		l.Metrics.countStatement(statementLimit)
+	}
 	if ok && (s.Limited || l.stated.limited.Load()) {
-		l.observeLimit(requestID, boot, s, sentAt)
+		l.applyRateLimit(requestID, boot, s, sentAt)
 	}
+	return bootStatement{boot: upstream.Boot{ID: boot.ID, StartedAt: boot.StartedAt}, Statement: s}
+}
+
+// observeHealthCheck applies what the response to a health check says about the
+// upstream, and returns it. id names the boot that responded. Before a boot is
+// serving, its rate limit is only stored, so that it applies from the first call.
+func (l *Local) observeHealthCheck(id string, h http.Header, sentAt time.Time) bootStatement {
+	boot := &upstream.Boot{ID: id}
+	if b := l.boot.Load(); b != nil && b.Same(boot) {
+		return l.observeResponse("", b, h, sentAt)
+	}
+	s, ok := l.Names.statement(h)
+	if !ok {
+		return bootStatement{}
+	}
+	l.stated.seen.Store(boot)
+	if l.stated.observe(boot, s, sentAt.Sub(l.startTime), time.Since(l.startTime)) {
+		l.logRateLimit("", boot)
+	}
+	return bootStatement{boot: *boot, Statement: s}
+}
+
+// adoptStatement applies what a remote node knows of the upstream here from an
+// earlier response, in the form of Lentilflow-Upstream. A rate limit applies only
+// until this process has seen a response of the boot itself.
+func (l *Local) adoptStatement(requestID, text string) {
+	s, ok := parseBootStatement(text)
+	if !ok {
+		if _, ok := l.statementLog.allow(); ok {
+			l.Log.Warn("what a remote node says of the upstream is invalid", zap.String("request", requestID), zap.String("text", text))
+		}
+		return
+	}
+	b := l.boot.Load()
+	if !s.Limited || b == nil || !b.Same(&s.boot) {
+		return
+	}
+	if seen := l.stated.seen.Load(); seen != nil && seen.Same(b) {
+		return
+	}
+	l.applyRateLimit(requestID, b, s.Statement, time.Now())
 }
 
 func (l *Local) observeLeaving(requestID string, boot *upstream.Boot) {
@@ -72,41 +122,80 @@
 	}
 }
 
-func (l *Local) observeLimit(requestID string, boot *upstream.Boot, s upstream.Statement, sentAt time.Time) {
-	if s.Limited {
-		l.Metrics.countStatement(statementLimit)
+// applyRateLimit applies what a response to a request that was sent at sentAt
+// states about the rate limit of a boot. Other boots than the serving one have no
+// effect: a response of an earlier boot may arrive late.
+func (l *Local) applyRateLimit(requestID string, boot *upstream.Boot, s upstream.Statement, sentAt time.Time) {
+	if b := l.boot.Load(); b == nil || !b.Same(boot) {
+		return
 	}
-	c := &l.stated
+	if !l.stated.observe(boot, s, sentAt.Sub(l.startTime), time.Since(l.startTime)) {
+		return
+	}
+	l.logRateLimit(requestID, boot)
+	l.updateLimits()
+}
+
+// observe applies a statement and reports whether the rate limit of the boot has
+// changed.
+func (c *statedLimit) observe(boot *upstream.Boot, s upstream.Statement, sentAt, now time.Duration) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.boot.ID != boot.ID || c.boot.StartedAt != boot.StartedAt {
-		c.boot, c.limit = upstream.Boot{ID: boot.ID, StartedAt: boot.StartedAt}, upstream.RateLimit{}
+	if !c.boot.Same(boot) {
+		c.limit = upstream.RateLimit{}
 	}
-	now := time.Now()
-	if !c.limit.Observe(s, sentAt.Sub(l.startTime), now.Sub(l.startTime)) {
-		return
+	if !c.boot.Same(boot) || c.boot.StartedAt == 0 {
+		c.boot = *boot
 	}
-	rate, limited := c.limit.Current()
+	changed = c.limit.Observe(s, sentAt, now)
+	_, limited := c.limit.Current()
 	c.limited.Store(limited)
-	sent := l.requestsSent.Load()
-	f := []zap.Field{zap.String("request", requestID), zap.String("boot", boot.ID), zap.Int64("born_ms", boot.StartedAt),
-		zap.Bool("limited", limited), zap.Float64("requests_per_second", rate)}
-	if !c.since.IsZero() {
-		f = append(f, zap.Int64("sent_since_last_change", sent-c.sent), zap.Duration("after", now.Sub(c.since)))
+	return changed
+}
+
+// of returns the requests per second that a boot takes. limited is false if it
+// takes any number.
+func (c *statedLimit) of(boot *upstream.Boot) (rate float64, limited bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.boot.Same(boot) {
+		return 0, false
 	}
+	return c.limit.Current()
+}
+
+func (l *Local) logRateLimit(requestID string, boot *upstream.Boot) {
+	rate, limited := l.stated.of(boot)
+	c := &l.stated
+	c.mu.Lock()
+	sent, now := l.requestsSent.Load(), time.Now()
+	sentSince, after := sent-c.sent, now.Sub(c.since)
+	first := c.since.IsZero()
 	c.sent, c.since = sent, now
-	if dropped, ok := l.statementLog.allow(); ok {
-		l.Log.Info("rate limit of the upstream has changed", append(f, zap.Int64("lines_left_out", dropped))...)
+	c.mu.Unlock()
+	dropped, ok := l.statementLog.allow()
+	if !ok {
+		return
+	}
+	f := []zap.Field{
+		zap.String("request", requestID), zap.String("boot", boot.ID), zap.Int64("born_ms", boot.StartedAt),
+		zap.Bool("limited", limited), zap.Float64("requests_per_second", rate), zap.Int64("lines_left_out", dropped),
 	}
+	if !first {
+		f = append(f, zap.Int64("sent_since_last_change", sentSince), zap.Duration("after", after))
+	}
+	l.Log.Info("rate limit of the upstream has changed", f...)
 }
 
-// RateLimit returns the requests per second that the upstream states as its
-// limit, -1 if it states none.
-func (l *Local) RateLimit() float64 {
-	l.stated.mu.Lock()
-	defer l.stated.mu.Unlock()
-	if rate, limited := l.stated.limit.Current(); limited {
-		return rate
+// updateLimits applies the current limits of the serving boot.
+func (l *Local) updateLimits() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.boot.Load(); b != nil {
+		l.gate.SetLimits(l.limits(b))
 	}
-	return -1
 }
+
+// RateLimit returns the requests per second that the upstream states as its
+// limit, -1 if it states none.
+func (l *Local) RateLimit() float64 { return l.gate.State().RateLimit }
--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
 const (
@@ -97,7 +99,8 @@
 	limited := p.nodes[0]
 	limited.slots = manySlots
 	limited.report()
-	p.stateRate(statedRate)
+	const lowRate = statedRate / 4 // less than the callers that wait when the node is back
+	p.stateRate(lowRate)
 	stop := p.flood([]int{1, 2}, 500*time.Millisecond)
 	time.Sleep(time.Second)
 	limited.upstream.setDelay(300 * time.Millisecond) // the new process sees no response for so long
@@ -109,8 +112,8 @@
 	time.Sleep(limitWindow)
 	stop()
 	got := mostArrivals(limited.upstream.arrivalsSince(from))
-	t.Logf("%d requests in %s, permitted %d", got, limitWindow, permitted(statedRate))
-	is.True(got <= permitted(statedRate))
+	t.Logf("%d requests in %s, permitted %d", got, limitWindow, permitted(lowRate))
+	is.True(got <= permitted(lowRate))
 	is.True(got > 0)
 }
 
@@ -159,3 +162,80 @@
 		p.sendWithin(node, true, time.Second)
 	}
 }
+
+// Guards against calls above the limit between the start of a node and the first
+// response of its upstream: the health check that asks for the boot names the
+// limit as well.
+func TestRateLimitIsReadFromHealthCheck(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	s := p.nodes[0]
+	sentAt := time.Now()
+	is.Equal(s.gateway.Local.RateLimit(), -1.0)
+	s.gateway.Local.observeHealthCheck("boot", http.Header{testNames.RateLimit: {"12.5"}}, sentAt)
+	is.Equal(s.gateway.Local.RateLimit(), 12.5)
+	s.gateway.Local.observeHealthCheck("another", http.Header{testNames.RateLimit: {"1"}}, sentAt)
+	is.Equal(s.gateway.Local.RateLimit(), 12.5) // not the serving boot
+}
+
+// Guards against a value that is not a decimal number, and that changes or ends
+// the limit.
+func TestInvalidRateLimitChangesNothing(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"x", "NaN", "Inf", "-1", "1e400", "5,5", "0x10", "1_0"} {
+		_, ok := testNames.statement(http.Header{testNames.RateLimit: {text}})
+		if ok {
+			t.Errorf("%q is taken for a rate limit", text)
+		}
+	}
+	s, ok := testNames.statement(http.Header{testNames.RateLimit: {" 34.8 "}, testNames.Leaving: {"0"}})
+	is.True(ok)
+	is.Equal(s, upstream.Statement{Limited: true, RateLimit: 34.8})
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	local := p.nodes[0].gateway.Local
+	boot := local.boot.Load()
+	local.observeResponse("r", boot, http.Header{testNames.RateLimit: {"20"}}, time.Now())
+	local.observeResponse("r", boot, http.Header{testNames.RateLimit: {"many"}}, time.Now())
+	is.Equal(local.RateLimit(), 20.0)
+	local.observeResponse("r", boot, http.Header{}, time.Now())
+	is.Equal(local.RateLimit(), -1.0)
+}
+
+// Guards against what a remote node knows from an earlier response and that
+// replaces what the upstream has stated to this process since then.
+func TestOwnResponsesTakePrecedence(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	local := p.nodes[0].gateway.Local
+	s := bootStatement{boot: upstream.Boot{ID: "boot", StartedAt: 1}, Statement: upstream.Statement{Limited: true, RateLimit: 7}}
+	other := bootStatement{boot: upstream.Boot{ID: "other", StartedAt: 1}, Statement: s.Statement}
+	local.adoptStatement("r", other.String())
+	is.Equal(local.RateLimit(), -1.0) // about another boot
+	local.adoptStatement("r", s.String())
+	is.Equal(local.RateLimit(), 7.0)
+	local.observeResponse("r", local.boot.Load(), http.Header{}, time.Now())
+	is.Equal(local.RateLimit(), -1.0)
+	local.adoptStatement("r", s.String())
+	is.Equal(local.RateLimit(), -1.0)
+}
+
+// Guards the field between nodes, with a boot whose ID has spaces.
+func TestBootStatementRoundTrip(t *testing.T) {
+	is := is.New(t)
+	for _, s := range []bootStatement{
+		{boot: upstream.Boot{ID: "i 1", StartedAt: 1790463239453}, Statement: upstream.Statement{Limited: true, RateLimit: 28.8}},
+		{boot: upstream.Boot{ID: "i"}, Statement: upstream.Statement{Leaving: true}},
+		{boot: upstream.Boot{ID: "i"}, Statement: upstream.Statement{Limited: true, Leaving: true}},
+	} {
+		got, ok := parseBootStatement(s.String())
+		is.True(ok)
+		is.Equal(got, s)
+	}
+	for _, text := range []string{"", "1", "1 - 0", "1 - 0 ", "x - 0 i", "1 -5 0 i", "1 NaN 0 i"} {
+		_, ok := parseBootStatement(text)
+		is.True(!ok)
+	}
+}
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -31,6 +31,12 @@
 	Draining  bool // it gets no further requests
 }
 
+// Same reports whether b and o are the same boot. A boot without a start is
+// identified by its ID.
+func (b *Boot) Same(o *Boot) bool {
+	return b.ID == o.ID && (b.StartedAt == o.StartedAt || b.StartedAt == 0 || o.StartedAt == 0)
+}
+
 // Verdict is the result of processing a report or another event.
 type Verdict string
 
