Stop sending requests to an upstream that states that it leaves

What upstreams saw: one that states in its responses that it leaves got further requests as long as its reports said ready, and again after a restart of its node that two late reports convinced.

Cause: as with the rate limit, a response was only read for its request; leaving was learnt from reports and departures alone.

Change: a response that states leaving makes the boot draining before the response is forwarded. The statement goes with its boot to the node of the caller, which no longer chooses that upstream and repeats the statement with attempts that follow, so that a restarted node rejects late reports of that boot. A boot that was found by a health check and whose start is not known is verified by a health check only.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -380,6 +380,9 @@
 	defer func() { g.recordOutcome(c, entry, &choice, now, r) }()
 	var res *Response
 	if res, r = g.dispatch(c, entry); r == nil {
+		if res.statement.Leaving {
+			g.View.SetServing(entry.Node, false, time.Now())
+		}
 		r = g.receive(c, res)
 	}
 	c.lastRefusal = r
--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -60,7 +60,8 @@
 		}
 	}
 	if s.Leaving {
-		l.observeLeaving(requestID, boot)
+		l.Metrics.countStatement(statementLeaving)
+		l.markLeaving(requestID, boot, "response")
 	}
 	if l.stated.seen.Load() != boot {
 		l.stated.seen.Store(boot)
@@ -104,6 +105,10 @@
 		}
 		return
 	}
+	if s.Leaving {
+		l.markLeaving(requestID, &s.boot, "remote node")
+		return
+	}
 	b := l.boot.Load()
 	if !s.Limited || b == nil || !b.Same(&s.boot) {
 		return
@@ -114,12 +119,17 @@
 	l.applyRateLimit(requestID, b, s.Statement, time.Now())
 }
 
-func (l *Local) observeLeaving(requestID string, boot *upstream.Boot) {
-	l.Metrics.countStatement(statementLeaving)
-	if dropped, ok := l.statementLog.allow(); ok {
-		l.Log.Info("upstream states that it leaves", zap.String("request", requestID), zap.String("boot", boot.ID),
-			zap.Int64("born_ms", boot.StartedAt), zap.Int64("lines_left_out", dropped))
+// markLeaving ends the use of a boot that has stated that it leaves. source is
+// where the statement came from, for the log.
+func (l *Local) markLeaving(requestID string, boot *upstream.Boot, source string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tracker.MarkLeaving(boot.ID, boot.StartedAt) != upstream.Changed {
+		return
 	}
+	l.Log.Info("upstream states that it leaves; it gets no further requests", zap.String("request", requestID),
+		zap.String("source", source), zap.String("boot", boot.ID), zap.Int64("born_ms", boot.StartedAt))
+	l.updateBoot("states that it leaves")
 }
 
 // applyRateLimit applies what a response to a request that was sent at sentAt
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -78,6 +78,7 @@
 	verified        bool
 	candidate       Report // first report of a boot that is not verified
 	discovered      bool   // the boot comes from Discover only; its start is unknown
+	leavingID       string // id of a discovered boot that has stated that it leaves
 	reported        bool   // the upstream has sent a report or a departure
 
 	boot          Boot
@@ -166,6 +167,12 @@
 // is none.
 func (t *Tracker) verifyByReport(r Report) bool {
 	c := &t.candidate
+	if r.ID == t.leavingID {
+		// The report is that of the boot that leaves, or of a later one with the
+		// same id. Only a health check can tell which.
+		*c = r
+		return false
+	}
 	if c.ID == r.ID && c.StartedAt == r.StartedAt && r.Sequence > c.Sequence {
 		t.verified = true
 		return true
@@ -231,6 +238,30 @@
 	return Changed
 }
 
+// MarkLeaving records that the boot with this id and start (Unix milliseconds)
+// has stated in a response that it leaves. The boot gets no further requests,
+// whatever its later reports say. A start of 0 means that it was not known when
+// the request was sent. MarkLeaving returns Changed if that boot was getting
+// requests, Confirmed if it is draining already, and otherwise Stale.
+func (t *Tracker) MarkLeaving(id string, startedAt int64) Verdict {
+	current := t.hasBoot && t.boot.Same(&Boot{ID: id, StartedAt: startedAt})
+	if startedAt > t.departed[id] && (!current || t.boot.StartedAt == 0) {
+		t.recordDeparture(id, startedAt)
+	}
+	switch {
+	case !current:
+		return Stale
+	case t.boot.Draining:
+		return Confirmed
+	case t.boot.StartedAt == 0:
+		// A later boot with the same id must not be taken for this one.
+		t.boot, t.hasBoot, t.discovered, t.leavingID = Boot{}, false, false, id
+		return Changed
+	}
+	t.boot.Draining = true
+	return Changed
+}
+
 // recordDeparture records that a boot has left, and removes the oldest records
 // above maxDeparted.
 func (t *Tracker) recordDeparture(id string, startedAt int64) {
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -72,6 +72,7 @@
 type tracker interface {
 	Report(Report) Verdict
 	Leave(string, int64) Verdict
+	MarkLeaving(string, int64) Verdict
 	Current() (Boot, bool)
 }
 
@@ -87,10 +88,14 @@
 	reports := map[boot]int{}
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
 		b := boot{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 4).Draw(t, "born")}
-		if rapid.IntRange(0, 4).Draw(t, "leave") == 0 {
+		switch rapid.IntRange(0, 5).Draw(t, "event") {
+		case 0:
 			tr.Leave(b.id, b.startedAt)
 			left[b] = true
-		} else {
+		case 1:
+			tr.MarkLeaving(b.id, b.startedAt)
+			left[b] = true
+		default:
 			r := readyReport(b.id, b.startedAt, rapid.Uint64Range(1, 9).Draw(t, "sequence"))
 			if r.Draining = rapid.IntRange(0, 5).Draw(t, "draining") == 0; r.Draining {
 				left[b] = true
@@ -246,3 +251,52 @@
 	tr.Report(readyReport("a", 200, 5))
 	is.Equal(tr.Discover("a", 8), Stale) // its report waits for verification
 }
+
+// Guards against a boot that is used again because a ready report, which it sent
+// before it stated in a response that it leaves, arrives late.
+func TestStatementOfLeavingIsFinal(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	tr.Report(readyReport("a", 100, 5))
+	is.Equal(tr.MarkLeaving("a", 90), Stale) // an earlier boot with the same id
+	_, ok := tr.Current()
+	is.True(ok)
+	is.Equal(tr.MarkLeaving("a", 100), Changed)
+	is.Equal(tr.MarkLeaving("a", 100), Confirmed)
+	tr.Report(readyReport("a", 100, 6))
+	_, ok = tr.Current()
+	is.True(!ok)
+	draining := readyReport("a", 100, 7)
+	draining.Draining = true
+	is.Equal(tr.Report(draining), Confirmed)
+	is.Equal(tr.Report(readyReport("a", 200, 1)), Changed) // the next boot
+	_, ok = tr.Current()
+	is.True(ok)
+}
+
+// Guards against a boot that was found by a health check after a restart, states
+// that it leaves before its first report, and is used again because of two late
+// reports. A later boot with the same id must not be left out for ever.
+func TestDiscoveredBootThatLeavesIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	tr := Tracker{VerifyFirstBoot: true}
+	is.Equal(tr.Discover("a", 8), Changed)
+	is.Equal(tr.MarkLeaving("a", 0), Changed)
+	is.Equal(tr.Report(readyReport("a", 100, 5)), Unverified)
+	is.Equal(tr.Report(readyReport("a", 100, 6)), Unverified)
+	_, ok := tr.Current()
+	is.True(!ok)
+	is.Equal(tr.Report(readyReport("a", 200, 1)), Unverified)
+	is.Equal(tr.Verify("a", 200), Changed) // a health check found it
+	_, ok = tr.Current()
+	is.True(ok)
+
+	tr = Tracker{VerifyFirstBoot: true}
+	tr.Discover("a", 8)
+	is.Equal(tr.MarkLeaving("a", 100), Changed) // a remote node knows the start
+	is.Equal(tr.Report(readyReport("a", 100, 5)), Stale)
+	is.Equal(tr.Report(readyReport("b", 150, 1)), Unverified)
+	is.Equal(tr.Report(readyReport("b", 150, 2)), Changed)
+	_, ok = tr.Current()
+	is.True(ok)
+}
