Notice the end of a rate limit under which no calls are sent

What callers would see: an upstream that once stated a limit of 0, or one so low that its calls go elsewhere, would stay unused until its next boot, because only a response ends the limit.

Change: while a limit is stated and nothing has been heard for 2 s, the node sends a health check, whose response names the limit or ends it.

Evidence: TestEndOfZeroRateLimitIsNoticed failed after 5 s before.

--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -243,7 +243,7 @@
 	ok = ok && !l.unreachable
 	if ok {
 		l.boot.Store(&b)
-		l.gate.SetLimits(l.limits(&b))
+		l.applyLimits(&b)
 	} else {
 		l.boot.Store(nil)
 	}
--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -38,6 +38,7 @@
 	// the boot of the last response.
 	limited atomic.Bool
 	seen    atomic.Pointer[upstream.Boot]
+	probed  atomic.Bool // scheduleLimitProbe is active
 
 	mu    sync.Mutex
 	boot  upstream.Boot // the boot that limit belongs to
@@ -80,12 +81,13 @@
 // serving, its rate limit is only stored, so that it applies from the first call.
 func (l *Local) observeHealthCheck(id string, h http.Header, sentAt time.Time) bootStatement {
 	boot := &upstream.Boot{ID: id}
-	if b := l.boot.Load(); b != nil && b.Same(boot) {
-		return l.observeResponse("", b, h, sentAt)
+	serving := l.boot.Load()
+	if serving != nil && serving.Same(boot) {
+		return l.observeResponse("", serving, h, sentAt)
 	}
 	s, ok := l.Names.statement(h)
-	if !ok {
-		return bootStatement{}
+	if !ok || serving != nil {
+		return bootStatement{boot: *boot, Statement: s}
 	}
 	l.stated.seen.Store(boot)
 	if l.stated.observe(boot, s, sentAt.Sub(l.startTime), time.Since(l.startTime)) {
@@ -146,6 +148,34 @@
 	l.updateLimits()
 }
 
+// limitProbeInterval is the longest time without a response from an upstream with
+// a rate limit. After it a health check shows whether the limit still applies:
+// under a very low limit no call may come for a long time.
+const limitProbeInterval = 2 * time.Second
+
+// scheduleLimitProbe probes the upstream every limitProbeInterval while it states
+// a rate limit and does not respond to calls.
+func (l *Local) scheduleLimitProbe() {
+	time.AfterFunc(limitProbeInterval, func() { l.Guard.Do("probe rate limit", l.probeLimit) })
+}
+
+func (l *Local) probeLimit() {
+	if !l.stated.limited.Load() || l.stopping.Load() {
+		l.stated.probed.Store(false)
+		return
+	}
+	defer l.scheduleLimitProbe()
+	if l.Serving() && time.Since(l.startTime)-l.stated.statedAt() >= limitProbeInterval {
+		_, _ = l.queryBoot() // the response is observed
+	}
+}
+
+func (c *statedLimit) statedAt() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limit.StatedAt()
+}
+
 // observe applies a statement and reports whether the rate limit of the boot has
 // changed.
 func (c *statedLimit) observe(boot *upstream.Boot, s upstream.Statement, sentAt, now time.Duration) (changed bool) {
@@ -202,7 +232,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.boot.Load(); b != nil {
-		l.gate.SetLimits(l.limits(b))
+		l.applyLimits(b)
+	}
+}
+
+// applyLimits applies the limits of the serving boot. The caller must hold l.mu.
+func (l *Local) applyLimits(b *upstream.Boot) {
+	limits := l.limits(b)
+	l.gate.SetLimits(limits)
+	if limits.RateLimited && !l.stated.probed.Swap(true) {
+		l.scheduleLimitProbe()
 	}
 }
 
--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilflow/lentilflow/pkg/shaping"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
@@ -239,3 +241,18 @@
 		is.True(!ok)
 	}
 }
+
+// Guards against an upstream that has stated that it takes no requests and is
+// never used again, because no response can show that it takes them once more.
+func TestEndOfZeroRateLimitIsNoticed(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawUpstream(t, fmt.Sprintf("HTTP/1.1 200 X\r\n%s: boot\r\nContent-Length: 0\r\n\r\n", testNames.Boot), true)
+	cfg := testConfiguration(injectedFault{})
+	cfg.Services[0].HealthPath = "/health"
+	l := newUnreportedLocal(t, address, shaping.NewLink(0), cfg)
+	l.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: 1, Service: testService, Slots: 1})
+	waitFor(t, "the upstream serves", l.Serving)
+	l.observeResponse("r", l.boot.Load(), http.Header{testNames.RateLimit: {"0"}}, time.Now())
+	is.Equal(l.RateLimit(), 0.0)
+	waitFor(t, "the limit has ended", func() bool { return l.RateLimit() < 0 })
+}
--- a/pkg/upstream/statement.go
+++ b/pkg/upstream/statement.go
@@ -34,6 +34,10 @@
 // false if it takes any number.
 func (l *RateLimit) Current() (rate float64, limited bool) { return l.rate, l.limited }
 
+// StatedAt returns when the last response with the limit arrived, 0 without a
+// limit.
+func (l *RateLimit) StatedAt() time.Duration { return l.statedAt }
+
 // Observe applies a response, which arrived now and whose request was sent at
 // sentAt, and reports whether the limit has changed. A response without a limit
 // ends the limit only if its request was sent after the last response with one:
