Pass on the Retry-After of an upstream's refusal

Same cause as with the rate limit: a refusal was read for its run state only, and when the upstream wants the caller back was dropped, so that callers returned when it suited the node's own estimate, or at once.

Evidence: TestRetryAfterOfUpstreamReachesCaller got no Retry-After before.

--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -530,9 +531,17 @@
 	if a.Header.Get(l.Names.NotRun) == "" {
 		return nil
 	}
-	return &Refusal{Reason: model.UpstreamShed, RunState: model.NotRun}
+	r := &Refusal{Reason: model.UpstreamShed, RunState: model.NotRun}
+	if after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64); err == nil && after > 0 {
+		r.RetryAfter = time.Duration(min(after, maxRetryAfter.Seconds()) * float64(time.Second))
+	}
+	return r
 }
 
+// maxRetryAfter limits the Retry-After of an upstream's refusal that is passed on.
+// Callers wait for a part of their time at most, so a longer time is of no use.
+const maxRetryAfter = 10 * time.Second
+
 // refusalFor returns the refusal for an exchange that failed with err.
 func (l *Local) refusalFor(ctx context.Context, e *runningAttempt, err error) *Refusal {
 	var f *h1.ExchangeError
--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -256,3 +256,23 @@
 	is.Equal(l.RateLimit(), 0.0)
 	waitFor(t, "the limit has ended", func() bool { return l.RateLimit() < 0 })
 }
+
+// Guards against a refusal of an upstream whose Retry-After does not reach the
+// caller, who then returns too early.
+func TestRetryAfterOfUpstreamReachesCaller(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	for _, s := range p.nodes {
+		s.upstream.state("Retry-After: 1.25")
+		s.upstream.enqueue(sheds, sheds, sheds, sheds)
+	}
+	r, err := http.NewRequest(http.MethodGet, "http://"+p.nodes[0].address+"/safe/", nil)
+	is.NoErr(err)
+	r.Host = "h"
+	resp, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get("Retry-After"), "1.25")
+}
