Test stated limits and leaving with real processes and in the soak

The soak draws both and checks the users' bounds from what callers received and upstreams ran. The checks of the soak have a file of their own.

--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -21,6 +21,8 @@
 	headerInstance  = "X-Instance-Id"
 	headerNotRun    = "X-Not-Executed"
 	headerCaller    = "X-Caller-Service"
+	headerRateLimit = "Server-Limit"
+	headerLeaving   = "Server-Leaving"
 	// HeaderFurther is a header field with a URL that the upstream requests
 	// through its node while it runs the request.
 	HeaderFurther = "X-Further"
@@ -54,6 +56,12 @@
 	Truncate      bool          // closes connections before the end of the response body
 	Fail          bool          // responds with status 500
 	Duplicate     bool          // sends each response twice
+	// RateLimit is the limit in requests per second that all responses state, 0
+	// for none. The upstream itself does not enforce it.
+	RateLimit float64
+	// Leaving makes all responses state that the upstream leaves, while its
+	// reports still say that it is ready.
+	Leaving bool
 }
 
 // Run is a request that an upstream began to run.
@@ -180,11 +188,15 @@
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set(headerInstance, u.ID)
+	u.stateLoad(h)
 	if want := r.Header.Get(headerExpected); want != "" && want != u.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.URL.Path == "/health" {
+		if u.leaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -213,6 +225,27 @@
 	u.respond(w, run, b, status, text)
 }
 
+// stateLoad sets the header fields by which the upstream states its rate limit and
+// that it leaves.
+func (u *Upstream) stateLoad(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h.Del(headerRateLimit)
+	h.Del(headerLeaving)
+	if u.behaviour.RateLimit > 0 {
+		h.Set(headerRateLimit, strconv.FormatFloat(u.behaviour.RateLimit, 'f', -1, 64))
+	}
+	if u.behaviour.Leaving {
+		h.Set(headerLeaving, "1")
+	}
+}
+
+func (u *Upstream) leaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.draining || u.behaviour.Leaving
+}
+
 // acquireSlot occupies a slot and returns the current behaviour. It returns false
 // if all slots are in use.
 func (u *Upstream) acquireSlot() (Behaviour, bool) {
@@ -299,6 +332,7 @@
 	}
 	w.Header().Set(headerSignature, u.ID+"."+run.ID)
 	w.Header().Set(headerID, run.ID)
+	u.stateLoad(w.Header()) // it may have changed while the request ran
 	if b.Duplicate {
 		u.respondTwice(w, run, status, text)
 		return
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -1,13 +1,11 @@
 package test
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,7 +45,7 @@
 //   - Connections to the store and to upstreams are reset, delayed, limited in
 //     bandwidth, blackholed in one direction, or cut within a stream.
 //   - Upstreams lose, truncate or repeat responses, fail, slow down, drain and
-//     restart.
+//     restart, state a rate limit, and state that they leave.
 //   - Configurations follow each other quickly.
 //
 // Callers keep their connections. The responses that callers received are checked
@@ -89,6 +87,8 @@
 	node          string
 	generation    int64 // of the node process, increased before each stop and after each end
 	sameProcess   bool  // the same process ran during the whole request
+	sentAt        time.Time
+	receivedAt    time.Time
 }
 
 // soak is the test run of one seed.
@@ -105,6 +105,7 @@
 	mu           sync.Mutex
 	observations []observed
 	drainTimes   map[string]time.Time // by boot: when its drain was acknowledged
+	limits       map[string]statedLimit
 	actions      []string
 }
 
@@ -112,6 +113,7 @@
 	s := &soak{
 		cluster: &cluster{t: t, dir: t.TempDir(), store: store.New()}, rnd: rand.New(rand.NewPCG(seed, seed)), version: 1,
 		generations: make(map[string]*atomic.Int64), links: make(map[string]*links), busy: make(map[string]*atomic.Bool), drainTimes: make(map[string]time.Time),
+		limits: make(map[string]statedLimit),
 	}
 	s.put(baseConfiguration(1))
 	for range 3 { // a zone with relays
@@ -149,7 +151,9 @@
 	})
 	stop()
 	time.Sleep(500 * time.Millisecond) // requests whose callers gave up end
-	for _, violation := range checkSoak(s.observations, s.ledger.Runs(), s.drainTimes) {
+	violations := checkSoak(s.observations, s.ledger.Runs(), s.drainTimes)
+	violations = append(violations, checkLimits(s.ledger.Runs(), s.limits)...)
+	for _, violation := range append(violations, checkLeaving(s.observations, s.ledger.Runs())...) {
 		t.Error(violation)
 	}
 	t.Logf("seed %d: %d requests, %d actions", seed, len(s.observations), len(s.actions))
@@ -187,12 +191,13 @@
 						return
 					default:
 					}
-					o := observed{nonIdempotent: nonIdempotent, node: n.name, generation: generation.Load()}
+					o := observed{nonIdempotent: nonIdempotent, node: n.name, generation: generation.Load(), sentAt: time.Now()}
 					if nonIdempotent {
 						o.response = caller.send(http.MethodPost, "/bookings/1", 2*time.Second)
 					} else {
 						o.response = caller.send(http.MethodGet, "/status/1", 2*time.Second)
 					}
+					o.receivedAt = time.Now()
 					o.sameProcess = generation.Load() == o.generation
 					s.mu.Lock()
 					s.observations = append(s.observations, o)
@@ -246,8 +251,10 @@
 		{"upstream link", func() { s.links[n.name].upstream.setConditions(conditions, forward) }},
 		{"links reset", s.links[n.name].reset},
 		{"links sound", s.links[n.name].clearFaults},
-		{"upstream", func() { n.upstream.Set(behaviour) }},
-		{"upstream sound", func() { n.upstream.Set(upstream.Behaviour{}) }},
+		{"upstream", func() { s.setBehaviour(n, behaviour) }},
+		{"upstream sound", func() { s.setBehaviour(n, upstream.Behaviour{}) }},
+		{"limited", func() { s.limitUpstream(n, float64(increment)*4) }},
+		{"states leaving", func() { s.retireUpstream(n, soakDrainLimit+pause) }},
 		{"replace", func() { s.replaceUpstream(n, pause/3) }},
 		{"crash", func() {
 			n.upstream.Crash()
@@ -383,11 +390,46 @@
 	n.startUpstream()
 }
 
+// statedLimit is the rate limit that a boot states from a time on.
+type statedLimit struct {
+	rate  float64
+	since time.Time
+}
+
+// limitUpstream makes the upstream of a node state a rate limit until its end. It
+// keeps its first limit.
+func (s *soak) limitUpstream(n *node, rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, limited := s.limits[n.upstream.ID]; !limited {
+		s.limits[n.upstream.ID] = statedLimit{rate, time.Now()}
+		n.upstream.Set(upstream.Behaviour{RateLimit: rate})
+	}
+}
+
+// setBehaviour changes the behaviour of the upstream of a node, which still states
+// its rate limit.
+func (s *soak) setBehaviour(n *node, b upstream.Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.RateLimit = s.limits[n.upstream.ID].rate
+	n.upstream.Set(b)
+}
+
+// retireUpstream lets the upstream of a node state in its responses, but not in
+// its reports, that it leaves, and starts another boot after drainTime.
+func (s *soak) retireUpstream(n *node, drainTime time.Duration) {
+	s.setBehaviour(n, upstream.Behaviour{Leaving: true})
+	time.Sleep(drainTime)
+	n.upstream.Crash()
+	n.startUpstream()
+}
+
 // clearFaults ends all faults and puts a new version.
 func (s *soak) clearFaults() {
 	for _, n := range s.nodes {
 		n.endpoint.Set(store.Fault{})
-		n.upstream.Set(upstream.Behaviour{})
+		s.setBehaviour(n, upstream.Behaviour{})
 		s.links[n.name].clearFaults()
 		n.signal(syscall.SIGCONT)
 	}
@@ -406,83 +448,3 @@
 	}
 	return true
 }
-
-// checkSoak compares responses with runs and returns a text for each violation.
-func checkSoak(observations []observed, runs []upstream.Run, drainTimes map[string]time.Time) (violations []string) {
-	runCount := make(map[string]int)
-	for _, r := range runs {
-		runCount[r.ID]++
-		if at, ok := drainTimes[r.Boot]; ok && r.Start.Sub(at) > soakDrainLimit {
-			violations = append(violations, fmt.Sprintf("request %s began at boot %s %s after its drain was acknowledged", r.ID, r.Boot, r.Start.Sub(at)))
-		}
-	}
-	lastVersion := make(map[string]uint64)
-	for _, o := range observations {
-		n := runCount[o.id]
-		switch {
-		case o.nonIdempotent && n > 1:
-			violations = append(violations, fmt.Sprintf("non-idempotent request %s ran %d times", o.id, n))
-		case n > 3:
-			violations = append(violations, fmt.Sprintf("idempotent request %s ran %d times, its route allows 3", o.id, n))
-		case o.refused() && n > 0:
-			violations = append(violations, fmt.Sprintf("request %s was answered %d, which states that it has not run, but it ran", o.id, o.status))
-		case o.status == http.StatusOK && (!o.served() || n == 0):
-			violations = append(violations, fmt.Sprintf("request %s was answered 200 with body %q after %d runs", o.id, o.body, n))
-		case o.status == http.StatusNotFound:
-			violations = append(violations, fmt.Sprintf("request %s was answered 404, but every version has its route", o.id))
-		}
-		if !o.sameProcess || o.header == nil {
-			continue
-		}
-		v, err := strconv.ParseUint(o.header.Get("Lentilflow-Version"), 10, 64)
-		key := fmt.Sprint(o.node, o.nonIdempotent, o.generation)
-		if err != nil {
-			continue
-		}
-		if v < lastVersion[key] {
-			violations = append(violations, fmt.Sprintf("node %s went back from version %d to %d", o.node, lastVersion[key], v))
-		}
-		lastVersion[key] = v
-	}
-	slices.SortFunc(violations, cmp.Compare[string])
-	return violations
-}
-
-// Guards the checks of TestSoak: each detects the violation that it is meant for.
-func TestSoakChecksDetectViolations(t *testing.T) {
-	now := time.Now()
-	run := func(id, boot string, after time.Duration) upstream.Run {
-		return upstream.Run{ID: id, Boot: boot, Start: now.Add(after)}
-	}
-	got := func(id string, status int, body string, version string) observed {
-		return observed{
-			response: response{id: id, status: status, body: body, header: http.Header{"Lentilflow-Version": {version}}}, node: "n", sameProcess: true,
-		}
-	}
-	nonIdempotent := func(o observed) observed {
-		o.nonIdempotent = true
-		return o
-	}
-	for name, c := range map[string]struct {
-		observations []observed
-		runs         []upstream.Run
-		violations   int
-	}{
-		"sound":            {[]observed{got("1", 200, "ran 1", "3"), nonIdempotent(got("2", 503, "", "3"))}, []upstream.Run{run("1", "a", 0)}, 0},
-		"sound drain":      {[]observed{got("1", 200, "ran 1", "3")}, []upstream.Run{run("1", "gone", soakDrainLimit)}, 0},
-		"lost response":    {[]observed{nonIdempotent(got("1", 0, "", ""))}, []upstream.Run{run("1", "a", 0)}, 0},
-		"ran twice":        {[]observed{nonIdempotent(got("1", 200, "ran 1", "3"))}, []upstream.Run{run("1", "a", 0), run("1", "b", 0)}, 1},
-		"ran too often":    {[]observed{got("1", 200, "ran 1", "3")}, []upstream.Run{run("1", "a", 0), run("1", "b", 0), run("1", "a", 1), run("1", "b", 1)}, 1},
-		"untrue":           {[]observed{got("1", 503, "", "3")}, []upstream.Run{run("1", "a", 0)}, 1},
-		"foreign":          {[]observed{got("1", 200, "ran 2", "3")}, []upstream.Run{run("1", "a", 0)}, 1},
-		"broken off":       {[]observed{got("1", 200, "ran", "3")}, []upstream.Run{run("1", "a", 0)}, 1},
-		"made up":          {[]observed{got("1", 200, "ran 1", "3")}, nil, 1},
-		"dropped route":    {[]observed{got("1", 404, "", "3")}, nil, 1},
-		"went back":        {[]observed{got("1", 503, "", "3"), got("2", 503, "", "2")}, nil, 1},
-		"left and running": {nil, []upstream.Run{run("1", "gone", soakDrainLimit+time.Millisecond)}, 1},
-	} {
-		if violations := checkSoak(c.observations, c.runs, map[string]time.Time{"gone": now}); len(violations) != c.violations {
-			t.Errorf("%s: %q, want %d", name, violations, c.violations)
-		}
-	}
-}
