Share starts instead of service time under a rate limit

What callers saw: with agenda limited to half, its bookings (80 ms) were refused or late while short stock checks (15 ms) of the same rank got most of the starts.

Cause: the routes of a rank share the service time of the upstream. Under a rate limit the upstream has time to spare, and starts are scarce.

Change: under a rate limit every start costs a route the same.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -302,7 +302,7 @@
 		return nil, false
 	}
 	r := c.nextRank()
-	w = c.ranks[r].pop(now, c.serviceTimes.mean(now))
+	w = c.ranks[r].pop(now, c.serviceTimes.mean(now), c.rate.limited)
 	c.waiting--
 	if w.Deadline <= now+c.requiredTime(now, &w.Call) {
 		return w, false // it would occupy a slot and not finish before its deadline
--- a/pkg/admission/doc.go
+++ b/pkg/admission/doc.go
@@ -9,6 +9,10 @@
 // ranks. Within a rule, calls that can still meet their latency target go before
 // those that have missed it.
 //
+// Under a rate limit that the upstream states, calls also wait for a token bucket.
+// The floors are then shares of the starts, and the rules of a rank share the
+// starts by weight.
+//
 // A call is refused at once if it cannot finish before its deadline at the
 // current service times. If the queue is full, a call that can still meet its
 // latency target displaces a call of its own or a less urgent rank that cannot.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -83,8 +83,9 @@
 // first call that can still meet its latency target, or else the first one. If
 // the load exceeds the slots, every call in a plain queue would miss its target.
 // Calls that have missed it therefore wait for the others. defaultTime is the
-// service time of a flow without samples.
-func (q *rankQueue) pop(now, defaultTime time.Duration) *Waiter {
+// service time of a flow without samples. With byStarts every call costs the
+// same: under a rate limit a start is what is scarce, not the time in a slot.
+func (q *rankQueue) pop(now, defaultTime time.Duration, byStarts bool) *Waiter {
 	var best *flow
 	for _, f := range q.flows {
 		if f.head != nil && (best == nil || f.virtualTime < best.virtualTime ||
@@ -100,7 +101,11 @@
 		}
 	}
 	q.virtualTime = best.virtualTime
-	best.virtualTime += best.cost(defaultTime) / float64(best.weight)
+	cost := best.cost(defaultTime)
+	if byStarts {
+		cost = float64(max(defaultTime, time.Millisecond))
+	}
+	best.virtualTime += cost / float64(best.weight)
 	q.remove(w)
 	return w
 }
--- a/pkg/admission/rate_test.go
+++ b/pkg/admission/rate_test.go
@@ -197,3 +197,38 @@
 	g.SetLimits(Limits{Slots: 50})
 	is.True(<-queued.ready)
 }
+
+// The load of a limited service that gets long calls of callers and short ones of
+// other upstreams, at one rank. Guards against starts that go to the short calls
+// because the rules of a rank share the service time, of which there is plenty.
+func TestRulesShareStartsUnderRateLimit(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(Limits{Slots: 13, RateLimited: true, RateLimit: 50})
+	service := map[string]time.Duration{"long": 80 * time.Millisecond, "short": 15 * time.Millisecond}
+	starts := map[string]int{}
+	ends := map[time.Duration][]*Waiter{}
+	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
+		for _, w := range ends[now] {
+			c.Done(now, w, Completed)
+		}
+		start := func(w *Waiter) {
+			starts[w.Rule]++
+			at := now + service[w.Rule]
+			ends[at] = append(ends[at], w)
+		}
+		for _, rule := range []string{"long", "short"} {
+			w := &Waiter{Call: Call{Rule: rule, Weight: 1, Deadline: now + time.Second}}
+			if d, _ := c.Arrive(now, w); d == Admitted {
+				start(w)
+			}
+		}
+		for w, admitted := c.Next(now); w != nil; w, admitted = c.Next(now) {
+			if admitted {
+				start(w)
+			}
+		}
+	}
+	share := float64(starts["long"]) / float64(starts["long"]+starts["short"])
+	t.Logf("starts: %v, share of the long calls %.2f", starts, share)
+	is.True(share > 0.45 && share < 0.55)
+}
