--- a/cmd/lentilctl/status/status.go
+++ b/cmd/lentilctl/status/status.go
@@ -69,6 +69,15 @@
 	return "ready"
 }
 
+// RateLimit returns the rate limit that the upstream of a node states, "-" if it
+// states none.
+func RateLimit(t *model.NodeState) string {
+	if t.RateLimit == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%g/s", *t.RateLimit)
+}
+
 // remark returns the first problem found in the state of a node, or "" if there
 // is none.
 func remark(t *model.NodeState, newest model.Version) string {
@@ -81,6 +90,8 @@
 		return "not ready"
 	case t.Slots > 0 && t.Waiting >= t.Slots:
 		return "overloaded"
+	case t.RateLimit != nil:
+		return "upstream takes " + RateLimit(t)
 	}
 	return ""
 }
--- a/pkg/agent/state.go
+++ b/pkg/agent/state.go
@@ -25,6 +25,9 @@
 	}
 	load, boot, known := a.local.State()
 	s.Slots, s.Limit, s.Running, s.Waiting = load.Slots, load.Limit, load.Running, load.Waiting
+	if load.RateLimit >= 0 {
+		s.RateLimit = &load.RateLimit
+	}
 	if known {
 		s.Boot, s.Draining = boot.ID, boot.Draining
 	}
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -142,6 +142,9 @@
 	}
 	s := g.Local.gate.State()
 	f = append(f, zap.Int("running", s.Running), zap.Int("limit", s.Limit), zap.Int("waiting", s.Waiting))
+	if s.RateLimit >= 0 {
+		f = append(f, zap.Float64("rate_limit", s.RateLimit))
+	}
 	if b := g.Local.boot.Load(); b != nil {
 		f = append(f, zap.String("boot", b.ID))
 	}
--- a/pkg/model/version.go
+++ b/pkg/model/version.go
@@ -45,6 +45,9 @@
 	// Limit how many calls the node lets run now.
 	Slots int `json:"slots"`
 	Limit int `json:"limit"`
+	// RateLimit is the requests per second that the upstream takes, as it states,
+	// nil if it states no limit.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 	// Running and Waiting are numbers of calls at the node.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
