Back off a limited upstream alone, not its whole region

What callers saw: with four of six upstreams limited, calls were refused or waited at them while the two others, in another region, had capacity.

Cause: after a refusal in another region a node leaves out all upstreams there for 200 ms, because a full queue tells of the load of the region. A rate limit tells of one upstream only.

Change: a refusal by an upstream whose statement of a limit the node has forwarded starts a backoff of that upstream alone.

TestRefusalOfLimitedUpstreamKeepsRegionInUse failed before.

--- a/pkg/balance/stats.go
+++ b/pkg/balance/stats.go
@@ -126,14 +126,20 @@
 // upstreams of the service at that distance. random, in [0, 1), spreads the ends
 // of backoffs.
 func (p *Picker) BackOff(c *Choice, service, route string, excess, now time.Duration, random float64) {
-	jitter := 0.5 + random
-	backoff := min(max(excess/2, minBackoff), maxBackoff)
-	c.Stats.backoffs.set(route, now+time.Duration(jitter*float64(backoff)))
+	c.Stats.BackOff(route, excess, now, random)
 	if c.Distance > model.SameZone {
-		p.backoffsAt(service, c.Distance).set(route, now+time.Duration(jitter*float64(distanceBackoff)))
+		p.backoffsAt(service, c.Distance).set(route, now+time.Duration((0.5+random)*float64(distanceBackoff)))
 	}
 }
 
+// BackOff starts the backoff of this upstream alone, as Picker.BackOff does. It is
+// for a wait that says nothing about other upstreams, such as one for the rate
+// limit of this upstream.
+func (s *Stats) BackOff(route string, excess, now time.Duration, random float64) {
+	backoff := min(max(excess/2, minBackoff), maxBackoff)
+	s.backoffs.set(route, now+time.Duration((0.5+random)*float64(backoff)))
+}
+
 type distanceKey struct {
 	service  string
 	distance model.Distance
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -397,6 +397,17 @@
 	})
 }
 
+// backOff starts a backoff after a call would have waited too long. An upstream
+// with a rate limit makes calls wait while others at the same distance have
+// capacity.
+func (g *Gateway) backOff(c *call, entry *model.UpstreamNode, choice *balance.Choice, excess, now time.Duration) {
+	if s, ok := g.Remote.statements.get(entry.Address); ok && s.Limited {
+		choice.Stats.BackOff(c.attempt.Route, excess, now, rand.Float64())
+		return
+	}
+	g.Picker.BackOff(choice, c.attempt.Service, c.attempt.Route, excess, now, rand.Float64())
+}
+
 // removeWaitLimit lets every node queue the call, including nodes that refused
 // it because another upstream might run it sooner.
 func (c *call) removeWaitLimit() {
@@ -452,7 +463,7 @@
 		case model.Overloaded, model.DeadlineUnreachable, model.UpstreamShed:
 			outcome = balance.Refused
 			if excess := r.ExpectedWait - c.attempt.MaxWait; r.ExpectedWait > 0 && excess > 0 {
-				g.Picker.BackOff(choice, c.attempt.Service, c.attempt.Route, excess, now, rand.Float64())
+				g.backOff(c, entry, choice, excess, now)
 			}
 		case model.UpstreamUnreachable, model.UpstreamLost:
 			outcome = balance.Failed
--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilflow/lentilflow/pkg/balance"
+	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
@@ -276,3 +278,36 @@
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(resp.Header.Get("Retry-After"), "1.25")
 }
+
+// Guards against calls that wait at limited upstreams, or are refused, while
+// others in the same distant region have capacity: the refusal of a limited
+// upstream must not start a backoff of the whole region.
+func TestRefusalOfLimitedUpstreamKeepsRegionInUse(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	g := p.nodes[0].gateway
+	far := model.Location{Region: "far", AvailabilityZone: "f"}
+	candidates := []model.UpstreamNode{
+		{Node: "limited", Address: "a:1", Service: testService, Location: far}, {Node: "free", Address: "b:1", Service: testService, Location: far},
+	}
+	c := &call{attempt: &Attempt{Service: testService, Route: "safe", MaxWait: 60 * time.Millisecond}}
+	now := time.Second
+	pick := func() balance.Result {
+		_, result := g.Picker.Pick(balance.Request{
+			Candidates: candidates, From: g.Self.Location, Service: testService, Route: "safe", Now: now, Seed: 1, Exclude: []model.NodeID{"limited"},
+		})
+		return result
+	}
+	refuse := func(i int) {
+		choice := balance.Choice{Index: i, Stats: g.Picker.Stats(candidates[i].Node, now), Distance: model.OtherRegion}
+		g.backOff(c, &candidates[i], &choice, time.Second, now)
+	}
+	limited := bootStatement{boot: upstream.Boot{ID: "b", StartedAt: 1}, Statement: upstream.Statement{Limited: true, RateLimit: 5}}
+	g.Remote.statements.observe("a:1", limited.String(), time.Now())
+	is.Equal(pick(), balance.Picked)
+	refuse(0)
+	is.Equal(pick(), balance.Picked)
+	refuse(1)
+	is.Equal(pick(), balance.Busy) // an upstream without a limit whose queue is full
+}
