Refuse at once what a rate limit makes unservable

What callers saw, found by reading: calls that waited for a start under a limit waited on when the upstream left, its node stopped or the limit fell, one start after the other or until their deadlines, and were refused only then. A 421 of another boot was read as a statement of the boot that the request was meant for.

Change: a boot that no longer serves and a node that stops end the limit, so that its queue empties at once; a lower limit refuses what no longer fits or cannot start in time; responses of another boot say nothing about this one.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -350,6 +350,35 @@
 	}
 }
 
+// RemoveExcess takes a waiting call out of the queue that a new rate limit leaves
+// no place for, and returns it, or nil if there is none: one whose deadline is
+// before the next start, or else, if the queue is too long, the newest call of the
+// longest flow in the least urgent rank that has more waiting calls than its
+// protected place.
+func (c *Core) RemoveExcess(now time.Duration) *Waiter {
+	if !c.rate.limited {
+		return nil
+	}
+	if w := c.Expire(now + c.rate.wait(now, 1, 1)); w != nil {
+		return w
+	}
+	if c.waiting <= c.QueueLimit(now) {
+		return nil
+	}
+	for q := Ranks - 1; q >= 0; q-- {
+		protected := 0
+		if c.limits.Floors[q] > 0 {
+			protected = 1
+		}
+		if c.ranks[q].waiting > protected {
+			w := c.ranks[q].longestFlow().tail
+			c.Remove(w)
+			return w
+		}
+	}
+	return nil
+}
+
 // Expire takes one waiting call whose deadline has passed out of its queue and
 // returns it, or nil if there is none.
 func (c *Core) Expire(now time.Duration) *Waiter {
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -47,14 +47,34 @@
 
 func (g *Gate) now() time.Duration { return time.Since(g.start) }
 
-// SetLimits changes the capacity. It is cheap if the limits are unchanged.
+// SetLimits changes the capacity. It is cheap if the limits are unchanged. Calls
+// that no longer fit in the queue of a lower rate limit are refused.
 func (g *Gate) SetLimits(l Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.core.limits != l {
-		g.core.SetLimits(g.now(), l)
-		g.dispatch()
+	g.setLimits(l)
+}
+
+// EndRateLimit ends the rate limit, if there is one.
+func (g *Gate) EndRateLimit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.core.limits
+	l.RateLimited, l.RateLimit = false, 0
+	g.setLimits(l)
+}
+
+// setLimits does what SetLimits does. The caller holds the mutex.
+func (g *Gate) setLimits(l Limits) {
+	if g.core.limits == l {
+		return
 	}
+	now := g.now()
+	g.core.SetLimits(now, l)
+	for w := g.core.RemoveExcess(now); w != nil; w = g.core.RemoveExcess(now) {
+		w.ready <- false
+	}
+	g.dispatch()
 }
 
 // State returns the current load figures.
--- a/pkg/admission/rate_test.go
+++ b/pkg/admission/rate_test.go
@@ -232,3 +232,65 @@
 	t.Logf("starts: %v, share of the long calls %.2f", starts, share)
 	is.True(share > 0.45 && share < 0.55)
 }
+
+// Guards against calls that were queued before the upstream stated a low rate
+// limit, and are held until their deadlines although they cannot start by then.
+func TestLowerRateLimitRefusesExcessAtOnce(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Slots: 2}
+	limits.Floors[3] = 10
+	g := NewGate(limits)
+	far := time.Now().Add(time.Minute)
+	var slots []Slot
+	for range 2 {
+		s, r := g.Acquire(t.Context(), Call{}, far, time.Time{})
+		is.Equal(r, nil)
+		slots = append(slots, s)
+	}
+	ended := make(chan *Refusal, 6)
+	for i := range 6 {
+		go func() {
+			_, r := g.Acquire(t.Context(), Call{Rank: model.Rank(3 * (i % 2))}, far, time.Time{})
+			ended <- r
+		}()
+	}
+	for g.State().Waiting < 6 {
+		time.Sleep(time.Millisecond)
+	}
+	limits.RateLimited, limits.RateLimit = true, 0.02
+	g.SetLimits(limits)
+	fit := g.core.QueueLimit(g.now())
+	is.Equal(g.State().Waiting, fit)
+	for range 6 - fit {
+		is.Equal((<-ended).Reason, model.Overloaded)
+	}
+	is.True(g.State().WaitingByRank[3] >= 1) // the place that its floor protects
+	g.EndRateLimit()
+	for _, s := range slots {
+		s.Release(Other)
+		is.Equal(<-ended, nil)
+	}
+}
+
+// Guards against calls that wait for a start under a limit that permits none
+// before their deadlines.
+func TestUnservableCallsLeaveTheQueueOfALowerRateLimit(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Slots: 1}
+	limits.Floors[0] = 10
+	g := NewGate(limits)
+	_, r := g.Acquire(t.Context(), Call{}, time.Now().Add(time.Minute), time.Time{})
+	is.Equal(r, nil)
+	ended := make(chan *Refusal)
+	go func() {
+		_, r := g.Acquire(t.Context(), Call{}, time.Now().Add(20*time.Second), time.Time{})
+		ended <- r
+	}()
+	for g.State().Waiting < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	limits.RateLimited, limits.RateLimit = true, 0.02 // one start in 50 s
+	g.SetLimits(limits)
+	is.Equal((<-ended).Reason, model.Overloaded)
+	is.Equal(g.State().Waiting, 0)
+}
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -124,7 +124,13 @@
 // Stop refuses all further attempts, and those that wait for a slot once they
 // get one. Attempts that run are not affected.
 func (l *Local) Stop() {
-	if !l.stopping.Swap(true) && l.boot.Load() != nil {
+	if l.stopping.Swap(true) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gate.EndRateLimit() // the calls that wait for it are refused at once
+	if l.boot.Load() != nil {
 		l.OnServingChange(false)
 	}
 }
@@ -247,6 +253,7 @@
 		l.applyLimits(&b)
 	} else {
 		l.boot.Store(nil)
+		l.gate.EndRateLimit() // the calls that wait for it are refused at once
 	}
 	if old != nil && (!ok || old.ID != b.ID || old.StartedAt != b.StartedAt) {
 		l.pool.Close()
@@ -267,7 +274,9 @@
 // ranks that have a route to its service.
 func (l *Local) limits(b *upstream.Boot) admission.Limits {
 	limits := admission.Limits{Slots: b.Slots}
-	limits.RateLimit, limits.RateLimited = l.stated.of(b)
+	if !l.stopping.Load() {
+		limits.RateLimit, limits.RateLimited = l.stated.of(b)
+	}
 	s := l.Config.Current()
 	if s == nil {
 		return limits
@@ -489,7 +498,10 @@
 	if err != nil {
 		return nil, l.refusalFor(ctx, entry, err)
 	}
-	statement := l.observeResponse(att.RequestID, boot, a.Header, entry.started)
+	var statement bootStatement
+	if a.Status != http.StatusMisdirectedRequest { // which is the response of another boot
+		statement = l.observeResponse(att.RequestID, boot, a.Header, entry.started)
+	}
 	if r := l.notRunRefusal(a, boot); r != nil {
 		if a.Header.Get(l.Names.RequestID) != "" {
 			discard(a)
--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -311,3 +311,56 @@
 	refuse(1)
 	is.Equal(pick(), balance.Busy) // an upstream without a limit whose queue is full
 }
+
+// Guards against calls that wait for the rate limit of an upstream that leaves, or
+// of a node that stops, one start after the other, only to be refused then.
+func TestCallsDoNotWaitForTheLimitOfALeavingUpstream(t *testing.T) {
+	for name, leave := range map[string]func(*Local){
+		"leaves": func(l *Local) { l.Leave("boot", 1) },
+		"stops":  (*Local).Stop,
+		"states": func(l *Local) {
+			l.observeResponse("r", l.boot.Load(), http.Header{testNames.Leaving: {"1"}}, time.Now())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTestCluster(injectedFault{})
+			defer p.close()
+			l := p.nodes[0].gateway.Local
+			l.observeResponse("r", l.boot.Load(), http.Header{testNames.RateLimit: {"0.1"}}, time.Now())
+			ended := make(chan *Refusal)
+			go func() {
+				_, r := l.Run(t.Context(), &Attempt{Service: testService, Weight: 1, Header: http.Header{}, Deadline: time.Now().Add(time.Minute)})
+				ended <- r
+			}()
+			waitFor(t, "the call waits", func() bool { return l.gate.State().Waiting == 1 })
+			leave(l)
+			select {
+			case r := <-ended:
+				is.Equal(r.RunState, model.NotRun)
+				is.True(r.Reason == model.NoUpstream || r.Reason == model.NodeDraining)
+			case <-time.After(cancelTimeout):
+				t.Fatal("the call still waits")
+			}
+		})
+	}
+}
+
+// Guards against a boot that is limited or left out because another boot at its
+// address, which refuses the request, states so about itself.
+func TestStatementOfAnotherBootHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	p := newTestCluster(injectedFault{})
+	defer p.close()
+	s := p.nodes[0]
+	s.upstream.state(testNames.RateLimit+": 1", testNames.Leaving+": 1")
+	s.upstream.enqueue(misdirected)
+	_, r := s.gateway.Local.Run(t.Context(), &Attempt{
+		RequestID: "1", Method: http.MethodGet, Target: "/", Host: "h", Service: testService, Weight: 1, Header: http.Header{testNames.RequestID: {"1"}},
+		Deadline: time.Now().Add(time.Second),
+	})
+	is.Equal(r.Reason, model.NoUpstream)
+	s.report()
+	is.True(s.gateway.Local.Serving())
+	is.Equal(s.gateway.Local.RateLimit(), -1.0)
+}
