Simulate upstreams that state rate limits

pkg/play has the scenario "most upstreams of a service limited" and the variant in which a refusal for a rate limit holds off the whole region. The programs are unchanged.

--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -134,7 +134,7 @@
 	sim.clock.after(delay, func() {
 		target.arrive(&attempt{kind: c.kind, deadline: c.deadline, due: c.due, maxWait: c.maxWait, done: func(r *refusal) {
 			sim.clock.after(delay, func() {
-				c.recordOutcome(&choice, start, r)
+				c.recordOutcome(&choice, target, start, r)
 				c.finishAttempt(r)
 			})
 		}})
@@ -142,14 +142,19 @@
 }
 
 // recordOutcome records the outcome of an attempt in the statistics of the chosen
-// upstream.
-func (c *call) recordOutcome(choice *balance.Choice, start time.Duration, r *refusal) {
+// upstream, which is that of target.
+func (c *call) recordOutcome(choice *balance.Choice, target *node, start time.Duration, r *refusal) {
 	sim, outcome := c.node.sim, balance.Accepted
 	if r != nil {
 		switch r.reason {
 		case model.Overloaded, model.DeadlineUnreachable, model.UpstreamShed:
 			outcome = balance.Refused
-			if excess := r.expectedWait - c.maxWait; sim.policy.BackOff && r.expectedWait > 0 && excess > 0 {
+			excess := r.expectedWait - c.maxWait
+			switch {
+			case !sim.policy.BackOff || r.expectedWait == 0 || excess <= 0:
+			case sim.policy.BackOffLimitedAlone && target.limits.RateLimited:
+				choice.Stats.BackOff(c.kind.Name, excess, sim.clock.now, sim.clock.rnd.Float64())
+			default:
 				c.node.picker.BackOff(choice, c.kind.Service, c.kind.Name, excess, sim.clock.now, sim.clock.rnd.Float64())
 			}
 		case model.UpstreamUnreachable, model.UpstreamLost:
@@ -220,7 +225,7 @@
 // arrive starts, queues or refuses an attempt at the node of the upstream.
 func (n *node) arrive(a *attempt) {
 	now := n.sim.clock.now
-	if down, _, _ := n.activeFaults(); down {
+	if n.activeFaults().down {
 		a.finish(unreachedRefusal(model.UpstreamUnreachable))
 		return
 	}
@@ -287,6 +292,7 @@
 	for {
 		w, admitted := n.admission.Next(n.sim.clock.now)
 		if w == nil {
+			n.scheduleNextStart()
 			return
 		}
 		if !admitted {
@@ -299,6 +305,20 @@
 	}
 }
 
+// scheduleNextStart schedules startQueued for the time when the rate limit permits
+// the next start.
+func (n *node) scheduleNextStart() {
+	wait, ok := n.admission.NextStart(n.sim.clock.now)
+	if !ok || n.startScheduled {
+		return
+	}
+	n.startScheduled = true
+	n.sim.clock.after(wait, func() {
+		n.startScheduled = false
+		n.startQueued()
+	})
+}
+
 // linkRefusal returns a refusal if the link is not expected to send the response of
 // a download within the remaining time, Policy.LinkWaitShare of the latency target
 // and the maximum wait of the attempt. It returns nil otherwise.
@@ -324,15 +344,15 @@
 // start runs an attempt at the upstream: first its inner calls, then its own work.
 func (n *node) start(a *attempt) {
 	sim := n.sim
-	_, shedShare, slowdown := n.activeFaults()
-	if shedShare > 0 && sim.clock.rnd.Float64() < shedShare {
+	faults := n.activeFaults()
+	if faults.shedShare > 0 && sim.clock.rnd.Float64() < faults.shedShare {
 		sim.clock.after(rejectTime, func() {
 			n.release(a, admission.Shed)
 			a.finish(&refusal{reason: model.UpstreamShed, runState: model.NotRun})
 		})
 		return
 	}
-	work := time.Duration(sim.clock.logNormal(float64(a.kind.Work), a.kind.WorkSpread) * slowdown / n.speed())
+	work := time.Duration(sim.clock.logNormal(float64(a.kind.Work), a.kind.WorkSpread) * faults.slowdown / n.speed())
 	n.makeInnerCalls(a, a.kind.InnerCalls, func(failed bool) {
 		if failed {
 			n.release(a, admission.Completed)
@@ -352,7 +372,7 @@
 // is then sent over the link.
 func (n *node) finishRun(a *attempt) {
 	sim := n.sim
-	if down, _, _ := n.activeFaults(); down {
+	if n.activeFaults().down {
 		n.release(a, admission.Other)
 		a.finish(&refusal{reason: model.UpstreamLost, runState: model.RunUnknown})
 		return
--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -37,6 +37,10 @@
 	picker    *balance.Picker
 	budgets   map[string]*retry.Budget // by service
 	queued    map[*admission.Waiter]*attempt
+	limits    admission.Limits
+	// startScheduled says that startQueued will run when the rate limit permits the
+	// next start.
+	startScheduled bool
 
 	link          *shaping.Core // nil if it does not limit downloads
 	parts         map[*shaping.Part]*transfer
@@ -57,6 +61,7 @@
 			limits.Floors[k.Rank] = rankFloor
 		}
 	}
+	n.limits = limits
 	n.admission = admission.NewCore(limits)
 	if s.LinkMbps > 0 {
 		n.link = shaping.NewCore(s.LinkMbps * 1e6 / 8 * downloadLinkShare)
@@ -70,26 +75,51 @@
 	}
 }
 
+// faultEffect is the effect of the scenario's faults on one upstream.
+type faultEffect struct {
+	down                           bool
+	shedShare, slowdown, rateLimit float64
+}
+
 // activeFaults returns the effect of the scenario's faults on the upstream at the
 // current time.
-func (n *node) activeFaults() (down bool, shedShare, slowdown float64) {
-	slowdown = 1
+func (n *node) activeFaults() faultEffect {
+	e := faultEffect{slowdown: 1}
 	for i := range n.sim.scenario.Faults {
 		f := &n.sim.scenario.Faults[i]
 		if !f.active(n.sim.clock.now) || f.Service != "" && f.Service != n.service.Name {
 			continue
 		}
-		down = down || f.Down
+		e.down = e.down || f.Down
 		// The upstreams of a service are numbered across all zones.
 		if float64(n.zone*n.service.UpstreamsPerZone+n.index) >= f.UpstreamShare*float64(n.sim.scenario.Zones*n.service.UpstreamsPerZone) {
 			continue
 		}
-		shedShare = max(shedShare, f.ShedShare)
+		e.shedShare = max(e.shedShare, f.ShedShare)
 		if f.Slowdown > 0 {
-			slowdown *= f.Slowdown
+			e.slowdown *= f.Slowdown
 		}
+		if f.RateLimit > 0 {
+			e.rateLimit = f.RateLimit
+		}
+	}
+	return e
+}
+
+// updateRateLimit applies the rate limit that the upstream states now.
+func (n *node) updateRateLimit() {
+	limits, now := n.limits, n.sim.clock.now
+	limits.RateLimit = n.activeFaults().rateLimit
+	limits.RateLimited = limits.RateLimit > 0
+	if limits == n.limits {
+		return
+	}
+	n.limits = limits
+	n.admission.SetLimits(now, limits)
+	for w := n.admission.RemoveExcess(now); w != nil; w = n.admission.RemoveExcess(now) {
+		n.refuse(w, model.Overloaded)
 	}
-	return down, shedShare, slowdown
+	n.startQueued()
 }
 
 func (n *node) speed() float64 {
--- a/pkg/play/play.go
+++ b/pkg/play/play.go
@@ -46,10 +46,22 @@
 			}
 		}
 	}
+	for i := range scenario.Faults {
+		if f := &scenario.Faults[i]; f.RateLimit > 0 {
+			sim.clock.after(f.From, sim.updateRateLimits)
+			sim.clock.after(f.To, sim.updateRateLimits)
+		}
+	}
 	sim.clock.run()
 	return sim.stats.result()
 }
 
+func (sim *simulation) updateRateLimits() {
+	for _, n := range sim.nodes {
+		n.updateRateLimit()
+	}
+}
+
 // scheduleArrival schedules the next request of the callers of a zone. The times
 // between requests are exponentially distributed.
 func (sim *simulation) scheduleArrival(k *RequestKind, zone int) {
@@ -81,7 +93,7 @@
 	sim.clock.after(callerLatency, func() {
 		nodes := sim.nodesByZone[r.zone]
 		n := nodes[sim.clock.rnd.IntN(len(nodes))]
-		if down, _, _ := n.activeFaults(); down {
+		if n.activeFaults().down {
 			sim.clock.after(callerLatency, func() { r.handleFailure(unreachedRefusal(model.UpstreamUnreachable)) })
 			return
 		}
--- a/pkg/play/play_test.go
+++ b/pkg/play/play_test.go
@@ -58,9 +58,10 @@
 // for, the worth is higher with it than without it.
 func TestMechanismsImproveWorth(t *testing.T) {
 	for scenario, variant := range map[string]string{
-		"flood of one kind":         "late calls in their turn",
-		"a zone's callers moved":    "no other upstream before the queue",
-		"a third of a service grey": "no retries",
+		"flood of one kind":                   "late calls in their turn",
+		"a zone's callers moved":              "no other upstream before the queue",
+		"a third of a service grey":           "no retries",
+		"most upstreams of a service limited": "a rate limit holds off its region",
 	} {
 		t.Run(scenario, func(t *testing.T) {
 			t.Parallel()
--- a/pkg/play/policy.go
+++ b/pkg/play/policy.go
@@ -14,6 +14,9 @@
 	// BackOff stops attempts for some time at upstreams where the expected wait of
 	// a call was too long.
 	BackOff bool
+	// BackOffLimitedAlone restricts the backoff after a wait for a rate limit to the
+	// upstream that states it.
+	BackOffLimitedAlone bool
 	// DownloadsInRegion keeps downloads in the region of their node.
 	DownloadsInRegion bool
 	// ShortestFirst sends the download with the fewest remaining bytes first, among
@@ -46,6 +49,7 @@
 		{"as the product", func(*Policy) {}},
 		{"no other upstream before the queue", func(p *Policy) { p.MaxWaitShare, p.DownloadMaxWaitShare = 0, 0 }},
 		{"no hold-off", func(p *Policy) { p.BackOff = false }},
+		{"a rate limit holds off its region", func(p *Policy) { p.BackOffLimitedAlone = false }},
 		{"large answers in all regions", func(p *Policy) { p.DownloadsInRegion = false }},
 		{"large answers first come first served", func(p *Policy) { p.ShortestFirst = false }},
 		{"late calls in their turn", func(p *Policy) { p.InTimeFirst = false }},
@@ -60,7 +64,7 @@
 // share of the permitted ratio that nodes spend, 0.75, times a ratio of 0.2.
 func GatewayPolicy() Policy {
 	return Policy{
-		MaxWaitShare: 0.25, DownloadMaxWaitShare: 0.35, LinkWaitShare: 0.42, LinkRetryAfterShare: 0.25, BackOff: true, DownloadsInRegion: true,
+		MaxWaitShare: 0.25, DownloadMaxWaitShare: 0.35, LinkWaitShare: 0.42, LinkRetryAfterShare: 0.25, BackOff: true, BackOffLimitedAlone: true, DownloadsInRegion: true,
 		ShortestFirst: true, InTimeFirst: true, ShareWithinRank: true, Retries: true, BudgetShare: 0.75 * 0.2, ReserveShare: 0.7,
 	}
 }
--- a/pkg/play/scenario.go
+++ b/pkg/play/scenario.go
@@ -67,14 +67,15 @@
 }
 
 // Fault changes a scenario from the time From until the time To. Service selects the
-// upstreams to which ShedShare, Slowdown and Down apply. RateKind and RateZone select
+// upstreams to which ShedShare, Slowdown, RateLimit and Down apply. RateKind and RateZone select
 // the requests to which RateFactor applies.
 type Fault struct {
 	From, To      time.Duration // since the start of the scenario
 	Service       string        // "" for all services
-	UpstreamShare float64       // share of the service's upstreams to which ShedShare and Slowdown apply
+	UpstreamShare float64       // share of the service's upstreams to which ShedShare, Slowdown and RateLimit apply
 	ShedShare     float64       // share of the requests that they reject without running them
 	Slowdown      float64       // factor of their service time, 0 for 1
+	RateLimit     float64       // requests per second that each of these upstreams states as its limit, 0 for none
 	Down          bool          // all nodes and upstreams of the service are lost
 	RateKind      string        // request kind to which RateFactor applies, "" for all
 	RateZone      int           // zone to which RateFactor applies, -1 for all
@@ -160,6 +161,7 @@
 		bookingScenario("a third of a service grey", 1.2, at(6, 14, Fault{Service: "booking", UpstreamShare: 0.34, ShedShare: 0.45})),
 		bookingScenario("all of a service grey", 1.2, at(6, 14, Fault{Service: "booking", UpstreamShare: 1, ShedShare: 0.45})),
 		bookingScenario("upstreams turned slow", 1.2, at(6, 14, Fault{Service: "search", UpstreamShare: 0.2, Slowdown: 5})),
+		bookingScenario("most upstreams of a service limited", 0.9, at(6, 14, Fault{Service: "search", UpstreamShare: 0.67, RateLimit: 8})),
 		storm,
 	}
 }
