--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -51,7 +51,7 @@
 // Callers keep their connections. The responses that callers received are checked
 // against the runs that the upstreams recorded in one ledger.
 //
-//	LENTILFLOW_SOAK_SEEDS=1-50 LENTILFLOW_SOAK_TIME=10s make soak
+//	LENTILFLOW_SOAK_SEEDS=1-50 LENTILFLOW_SOAK_TIME=10s LENTILFLOW_SOAK_NODES=150 make soak
 func TestSoak(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { runSoak(t, seed) })
@@ -80,6 +80,24 @@
 	return seeds
 }
 
+// soakNodes returns the number of nodes that LENTILFLOW_SOAK_NODES states, 0 if it
+// is not set. Each seed has minSoakNodes at least.
+func soakNodes(t *testing.T) int {
+	text := os.Getenv("LENTILFLOW_SOAK_NODES")
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("LENTILFLOW_SOAK_NODES: %v", err)
+	}
+	return n
+}
+
+// minSoakNodes is the number of nodes of a soak: a zone with relays and a zone
+// without.
+const minSoakNodes = 8
+
 // observed is a response with the data that is needed to check it.
 type observed struct {
 	response
@@ -124,6 +142,9 @@
 	for _, service := range services {
 		s.addNode(zones[1], service)
 	}
+	for i := len(s.nodes); i < soakNodes(t); i++ {
+		s.addNode(zones[i%len(zones)], services[i%len(services)])
+	}
 	for _, n := range s.nodes {
 		s.generations[n.name], s.busy[n.name], s.links[n.name] = &atomic.Int64{}, &atomic.Bool{}, newLinks(t, n)
 		n.startUpstream()
@@ -181,6 +202,8 @@
 func (s *soak) startCallers() (stop func()) {
 	ended := make(chan struct{})
 	var wait sync.WaitGroup
+	// All callers together send as many requests with many nodes as with few.
+	pause := 10 * time.Millisecond * time.Duration(len(s.nodes)) / minSoakNodes
 	for _, n := range s.nodes {
 		for _, nonIdempotent := range []bool{true, false} {
 			caller, generation := newCaller(n), s.generations[n.name]
@@ -202,7 +225,7 @@
 					s.mu.Lock()
 					s.observations = append(s.observations, o)
 					s.mu.Unlock()
-					time.Sleep(10 * time.Millisecond)
+					time.Sleep(pause)
 				}
 			})
 		}
