--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -37,7 +37,7 @@
 // a line on the cause.
 var regressionSeeds = []uint64{
 	1, 2,
-	34, 55, // the stand-in's repeated responses did not state the rate limit, which ended it
+	34, 55, 60, // the stand-in's repeated responses did not state the rate limit, which ended it
 }
 
 // TestSoak runs real processes and injects faults that a seed determines, one
