--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -54,7 +54,7 @@
 				default:
 				}
 				if o := p.sendWithin(nodes[i%len(nodes)], i%2 == 0, deadline); o.status != http.StatusOK {
-					time.Sleep(5 * time.Millisecond)
+					time.Sleep(20 * time.Millisecond)
 				}
 			}
 		})
