Accept the next boot of an id whose boot left with a known start

Found by reading: after a restart, a node found its upstream by a health check, a remote node stated that the boot with that id and an older start leaves, and reports of the next boot with the same id were then accepted by a health check only. Without a health path that boot would never have been used. The start that the remote node states is enough to tell the boots apart.

Evidence: TestDiscoveredBootThatLeavesIsNotUsedAgain, extended, failed before.

--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -78,7 +78,7 @@
 	verified        bool
 	candidate       Report // first report of a boot that is not verified
 	discovered      bool   // the boot comes from Discover only; its start is unknown
-	leavingID       string // id of a discovered boot that has stated that it leaves
+	leavingID       string // id of a discovered boot with unknown start that has stated that it leaves
 	reported        bool   // the upstream has sent a report or a departure
 
 	boot          Boot
@@ -255,7 +255,10 @@
 		return Confirmed
 	case t.boot.StartedAt == 0:
 		// A later boot with the same id must not be taken for this one.
-		t.boot, t.hasBoot, t.discovered, t.leavingID = Boot{}, false, false, id
+		t.boot, t.hasBoot, t.discovered = Boot{}, false, false
+		if startedAt == 0 {
+			t.leavingID = id
+		}
 		return Changed
 	}
 	t.boot.Draining = true
