--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -192,35 +192,6 @@
 	return max(time.Duration(wait), c.rateWait(now, w))
 }
 
-// rateWait is the time until the rate limit permits a call that arrives now,
-// after the calls that go before it. If the floor of its rank lets it start
-// sooner, that time counts.
-func (c *Core) rateWait(now time.Duration, w *Call) time.Duration {
-	if !c.rate.limited {
-		return 0
-	}
-	r := min(w.Rank, model.MaxRank)
-	ownCalls := c.ranks[r].callsAhead(now, w) + 1
-	calls, share := ownCalls, 1.0
-	for q := range r {
-		calls += float64(c.ranks[q].waiting)
-	}
-	for q := int(r) + 1; q < Ranks; q++ {
-		if c.ranks[q].waiting > 0 {
-			share -= float64(c.limits.Floors[q]) / 100 // taken by the floors of less urgent ranks
-		}
-	}
-	wait := c.rate.wait(now, calls, max(share, minRateShare))
-	if f := c.limits.Floors[r]; f > 0 {
-		wait = min(wait, c.rate.wait(now, ownCalls, float64(f)/100))
-	}
-	return wait
-}
-
-// minRateShare is the least share of the rate limit that is expected for a rank,
-// for floors that add up to the whole limit.
-const minRateShare = 0.1
-
 // floorSlots is the floor of r in whole slots of the current limit, rounded up.
 func (c *Core) floorSlots(r model.Rank) int {
 	return (c.limits.Floors[r]*c.Limit() + 99) / 100
@@ -235,22 +206,6 @@
 	return c.ranks[r].running < c.floorSlots(r)
 }
 
-// creditFloors gives each waiting rank its share of a start under a rate limit,
-// and deducts the start from the rank that gets it.
-func (c *Core) creditFloors(started model.Rank) {
-	for r := range c.ranks {
-		q := &c.ranks[r]
-		if q.waiting > 0 || model.Rank(r) == started {
-			q.floorCredit = min(q.floorCredit+c.limits.Floors[r], 2*oneStart)
-		}
-	}
-	q := &c.ranks[started]
-	q.floorCredit = max(q.floorCredit-oneStart, 0)
-}
-
-// oneStart is the credit of one start, in percent.
-const oneStart = 100
-
 // evictionCandidate returns the waiting call that is dropped to make room for w,
 // or nil. It is the newest call of the rule with the most waiting calls, in the
 // least urgent rank in which w may displace a call. Ranks with no more waiting
@@ -311,16 +266,6 @@
 	return w, true
 }
 
-// NextStart returns how long it takes until the rate limit lets a waiting call
-// start. ok is false if no call waits for the rate limit: none waits at all, or
-// every slot is in use.
-func (c *Core) NextStart(now time.Duration) (wait time.Duration, ok bool) {
-	if !c.rate.limited || c.waiting == 0 || c.running >= c.Limit() {
-		return 0, false
-	}
-	return c.rate.wait(now, 1, 1), true
-}
-
 // nextRank returns the most urgent waiting rank that is below its floor, or else
 // the most urgent waiting rank. Other ranks can thus use the slots of an unused
 // floor.
@@ -350,35 +295,6 @@
 	}
 }
 
-// RemoveExcess takes a waiting call out of the queue that a new rate limit leaves
-// no place for, and returns it, or nil if there is none: one whose deadline is
-// before the next start, or else, if the queue is too long, the newest call of the
-// longest flow in the least urgent rank that has more waiting calls than its
-// protected place.
-func (c *Core) RemoveExcess(now time.Duration) *Waiter {
-	if !c.rate.limited {
-		return nil
-	}
-	if w := c.Expire(now + c.rate.wait(now, 1, 1)); w != nil {
-		return w
-	}
-	if c.waiting <= c.QueueLimit(now) {
-		return nil
-	}
-	for q := Ranks - 1; q >= 0; q-- {
-		protected := 0
-		if c.limits.Floors[q] > 0 {
-			protected = 1
-		}
-		if c.ranks[q].waiting > protected {
-			w := c.ranks[q].longestFlow().tail
-			c.Remove(w)
-			return w
-		}
-	}
-	return nil
-}
-
 // Expire takes one waiting call whose deadline has passed out of its queue and
 // returns it, or nil if there is none.
 func (c *Core) Expire(now time.Duration) *Waiter {
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -75,7 +75,8 @@
 }
 
 // CloseUnusedPools closes the idle connections to every address for which used
-// returns false, and removes what is known of the upstream there. used must not call methods of the Remote, whose mutex is held.
+// returns false, and removes what is known of the upstream there. used must not
+// call methods of the Remote, whose mutex is held.
 func (r *Remote) CloseUnusedPools(used func(address string) bool) {
 	r.statements.retain(used)
 	r.mu.Lock()
