Count requests under a limit in one place in the tests

pkg/standin/ratecheck has the users' window, slack and settling time, which three test packages had each.

--- a/pkg/admission/rate_test.go
+++ b/pkg/admission/rate_test.go
@@ -9,16 +9,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/standin/ratecheck"
 )
 
-// limitWindow is the span in which the users count the requests that a limited
-// upstream gets. They permit one and a half times what the limit allows, and 5
-// requests more.
-const limitWindow = 4 * time.Second
+var simulationStart = time.Unix(0, 0)
 
 // limitedRun is what happened to the calls of a simulation.
 type limitedRun struct {
-	started     []time.Duration // in the order of time
+	started     []time.Time // on the clock of the simulation, which starts at simulationStart
 	startedBy   [Ranks]int
 	inTime      int // calls that ended within their latency target
 	refused     int
@@ -53,7 +51,7 @@
 	next := make([]time.Duration, len(loads))
 	for now := time.Duration(0); now < length; now += time.Millisecond {
 		start := func(w *Waiter) {
-			res.started = append(res.started, now)
+			res.started = append(res.started, simulationStart.Add(now))
 			res.startedBy[w.Rank]++
 			running = append(running, end{now + service, w})
 			if now+service <= w.Due {
@@ -102,18 +100,6 @@
 	return res
 }
 
-// most returns the largest number of starts within limitWindow.
-func (r *limitedRun) most() int {
-	most, first := 0, 0
-	for i, at := range r.started {
-		for at-r.started[first] > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // Guards against more requests in some window than the users permit, at any rate
 // and load, and against a limit that is not used while calls wait.
 func TestRateLimitBoundsEveryWindow(t *testing.T) {
@@ -121,8 +107,8 @@
 		rate := rapid.Float64Range(0, 60).Draw(t, "rate")
 		load := rapid.Float64Range(1, 200).Draw(t, "load")
 		res := simulateLimited(Limits{RateLimited: true, RateLimit: rate}, []limitedLoad{{0, load}})
-		if got, permitted := res.most(), int(1.5*rate*limitWindow.Seconds())+5; got > permitted {
-			t.Fatalf("%d calls started in %s, permitted %d", got, limitWindow, permitted)
+		if got, permitted := ratecheck.Most(res.started, simulationStart.Add(-1)), ratecheck.Permitted(rate); got > permitted {
+			t.Fatalf("%d calls started in %s, permitted %d", got, ratecheck.Window, permitted)
 		}
 		if expected := 20 * rate; load > 3*rate && rate > 5 && float64(len(res.started)) < 0.9*expected {
 			t.Fatalf("%d calls started, the limit permits %.0f", len(res.started), expected)
--- a/pkg/gateway/budget_test.go
+++ b/pkg/gateway/budget_test.go
@@ -120,7 +120,7 @@
 func TestPlayPolicyMatchesGateway(t *testing.T) {
 	want := play.GatewayPolicy()
 	if got := (play.Policy{
-		MaxWaitShare: maxWaitShare, DownloadMaxWaitShare: downloadMaxWaitShare, LinkWaitShare: linkWaitShare, LinkRetryAfterShare: linkRetryAfterShare, BackOff: true,
+		MaxWaitShare: maxWaitShare, DownloadMaxWaitShare: downloadMaxWaitShare, LinkWaitShare: linkWaitShare, LinkRetryAfterShare: linkRetryAfterShare, BackOff: true, BackOffLimitedAlone: true,
 		DownloadsInRegion: true, ShortestFirst: true, InTimeFirst: true, ShareWithinRank: true, Retries: true,
 		BudgetShare: budgetShare * budgetRatio, ReserveShare: reserveShare,
 	}); got != want {
--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -13,31 +13,12 @@
 	"github.com/lentilflow/lentilflow/pkg/balance"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
+	"github.com/lentilflow/lentilflow/pkg/standin/ratecheck"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
-const (
-	// limitWindow is the span in which the users count the requests that a
-	// limited upstream gets.
-	limitWindow = 4 * time.Second
-	// statedRate is the rate limit of the upstreams in these tests, per second.
-	statedRate = 8.0
-)
-
-// permitted is the number of requests that the users permit in limitWindow.
-func permitted(rate float64) int { return int(1.5*rate*limitWindow.Seconds()) + 5 }
-
-// mostArrivals returns the largest number of arrivals within limitWindow.
-func mostArrivals(arrivals []time.Time) int {
-	most, first := 0, 0
-	for i, at := range arrivals {
-		for at.Sub(arrivals[first]) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
+// statedRate is the rate limit of the upstreams in these tests, per second.
+const statedRate = 8.0
 
 // flood sends calls to the given nodes, from several callers at each, until stop
 // is called.
@@ -83,13 +64,13 @@
 	stop := p.flood([]int{0, 1, 2}, 500*time.Millisecond)
 	time.Sleep(500 * time.Millisecond) // the users count from half a second after a node has seen the limit
 	from := time.Now()
-	time.Sleep(limitWindow + limitWindow/4)
+	time.Sleep(ratecheck.Window + ratecheck.Window/4)
 	stop()
 	for _, s := range p.nodes {
-		got := mostArrivals(s.upstream.arrivalsSince(from))
-		t.Logf("%d requests in %s, permitted %d", got, limitWindow, permitted(statedRate))
-		is.True(got <= permitted(statedRate))
-		is.True(got >= int(statedRate*limitWindow.Seconds()/2)) // the limit is used
+		got := ratecheck.Most(s.upstream.arrivalsSince(from), from)
+		t.Logf("%d requests in %s, permitted %d", got, ratecheck.Window, ratecheck.Permitted(statedRate))
+		is.True(got <= ratecheck.Permitted(statedRate))
+		is.True(got >= int(statedRate*ratecheck.Window.Seconds()/2)) // the limit is used
 	}
 }
 
@@ -113,11 +94,11 @@
 		p.restart(0)
 		time.Sleep(time.Second)
 	}
-	time.Sleep(limitWindow)
+	time.Sleep(ratecheck.Window)
 	stop()
-	got := mostArrivals(limited.upstream.arrivalsSince(from))
-	t.Logf("%d requests in %s, permitted %d", got, limitWindow, permitted(lowRate))
-	is.True(got <= permitted(lowRate))
+	got := ratecheck.Most(limited.upstream.arrivalsSince(from), from)
+	t.Logf("%d requests in %s, permitted %d", got, ratecheck.Window, ratecheck.Permitted(lowRate))
+	is.True(got <= ratecheck.Permitted(lowRate))
 	is.True(got > 0)
 }
 
@@ -125,11 +106,8 @@
 // response that it leaves, because its reports still say that it is ready.
 func TestUpstreamThatStatesLeavingGetsNoRequests(t *testing.T) {
 	is := is.New(t)
-	p := newTestCluster(injectedFault{})
+	p, leaving := newLeavingCluster(t)
 	defer p.close()
-	leaving := p.nodes[0]
-	leaving.upstream.state(testNames.Leaving + ": 1")
-	p.sendUntilArrival(t, 1, leaving)
 	from := time.Now()
 	leaving.report() // a ready report, as a late one
 	for i := range 60 {
@@ -142,11 +120,8 @@
 // way of the upstream's node, which has restarted and believes a late report.
 func TestLeavingUpstreamGetsNoRequestsAfterRestart(t *testing.T) {
 	is := is.New(t)
-	p := newTestCluster(injectedFault{})
+	p, leaving := newLeavingCluster(t)
 	defer p.close()
-	leaving := p.nodes[0]
-	leaving.upstream.state(testNames.Leaving + ": 1")
-	p.sendUntilArrival(t, 1, leaving)
 	from := time.Now()
 	p.restart(0)
 	for range 60 {
@@ -155,6 +130,17 @@
 	is.Equal(len(leaving.upstream.arrivalsSince(from)), 0)
 }
 
+// newLeavingCluster returns a cluster and one of its nodes. The upstream of that
+// node has stated in a response to a call of another node that it leaves.
+func newLeavingCluster(t *testing.T) (*testCluster, *testNode) {
+	t.Helper()
+	p := newTestCluster(injectedFault{})
+	leaving := p.nodes[0]
+	leaving.upstream.state(testNames.Leaving + ": 1")
+	p.sendUntilArrival(t, 1, leaving)
+	return p, leaving
+}
+
 // sendUntilArrival sends calls to a node, one after the other, until one has
 // reached the upstream of another node.
 func (p *testCluster) sendUntilArrival(t *testing.T, node int, s *testNode) {
--- a/test/soak_checks_test.go
+++ b/test/soak_checks_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/standin/ratecheck"
 	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
 )
 
@@ -57,9 +58,9 @@
 // permit under the rate limit that it states.
 func checkLimits(runs []upstream.Run, limits map[string]statedLimit) (violations []string) {
 	for boot, l := range limits {
-		got := mostRuns(runs, boot, l.since.Add(limitSettleTime))
-		if permitted := permittedInWindow(l.rate); got > permitted {
-			violations = append(violations, fmt.Sprintf("boot %s, which states %g requests per second, got %d in %s, permitted %d", boot, l.rate, got, limitWindow, permitted))
+		got := mostRuns(runs, boot, l.since.Add(ratecheck.SettleTime))
+		if permitted := ratecheck.Permitted(l.rate); got > permitted {
+			violations = append(violations, fmt.Sprintf("boot %s, which states %g requests per second, got %d in %s, permitted %d", boot, l.rate, got, ratecheck.Window, permitted))
 		}
 	}
 	return violations
@@ -129,9 +130,9 @@
 // the limit is known.
 func TestLimitCheckDetectsViolations(t *testing.T) {
 	now := time.Now()
-	limits := map[string]statedLimit{"a": {rate: 2, since: now.Add(-limitSettleTime)}}
+	limits := map[string]statedLimit{"a": {rate: 2, since: now.Add(-ratecheck.SettleTime)}}
 	var runs []upstream.Run
-	for i := range permittedInWindow(2) {
+	for i := range ratecheck.Permitted(2) {
 		runs = append(runs, upstream.Run{Boot: "a", Start: now.Add(time.Duration(i+1) * time.Millisecond)}, upstream.Run{Boot: "a", Start: now.Add(-time.Second)})
 	}
 	if v := checkLimits(runs, limits); len(v) != 0 {
--- a/test/statement_test.go
+++ b/test/statement_test.go
@@ -10,40 +10,20 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilflow/lentilflow/pkg/standin/ratecheck"
 	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
 )
 
-const (
-	// limitWindow is the span in which the users count the requests that a
-	// limited upstream gets.
-	limitWindow = 4 * time.Second
-	// limitSettleTime is the time from the first response with a limit until the
-	// users begin to count; the bound of the deployments is 3 s or more.
-	limitSettleTime = 3 * time.Second
-)
-
-// permittedInWindow is the number of requests that the users permit within
-// limitWindow under a rate limit.
-func permittedInWindow(rate float64) int { return int(1.5*rate*limitWindow.Seconds()) + 5 }
-
 // mostRuns returns the largest number of runs that began at a boot within
-// limitWindow after the time from.
+// ratecheck.Window after the time from.
 func mostRuns(runs []upstream.Run, boot string, from time.Time) int {
 	var starts []time.Time
 	for _, r := range runs {
-		if r.Boot == boot && r.Start.After(from) {
+		if r.Boot == boot {
 			starts = append(starts, r.Start)
 		}
 	}
-	slices.SortFunc(starts, time.Time.Compare)
-	most, first := 0, 0
-	for i, at := range starts {
-		for at.Sub(starts[first]) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
+	return ratecheck.Most(starts, from)
 }
 
 // putHealthPath puts a configuration in force in which the services have a health
@@ -82,8 +62,8 @@
 		stops = append(stops, c.startLoad(http.MethodGet, "/status/1", c.nodes, time.Millisecond))
 	}
 	limited.upstream.Set(upstream.Behaviour{RateLimit: rate})
-	boot, from := limited.upstream.ID, time.Now().Add(limitSettleTime)
-	time.Sleep(limitSettleTime)
+	boot, from := limited.upstream.ID, time.Now().Add(ratecheck.SettleTime)
+	time.Sleep(ratecheck.SettleTime)
 	limited.restartProcess(syscall.SIGKILL)
 	time.Sleep(700 * time.Millisecond)
 	limited.endpoint.Set(storeUnavailable)
@@ -93,15 +73,15 @@
 	time.Sleep(time.Second)
 	limited.signal(syscall.SIGCONT)
 	limited.restartProcess(syscall.SIGTERM)
-	time.Sleep(limitWindow)
+	time.Sleep(ratecheck.Window)
 	var all []response
 	for _, stop := range stops {
 		all = append(all, stop()...)
 	}
 	runs := c.ledger.Runs()
 	got := mostRuns(runs, boot, from)
-	t.Logf("%d requests in %s, permitted %d", got, limitWindow, permittedInWindow(rate))
-	is.True(got <= permittedInWindow(rate))
+	t.Logf("%d requests in %s, permitted %d", got, ratecheck.Window, ratecheck.Permitted(rate))
+	is.True(got <= ratecheck.Permitted(rate))
 	is.True(got > 0)
 	is.Equal(untrueRefusals(all, runs), nil)
 }
