--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -127,8 +127,8 @@
 	b, ok := l.tracker.Current()
 	ok = ok && !l.unreachable
 	if ok {
+		l.applyLimits(&b) // before the first call of the boot
 		l.boot.Store(&b)
-		l.applyLimits(&b)
 	} else {
 		l.boot.Store(nil)
 		l.gate.EndRateLimit() // the calls that wait for it are refused at once
--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -188,7 +188,7 @@
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set(headerInstance, u.ID)
-	u.stateLoad(h)
+	u.setStatements(h)
 	if want := r.Header.Get(headerExpected); want != "" && want != u.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -225,9 +225,9 @@
 	u.respond(w, run, b, status, text)
 }
 
-// stateLoad sets the header fields by which the upstream states its rate limit and
+// setStatements sets the header fields by which the upstream states its rate limit and
 // that it leaves.
-func (u *Upstream) stateLoad(h http.Header) {
+func (u *Upstream) setStatements(h http.Header) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	h.Del(headerRateLimit)
@@ -332,7 +332,7 @@
 	}
 	w.Header().Set(headerSignature, u.ID+"."+run.ID)
 	w.Header().Set(headerID, run.ID)
-	u.stateLoad(w.Header()) // it may have changed while the request ran
+	u.setStatements(w.Header()) // it may have changed while the request ran
 	if b.Duplicate {
 		u.respondTwice(w, status, text)
 		return
