--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -46,8 +46,7 @@
 	}
 }
 
-// stateRate makes all upstreams of the cluster state a rate limit, and waits
-// until every node has forwarded such a response of every upstream.
+// stateRate makes all upstreams of the cluster state a rate limit, each for itself.
 func (p *testCluster) stateRate(rate float64) {
 	for _, s := range p.nodes {
 		s.upstream.state(testNames.RateLimit + ": " + strconv.FormatFloat(rate, 'f', -1, 64))
