Log and count restores of the store from an older copy

Logs and metrics could not tell whether reads are ignored, rows are lost or a configuration goes back after a restore. No decision changes.

--- a/cmd/lentilctl/cli/cli.go
+++ b/cmd/lentilctl/cli/cli.go
@@ -14,6 +14,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/operator"
 	"github.com/lentilflow/lentilflow/platform"
@@ -63,7 +64,7 @@
 }
 
 func (e *Env) rulesStore() *platform.RulesStore {
-	return &platform.RulesStore{Store: platform.NewStore(e.Store, prometheus.NewRegistry())}
+	return &platform.RulesStore{Store: platform.NewStore(e.Store, prometheus.NewRegistry(), zap.NewNop())}
 }
 
 // RequestContext returns a context that ends after Timeout, or earlier with
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -78,7 +78,7 @@
 	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.ConfigSource(a.configHolder, func(v config.Version, at follow.Revision) {
 		a.onConfigInForce(v, zap.Uint64("revision", uint64(at)))
 	}), 0, a.gossip.ConfigSchedule(a.firstStart()), func(ok bool) { a.configUnavailable.Store(!ok); a.updateStoreAvailability() }))
-	a.addLoop(&g, "follow fleet", a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, OnChange: a.onFleetChange}, fleetWatchInterval,
+	a.addLoop(&g, "follow fleet", a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, Log: a.log, OnChange: a.onFleetChange}, fleetWatchInterval,
 		a.delayFirstRead(a.gossip.FleetSchedule()), func(ok bool) { a.fleetUnavailable.Store(!ok); a.updateStoreAvailability() }))
 	a.addLoop(&g, "exchange digests", a.gossip.Run)
 	a.addLoop(&g, "probe nodes", a.gossip.Probe)
@@ -254,14 +254,15 @@
 // onFleetChange handles a change of the fleet. removed lists the nodes that
 // are no longer part of it.
 func (a *Agent) onFleetChange(removed []model.NodeID) {
-	members := a.fleetView.Current().Members
+	f := a.fleetView.Current()
+	members := f.Members
 	a.gateway.ReleaseIfReady()
 	a.gossip.FleetUpdated()
 	if a.configHolder.Current() == nil {
 		a.gossip.TriggerSync() // do not wait for the next beacon to fetch the configuration from another node
 	}
-	a.log.Info("fleet changed", zap.Uint64("revision", uint64(a.fleetView.Current().Revision)),
-		zap.Int("nodes", len(members)), zap.Any("removed", removed))
+	a.log.Info("fleet changed", zap.Uint64("revision", uint64(f.Revision)), zap.Int("nodes", len(members)),
+		zap.String("members_digest", f.DigestText()), zap.Any("removed", removed))
 	a.budgets.SetNodeCount(len(members))
 	for _, id := range removed {
 		a.gossip.RemoveNode(id)
--- a/pkg/devcluster/cluster.go
+++ b/pkg/devcluster/cluster.go
@@ -124,7 +124,7 @@
 }
 
 func (c *Cluster) rulesStore() *platform.RulesStore {
-	return &platform.RulesStore{Store: platform.NewStore(c.store.Address(), prometheus.NewRegistry())}
+	return &platform.RulesStore{Store: platform.NewStore(c.store.Address(), prometheus.NewRegistry(), zap.NewNop())}
 }
 
 func (c *Cluster) startUpstream(s *settings.Settings) error {
--- a/pkg/fleet/source.go
+++ b/pkg/fleet/source.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
@@ -27,6 +29,7 @@
 type Source struct {
 	Registry Registry
 	View     *View
+	Log      *zap.Logger
 	// OnChange is called after each load and after each change that is not
 	// empty, with the nodes that the change removed. It must not be nil.
 	OnChange func(removed []model.NodeID)
@@ -38,7 +41,9 @@
 	if err != nil {
 		return 0, err
 	}
-	s.View.Replace(members, revision)
+	if !s.View.Replace(members, revision) {
+		s.logIgnored(revision)
+	}
 	s.OnChange(nil)
 	return revision, nil
 }
@@ -50,8 +55,16 @@
 		return 0, err
 	}
 	if len(c.Set)+len(c.Removed) > 0 {
-		s.View.Apply(c)
+		if !s.View.Apply(c) {
+			s.logIgnored(c.Revision)
+		}
 		s.OnChange(c.Removed)
 	}
 	return c.Revision, nil
 }
+
+// logIgnored logs that a read changed nothing, because the view is not older.
+func (s *Source) logIgnored(read follow.Revision) {
+	s.Log.Info("fleet in the store is not newer than the known one; it is ignored", zap.Uint64("read", uint64(read)),
+		zap.Uint64("known", uint64(s.View.Current().Revision)))
+}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -39,6 +40,9 @@
 	services map[string][]model.UpstreamNode
 }
 
+// DigestText returns Digest as it is shown to operators.
+func (s *Snapshot) DigestText() string { return fmt.Sprintf("%016x", s.Digest) }
+
 // UpstreamNodes returns the nodes on the VMs of the upstreams of a service. The
 // caller must not change the slice.
 func (s *Snapshot) UpstreamNodes(service string) []model.UpstreamNode { return s.services[service] }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -13,6 +13,11 @@
 // 0 precedes every state.
 type Revision uint64
 
+// Era counts how often the store was restored from an older copy. A restored
+// store gives out revisions again, so revisions of different eras cannot be
+// compared.
+type Era uint64
+
 // ErrHistoryLost means that the store no longer has the changes after the
 // requested revision.
 var ErrHistoryLost = errors.New("the store no longer has the requested changes")
