--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,3 +95,30 @@
 	is.NoErr(<-ended)
 	is.Equal(s.calls, []string{"load", "wait", "wait", "load", "load", "wait", "wait"})
 }
+
+// restoringSource loses its history at each wait, as a store does that is restored
+// again and again, or of which a node reaches an older and a newer copy in turn.
+type restoringSource struct{ calls atomic.Int64 }
+
+func (s *restoringSource) Load(context.Context) (Revision, error) {
+	s.calls.Add(1)
+	return 1, nil
+}
+
+func (s *restoringSource) Wait(context.Context, Revision) (Revision, error) {
+	s.calls.Add(1)
+	return 0, ErrHistoryLost
+}
+
+// Guards against a follower that sends requests without a pause while the history
+// is lost again and again. The bound is the rate of requests to a store that is not
+// available, two for each delay.
+func TestRepeatedHistoryLossBacksOff(t *testing.T) {
+	is := is.New(t)
+	s := &restoringSource{}
+	f := Follower{Name: "test", Source: s, Log: zap.NewNop(), OnAvailability: func(bool) {}}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	is.NoErr(f.Run(ctx))
+	is.True(s.calls.Load() <= 2*int64(time.Second/(initialBackoff/2)))
+}
--- a/pkg/standin/store/endpoint.go
+++ b/pkg/standin/store/endpoint.go
@@ -3,10 +3,14 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
 
+// eraHeader is the header field of all responses that holds the era of the store.
+const eraHeader = "Store-Era"
+
 // Fault is a fault of an endpoint. The zero value is no fault. If several of Status,
 // Reset and Silent are set, only the first in this order has an effect.
 type Fault struct {
@@ -84,6 +88,7 @@
 func (e *Endpoint) injectFault(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		operation := operationName(r.URL.Path)
+		w.Header().Set(eraHeader, strconv.FormatUint(e.store.Era(), 10))
 		e.store.countRequest(operation)
 		f := *e.fault.Load()
 		switch {
--- a/pkg/standin/store/store.go
+++ b/pkg/standin/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -43,6 +44,7 @@
 // concurrently.
 type Store struct {
 	mu               sync.Mutex
+	era              uint64 // rises by one with each Restore
 	version          uint64
 	rows             map[rowID]Row
 	history          []Row // changes after compactedVersion, in order
@@ -52,9 +54,9 @@
 	requests         map[string]int // by operation
 }
 
-// New returns an empty store.
+// New returns an empty store in its first era.
 func New() *Store {
-	return &Store{rows: make(map[rowID]Row), changed: make(chan struct{}), started: time.Now(), requests: make(map[string]int)}
+	return &Store{era: 1, rows: make(map[rowID]Row), changed: make(chan struct{}), started: time.Now(), requests: make(map[string]int)}
 }
 
 // RequestCount returns how many requests for an operation, such as "rows-get", have
@@ -108,6 +110,47 @@
 	s.notifyWatchers()
 }
 
+// Copy is a copy of the rows and the history of a store.
+type Copy struct {
+	version, compactedVersion uint64
+	rows                      map[rowID]Row
+	history                   []Row
+}
+
+// Copy returns a copy of the current state, from which Restore restores it.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{version: s.version, compactedVersion: s.compactedVersion, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
+}
+
+// Restore replaces the state by an earlier copy and begins the next era. What was
+// written since the copy is lost, and its versions are given out again. Feed
+// requests that wait for a change continue to wait, unless the store no longer has
+// their version.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.compactedVersion = c.version, c.compactedVersion
+	s.rows, s.history = maps.Clone(c.rows), slices.Clone(c.history)
+	s.notifyWatchers()
+}
+
+// Version returns the newest version.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Era returns the number of the current era.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // apply applies a change to the rows and appends it to the history.
 func (s *Store) apply(r Row) {
 	if r.Tombstone {
@@ -135,10 +178,11 @@
 	More    bool   `json:"has-more"`
 	Version uint64 `json:"version-number"`
 	Now     string `json:"now"`
+	era     uint64
 }
 
 func (s *Store) newResponse(rows []Row) response {
-	return response{Rows: rows, Version: s.version, Now: strconv.FormatInt(time.Since(s.started).Milliseconds(), 10) + "ms"}
+	return response{Rows: rows, Version: s.version, era: s.era, Now: strconv.FormatInt(time.Since(s.started).Milliseconds(), 10) + "ms"}
 }
 
 type transaction struct {
@@ -199,12 +243,12 @@
 }
 
 // feed returns the changes of a table after a version, and a channel that is
-// closed at the next change of any table. If gone is set, the history no longer
-// reaches back to that version.
+// closed at the next change of any table. If gone is set, the store does not have
+// the history since that version.
 func (s *Store) feed(table string, after uint64) (resp response, next <-chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compactedVersion {
+	if after < s.compactedVersion || after > s.version {
 		return response{}, nil, true
 	}
 	var rows []Row
@@ -254,7 +298,7 @@
 	for {
 		resp, next, gone := s.feed(q.Get("table"), after)
 		if gone {
-			http.Error(w, "history does not reach back to this version", http.StatusGone)
+			http.Error(w, "store does not have the history since this version", http.StatusGone)
 			return
 		}
 		if len(resp.Rows) > 0 {
@@ -274,6 +318,7 @@
 
 func writeResponse(w http.ResponseWriter, status int, resp response) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(eraHeader, strconv.FormatUint(resp.era, 10))
 	w.WriteHeader(status)
 	if resp.Rows == nil {
 		resp.Rows = []Row{}
