--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -35,8 +35,12 @@
 	Registry() fleet.Registry
 	// ConfigSource returns a source that offers the operator's configurations to
 	// h. The source calls onConfig with each version that comes into force and
-	// the revision of its row in the store.
-	ConfigSource(h *config.Holder, onConfig func(config.Version, follow.Revision)) follow.Source
+	// the position of its row in the store.
+	ConfigSource(h *config.Holder, onConfig func(config.Version, follow.Position)) follow.Source
+	// ReportEra records that another node has read from the store in an era. If it is
+	// later than the one that the store has stated to this node, the sources that
+	// wait for changes return follow.ErrHistoryLost.
+	ReportEra(era follow.Era)
 	// ServeReports adds the handlers for reports of the upstream on this VM to e
 	// and passes the reports to u.
 	ServeReports(e *echo.Echo, u ReportReceiver)
@@ -84,7 +88,8 @@
 	stopping atomic.Bool
 	// findUpstreamOnce limits the request for the upstream's boot to one.
 	findUpstreamOnce  sync.Once
-	rowOutdated       chan struct{} // the row of this node is missing or wrong
+	rowOutdated       chan struct{}                   // the row of this node is missing or wrong
+	rowWrittenAt      atomic.Pointer[follow.Position] // nil before the first write
 	configUnavailable atomic.Bool
 	fleetUnavailable  atomic.Bool
 	// inForceSince is when the current version came into force.
@@ -131,6 +136,7 @@
 		Client:    messageClient(),
 		OnConfig:  func(v config.Version, from string) { a.onConfigInForce(v, zap.String("from_node", from)) },
 		OnFleet:   a.onFleetChange,
+		OnEra:     c.Platform.ReportEra,
 		ApplyTime: time.Duration(s.Store.Apply),
 		Guard:     a.guard,
 	}
@@ -194,7 +200,9 @@
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "lentilflow", Name: name, Help: help}, value))
 	}
 	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(a.configHolder.Version()) })
-	gauge("fleet_revision", "Revision of the known fleet.", func() float64 { return float64(a.fleetView.Current().Revision) })
+	gauge("fleet_revision", "Revision of the known fleet.", func() float64 { return float64(a.fleetView.Current().Position.Revision) })
+	gauge("fleet_era", "Era of the store to which the revision of the known fleet belongs.", func() float64 { return float64(a.fleetView.Current().Position.Era) })
+	gauge("fleet_unconfirmed_nodes", "Known nodes whose rows a restored store has lost and that have not written them again.", func() float64 { return float64(a.fleetView.Current().Unconfirmed()) })
 	gauge("fleet_nodes", "Nodes that are known.", func() float64 { return float64(len(a.fleetView.Current().Members)) })
 	gauge("calls_active", "Calls without a complete answer.", func() float64 { return float64(a.callServer.Active()) })
 	gauge("jobs_active", "Jobs of other nodes without a complete answer.", func() float64 { return float64(a.peerServer.Active()) })
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -75,8 +74,8 @@
 	defer func() { _ = a.gossip.Datagrams.Close() }()
 	var g run.Group
 	a.addStop(ctx, &g, callListener)
-	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.ConfigSource(a.configHolder, func(v config.Version, at follow.Revision) {
-		a.onConfigInForce(v, zap.Uint64("revision", uint64(at)))
+	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.ConfigSource(a.configHolder, func(v config.Version, at follow.Position) {
+		a.onConfigInForce(v, zap.Inline(at))
 	}), 0, a.gossip.ConfigSchedule(a.firstStart()), func(ok bool) { a.configUnavailable.Store(!ok); a.updateStoreAvailability() }))
 	a.addLoop(&g, "follow fleet", a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, Log: a.log, OnChange: a.onFleetChange}, fleetWatchInterval,
 		a.delayFirstRead(a.gossip.FleetSchedule()), func(ok bool) { a.fleetUnavailable.Store(!ok); a.updateStoreAvailability() }))
@@ -85,6 +84,7 @@
 	a.addLoop(&g, "send beacons", a.gossip.RunBeacons)
 	a.addLoop(&g, "read datagrams", a.gossip.ReadDatagrams)
 	a.addLoop(&g, "keep row", a.maintainRow)
+	a.addLoop(&g, "reconcile rows", a.reconcileRows)
 	a.addLoop(&g, "watch settings", a.watchSettings)
 	a.addLoop(&g, "tidy", a.cleanUp)
 	a.addEcho(&g, a.messageEcho, string(a.settings.Listeners.Messages))
@@ -261,13 +261,13 @@
 	if a.configHolder.Current() == nil {
 		a.gossip.TriggerSync() // do not wait for the next beacon to fetch the configuration from another node
 	}
-	a.log.Info("fleet changed", zap.Uint64("revision", uint64(f.Revision)), zap.Int("nodes", len(members)),
+	a.log.Info("fleet changed", zap.Inline(f.Position), zap.Int("nodes", len(members)), zap.Int("unconfirmed", f.Unconfirmed()),
 		zap.String("members_digest", f.DigestText()), zap.Any("removed", removed))
 	a.budgets.SetNodeCount(len(members))
 	for _, id := range removed {
 		a.gossip.RemoveNode(id)
 	}
-	if !a.stopping.Load() && members[a.self.Node] != a.self {
+	if !a.stopping.Load() && !a.rowIsWritten() {
 		select {
 		case a.rowOutdated <- struct{}{}:
 		default:
@@ -275,53 +275,6 @@
 	}
 }
 
-const (
-	// rowWriteTimeout bounds one write of the row of this node, and rowRetryDelay
-	// is the time between a failed write and the next one.
-	rowWriteTimeout = 3 * time.Second
-	rowRetryDelay   = time.Second
-)
-
-// maintainRow writes the row of this node whenever it is missing from the store
-// or wrong.
-func (a *Agent) maintainRow(ctx context.Context) error {
-	failing := false
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-a.rowOutdated:
-		}
-		for !a.stopping.Load() && ctx.Err() == nil {
-			writeCtx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
-			err := a.registry.Register(writeCtx, a.self)
-			cancel()
-			if err == nil {
-				a.log.Info("row of this node is written")
-				failing = false
-				break
-			}
-			if !failing {
-				a.log.Warn("row of this node cannot be written", zap.Error(err))
-			}
-			failing = true
-			sleep(ctx, rowRetryDelay)
-		}
-	}
-}
-
-// removeRow removes the row of this node. A stop calls it only if no boot of the
-// upstream is known. A node whose upstream is alive is about to restart and
-// keeps its row, which saves two writes and the watch responses that they cause
-// at every other node.
-func (a *Agent) removeRow() {
-	ctx, cancel := context.WithTimeout(context.Background(), rowWriteTimeout)
-	defer cancel()
-	if err := a.registry.Deregister(ctx, a.self.Node); err != nil {
-		a.log.Warn("row of this node cannot be removed", zap.Error(err))
-	}
-}
-
 // cleanUp periodically removes the state that belongs to nodes that are gone,
 // and the rows of lost nodes.
 func (a *Agent) cleanUp(ctx context.Context) error {
@@ -337,20 +290,6 @@
 	return nil
 }
 
-// removeLostNodes removes the rows of nodes that fleet.View considers lost.
-func (a *Agent) removeLostNodes(ctx context.Context) {
-	for _, id := range a.fleetView.NodesToRemove(time.Now(), rand.Float64()) {
-		writeCtx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
-		err := a.registry.Deregister(writeCtx, id)
-		cancel()
-		if err != nil {
-			a.log.Warn("row of a lost node cannot be removed", zap.String("other", string(id)), zap.Error(err))
-			continue
-		}
-		a.log.Info("row of a lost node is removed", zap.String("other", string(id)), zap.Duration("unreachable_for_at_least", fleet.LostAfter))
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/pkg/agent/state.go
+++ b/pkg/agent/state.go
@@ -17,7 +17,7 @@
 	fleet := a.fleetView.Current()
 	s := model.NodeState{
 		Node: a.self.Node, Service: a.self.Service, Location: a.self.Location, Version: a.configHolder.Version(),
-		FleetRevision: uint64(fleet.Revision), Nodes: len(fleet.Members), MembersDigest: fleet.DigestText(),
+		FleetRevision: uint64(fleet.Position.Revision), FleetEra: uint64(fleet.Position.Era), Nodes: len(fleet.Members), MembersDigest: fleet.DigestText(),
 		StoreAvailable: !a.configUnavailable.Load() && !a.fleetUnavailable.Load(), Ready: a.ready(), Serving: a.local.Serving(),
 	}
 	if at := a.inForceSince.Load(); at != nil {
--- a/pkg/fleet/availability_test.go
+++ b/pkg/fleet/availability_test.go
@@ -68,8 +68,8 @@
 				*k = expectedState{state: model.Unreachable, since: now}
 			}
 		case "row replaced": // removed and written again: the node may be another one
-			view.Apply(Change{Removed: []model.NodeID{id}, Revision: revision + 1})
-			view.Apply(Change{Set: []Member{member(string(id), "s")}, Revision: revision + 2})
+			view.Apply(Change{Removed: []model.NodeID{id}, Position: follow.At(revision + 1)}, time.Now())
+			view.Apply(Change{Set: []Member{member(string(id), "s")}, Position: follow.At(revision + 2)}, time.Now())
 			revision += 2
 			*k = expectedState{}
 		}
--- a/pkg/fleet/lost_test.go
+++ b/pkg/fleet/lost_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -17,7 +18,7 @@
 	for i := range nodes {
 		members = append(members, member(fmt.Sprint("n", i), "s"))
 	}
-	v.Replace(members, 1)
+	v.Replace(members, follow.At(1), time.Now())
 	return v
 }
 
@@ -32,7 +33,7 @@
 	v.SetServing("n3", false, now) // not serving, but reachable
 	is.Equal(len(v.NodesToRemove(now.Add(LostAfter-1), 0)), 0)
 	is.Equal(v.NodesToRemove(now.Add(LostAfter), 0), []model.NodeID{"n1"})
-	v.Apply(Change{Removed: []model.NodeID{"n1"}, Revision: 2})
+	v.Apply(Change{Removed: []model.NodeID{"n1"}, Position: follow.At(2)}, time.Now())
 	is.Equal(len(v.NodesToRemove(now.Add(LostAfter), 0)), 0)
 	is.Equal(v.NodesToRemove(now.Add(LostAfter+time.Minute), 0), []model.NodeID{"n2"})
 }
--- a/pkg/fleet/source.go
+++ b/pkg/fleet/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,16 +14,20 @@
 // return an error if the store does not respond. Implementations must be safe for
 // concurrent use.
 type Registry interface {
-	// Register writes the row of a node. Writing it again changes nothing.
-	Register(ctx context.Context, m Member) error
-	// Deregister removes the row of a node.
+	// Register writes the row of a node and returns the position of the write.
+	// Writing it again changes nothing.
+	Register(ctx context.Context, m Member) (follow.Position, error)
+	// Deregister removes the row of a node, whatever it contains.
 	Deregister(ctx context.Context, id model.NodeID) error
-	// List returns all rows at one revision.
-	List(ctx context.Context) ([]Member, follow.Revision, error)
-	// Watch returns the changes after a revision. It blocks until there is one,
+	// RemoveKnown removes the row of another node if it is still the one that List
+	// or Watch has returned last. It returns an error if the row has changed.
+	RemoveKnown(ctx context.Context, id model.NodeID) error
+	// List returns all rows at one position.
+	List(ctx context.Context) ([]Member, follow.Position, error)
+	// Watch returns the changes after a position. It blocks until there is one,
 	// but for a limited time, after which the Change is empty. It returns
-	// follow.ErrHistoryLost if the store no longer holds the changes.
-	Watch(ctx context.Context, after follow.Revision) (Change, error)
+	// follow.ErrHistoryLost if the store does not have the changes.
+	Watch(ctx context.Context, after follow.Position) (Change, error)
 }
 
 // Source keeps View up to date with Registry. It implements follow.Source.
@@ -36,35 +41,35 @@
 }
 
 // Load implements follow.Source.
-func (s *Source) Load(ctx context.Context) (follow.Revision, error) {
-	members, revision, err := s.Registry.List(ctx)
+func (s *Source) Load(ctx context.Context) (follow.Position, error) {
+	members, at, err := s.Registry.List(ctx)
 	if err != nil {
-		return 0, err
+		return follow.Position{}, err
 	}
-	if !s.View.Replace(members, revision) {
-		s.logIgnored(revision)
+	if !s.View.Replace(members, at, time.Now()) {
+		s.logIgnored(at)
 	}
 	s.OnChange(nil)
-	return revision, nil
+	return at, nil
 }
 
 // Wait implements follow.Source.
-func (s *Source) Wait(ctx context.Context, after follow.Revision) (follow.Revision, error) {
+func (s *Source) Wait(ctx context.Context, after follow.Position) (follow.Position, error) {
 	c, err := s.Registry.Watch(ctx, after)
 	if err != nil {
-		return 0, err
+		return follow.Position{}, err
 	}
 	if len(c.Set)+len(c.Removed) > 0 {
-		if !s.View.Apply(c) {
-			s.logIgnored(c.Revision)
+		if !s.View.Apply(c, time.Now()) {
+			s.logIgnored(c.Position)
 		}
 		s.OnChange(c.Removed)
 	}
-	return c.Revision, nil
+	return c.Position, nil
 }
 
 // logIgnored logs that a read changed nothing, because the view is not older.
-func (s *Source) logIgnored(read follow.Revision) {
-	s.Log.Info("fleet in the store is not newer than the known one; it is ignored", zap.Uint64("read", uint64(read)),
-		zap.Uint64("known", uint64(s.View.Current().Revision)))
+func (s *Source) logIgnored(read follow.Position) {
+	s.Log.Info("fleet in the store is not newer than the known one; it is ignored", zap.Object("read", read),
+		zap.Object("known", s.View.Current().Position))
 }
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -30,16 +30,33 @@
 	maxProbePause = 30 * time.Second
 )
 
-// Snapshot is the fleet at one revision of the store. It is immutable.
+// Snapshot is the fleet at one position of the store. It is immutable.
 type Snapshot struct {
-	Revision follow.Revision
-	Members  map[model.NodeID]Member
-	// Digest identifies the set of members. It does not depend on the revision,
-	// because the store's revision also rises with changes of other rows.
-	Digest   uint64
-	services map[string][]model.UpstreamNode
+	Position follow.Position
+	// Members are the nodes with a row in the store, and the unconfirmed nodes.
+	Members map[model.NodeID]Member
+	// Digest identifies the set of nodes with a row. It does not depend on the
+	// position, because the store's revision also rises with changes of other rows.
+	Digest      uint64
+	services    map[string][]model.UpstreamNode
+	registered  map[model.NodeID]Member
+	unconfirmed int
 }
 
+// Registered returns a node as described by its row in the store. It returns false
+// if the store has no row of the node.
+func (s *Snapshot) Registered(id model.NodeID) (Member, bool) {
+	m, ok := s.registered[id]
+	return m, ok
+}
+
+// AllRegistered returns all nodes that have a row in the store.
+func (s *Snapshot) AllRegistered() []Member { return slices.Collect(maps.Values(s.registered)) }
+
+// Unconfirmed returns the number of unconfirmed nodes: a restored store has lost
+// their rows, and they have not written them again.
+func (s *Snapshot) Unconfirmed() int { return s.unconfirmed }
+
 // DigestText returns Digest as it is shown to operators.
 func (s *Snapshot) DigestText() string { return fmt.Sprintf("%016x", s.Digest) }
 
@@ -47,12 +64,21 @@
 // caller must not change the slice.
 func (s *Snapshot) UpstreamNodes(service string) []model.UpstreamNode { return s.services[service] }
 
-// Change holds the changes between two revisions: the rows that were written and
-// the nodes whose rows were removed. Revision is the later one.
+// Change holds the changes up to a position of the store: the rows that were
+// written and the nodes whose rows were removed.
 type Change struct {
-	Set      []Member        `json:"set,omitempty"`
-	Removed  []model.NodeID  `json:"removed,omitempty"`
-	Revision follow.Revision `json:"revision"`
+	Set     []Member       `json:"set,omitempty"`
+	Removed []model.NodeID `json:"removed,omitempty"`
+	follow.Position
+	// Base is set if the change is the difference of two states, so that it lacks
+	// rows that were written and removed in between. It can be applied only to the
+	// state at Base or an earlier one.
+	Base follow.Position `json:"base,omitzero"`
+}
+
+// appliesTo reports whether the change leads from the state at p to a later one.
+func (c *Change) appliesTo(p follow.Position) bool {
+	return c.Position.After(p) && (c.Base == follow.Position{} || !p.After(c.Base))
 }
 
 // View holds the newest snapshot of the fleet, and the nodes that are currently
@@ -68,9 +94,10 @@
 	mu          sync.Mutex
 	unavailable map[model.NodeID]unavailability
 	// history holds the newest changes, in order. It is complete after the
-	// revision historyStart.
+	// position historyStart.
 	history      []Change
-	historyStart follow.Revision
+	historyStart follow.Position
+	rows         reconciliation
 }
 
 // maxHistory is the number of changes that are kept for other nodes. A node that
@@ -95,9 +122,11 @@
 	return min(max(time.Duration(probeShare*float64(now.Sub(u.since))), shortest), maxProbePause)
 }
 
-// NewView returns a view with an empty snapshot of revision 0.
+// NewView returns a view with an empty snapshot of the zero position.
 func NewView() *View {
-	v := &View{unavailable: make(map[model.NodeID]unavailability), newlyUnavailable: make(chan struct{}, 1)}
+	v := &View{
+		unavailable: make(map[model.NodeID]unavailability), newlyUnavailable: make(chan struct{}, 1), rows: newReconciliation(),
+	}
 	v.current.Store(&Snapshot{Members: map[model.NodeID]Member{}})
 	return v
 }
@@ -109,37 +138,74 @@
 // whole fleet.
 func (v *View) Loaded() bool { return v.loaded.Load() }
 
-// Replace sets the whole fleet at a revision. It returns false and changes
-// nothing if the view already holds that revision or a later one.
-func (v *View) Replace(members []Member, revision follow.Revision) bool {
+// Replace sets the whole fleet at a position. It returns false and changes
+// nothing if the view already holds that position or a later one.
+func (v *View) Replace(members []Member, at follow.Position, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.loaded.Load() && revision <= v.current.Load().Revision {
+	old := v.current.Load()
+	if v.loaded.Load() && !at.After(old.Position) {
 		return false
 	}
 	next := make(map[model.NodeID]Member, len(members))
 	for _, m := range members {
 		next[m.Node] = m
 	}
-	v.publish(next, revision)
-	v.history, v.historyStart = nil, revision
+	if v.loaded.Load() {
+		v.record(difference(old, next, at))
+	} else {
+		v.historyStart = at
+	}
+	v.advance(next, at, now)
 	v.loaded.Store(true)
 	return true
 }
 
-// ChangesSince returns the changes after a revision. It returns false if the
+// difference returns the change from a snapshot to the rows at a later position.
+func difference(from *Snapshot, to map[model.NodeID]Member, at follow.Position) Change {
+	c := Change{Position: at, Base: from.Position}
+	for id, m := range to {
+		if from.registered[id] != m {
+			c.Set = append(c.Set, m)
+		}
+	}
+	for id := range from.registered {
+		if _, ok := to[id]; !ok {
+			c.Removed = append(c.Removed, id)
+		}
+	}
+	return c
+}
+
+// record appends a change to the history. The mutex is held.
+func (v *View) record(c Change) {
+	v.history = append(v.history, c)
+	if n := len(v.history) - maxHistory; n > 0 {
+		v.historyStart = v.history[n-1].Position
+		v.history = slices.Clone(v.history[n:])
+	}
+}
+
+// ChangesSince returns the changes after a position. It returns false if the
 // view no longer holds all of them, or nothing is loaded yet.
-func (v *View) ChangesSince(after follow.Revision) (c Change, ok bool) {
+func (v *View) ChangesSince(after follow.Position) (c Change, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.loaded.Load() || after < v.historyStart {
+	if !v.loaded.Load() || v.historyStart.After(after) {
 		return Change{}, false
 	}
 	set, removed := make(map[model.NodeID]Member), make(map[model.NodeID]bool)
-	for _, h := range v.history {
-		if h.Revision <= after {
+	for i := range v.history {
+		h := &v.history[i]
+		if !h.After(after) {
 			continue
 		}
+		if !h.appliesTo(after) {
+			return Change{}, false
+		}
+		if h.Base != (follow.Position{}) && (c.Base == follow.Position{} || c.Base.After(h.Base)) {
+			c.Base = h.Base
+		}
 		for _, m := range h.Set {
 			set[m.Node] = m
 			delete(removed, m.Node)
@@ -149,34 +215,33 @@
 			removed[id] = true
 		}
 	}
-	return Change{
-		Set: slices.Collect(maps.Values(set)), Removed: slices.Collect(maps.Keys(removed)), Revision: v.current.Load().Revision,
-	}, true
+	c.Set, c.Removed, c.Position = slices.Collect(maps.Values(set)), slices.Collect(maps.Keys(removed)), v.current.Load().Position
+	return c, true
 }
 
-// Apply applies the changes up to a revision. It returns false and changes
-// nothing if the view already holds that revision or a later one.
-func (v *View) Apply(c Change) bool {
+// Apply applies the changes up to a position. It returns false and changes
+// nothing if the view already holds that position or a later one, or if the change
+// does not apply to the state that the view holds.
+func (v *View) Apply(c Change, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.current.Load()
-	if c.Revision <= old.Revision {
+	if !c.appliesTo(old.Position) {
 		return false
 	}
-	v.history = append(v.history, c)
-	if n := len(v.history) - maxHistory; n > 0 {
-		v.historyStart = v.history[n-1].Revision
-		v.history = slices.Clone(v.history[n:])
-	}
-	next := maps.Clone(old.Members)
+	v.record(c)
+	next := maps.Clone(old.registered)
 	for _, m := range c.Set {
 		next[m.Node] = m
 	}
 	for _, id := range c.Removed {
 		delete(next, id)
-		delete(v.unavailable, id)
+		if u, ok := v.rows.unconfirmed[id]; ok && c.Era == old.Position.Era {
+			delete(v.unavailable, id)
+			v.rows.recordDeparture(u.member) // it has written its row again and left
+		}
 	}
-	v.publish(next, c.Revision)
+	v.advance(next, c.Position, now)
 	return true
 }
 
@@ -277,21 +342,31 @@
 	return v.unavailable[id].state == model.Unreachable
 }
 
-// republish publishes a new snapshot of the same members. The mutex is held.
+// republish publishes a new snapshot of the same rows. The mutex is held.
 func (v *View) republish() {
 	old := v.current.Load()
-	v.publish(old.Members, old.Revision)
+	v.publish(old.registered, old.Position)
 }
 
 // publish builds the next snapshot and makes it current. The mutex is held.
-func (v *View) publish(members map[model.NodeID]Member, revision follow.Revision) {
-	s := &Snapshot{Revision: revision, Members: members, services: make(map[string][]model.UpstreamNode)}
-	for _, id := range slices.Sorted(maps.Keys(members)) {
-		m := members[id]
-		s.Digest ^= m.digest()
+func (v *View) publish(registered map[model.NodeID]Member, at follow.Position) {
+	s := &Snapshot{
+		Position: at, Members: registered, registered: registered, unconfirmed: len(v.rows.unconfirmed), services: make(map[string][]model.UpstreamNode),
+	}
+	if s.unconfirmed > 0 {
+		s.Members = maps.Clone(registered)
+		for id, u := range v.rows.unconfirmed {
+			s.Members[id] = u.member
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Members)) {
+		m := s.Members[id]
 		e := model.UpstreamNode{Node: m.Node, Service: m.Service, Location: m.Location, Address: m.CallAddress}
 		e.State = v.unavailable[id].state
 		s.services[m.Service] = append(s.services[m.Service], e)
 	}
+	for _, m := range registered {
+		s.Digest ^= m.digest()
+	}
 	v.current.Store(s)
 }
--- a/pkg/fleet/view_test.go
+++ b/pkg/fleet/view_test.go
@@ -24,22 +24,24 @@
 func TestRevisionsOnlyRise(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v := NewView()
-		newest, want := follow.Revision(0), 0
+		newest, want := follow.Position{}, 0
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
-			revision := follow.Revision(rapid.Uint64Range(1, 9).Draw(t, "revision"))
+			at := follow.Position{
+				Era: newest.Era + follow.Era(rapid.IntRange(0, 1).Draw(t, "restored")), Revision: follow.Revision(rapid.Uint64Range(1, 9).Draw(t, "revision")),
+			}
 			n := rapid.IntRange(0, 4).Draw(t, "nodes")
 			var members []Member
 			for i := range n {
 				members = append(members, member(string(rune('a'+i)), "s"))
 			}
-			accepted := v.Replace(members, revision)
-			if accepted != (revision > newest) {
-				t.Fatalf("revision %d after %d: accepted %v", revision, newest, accepted)
+			accepted := v.Replace(members, at, time.Now())
+			if accepted != (at.Era > newest.Era || at.Era == newest.Era && at.Revision > newest.Revision) {
+				t.Fatalf("%v after %v: accepted %v", at, newest, accepted)
 			}
 			if accepted {
-				newest, want = revision, n
+				newest, want = at, n
 			}
-			if got := len(v.Current().UpstreamNodes("s")); got != want {
+			if got := len(v.Current().AllRegistered()); got != want {
 				t.Fatalf("%d upstream nodes, want %d", got, want)
 			}
 		}
@@ -51,11 +53,11 @@
 func TestApply(t *testing.T) {
 	is := is.New(t)
 	v := NewView()
-	v.Replace([]Member{member("a", "s"), member("b", "s")}, 1)
-	v.Apply(Change{Set: []Member{member("b", "t"), member("c", "s")}, Removed: []model.NodeID{"a"}, Revision: 2})
+	v.Replace([]Member{member("a", "s"), member("b", "s")}, follow.At(1), time.Now())
+	v.Apply(Change{Set: []Member{member("b", "t"), member("c", "s")}, Removed: []model.NodeID{"a"}, Position: follow.At(2)}, time.Now())
 	is.Equal(len(v.Current().UpstreamNodes("s")), 1)
 	is.Equal(v.Current().UpstreamNodes("t")[0].Node, model.NodeID("b"))
-	v.Apply(Change{Removed: []model.NodeID{"c"}, Revision: 2}) // not newer
+	v.Apply(Change{Removed: []model.NodeID{"c"}, Position: follow.At(2)}, time.Now()) // not newer
 	is.Equal(len(v.Current().UpstreamNodes("s")), 1)
 }
 
@@ -65,7 +67,7 @@
 	is := is.New(t)
 	digest := func(revision follow.Revision, members ...Member) uint64 {
 		v := NewView()
-		v.Replace(members, revision)
+		v.Replace(members, follow.At(revision), time.Now())
 		return v.Current().Digest
 	}
 	a, b := member("a", "s"), member("b", "s")
@@ -94,7 +96,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	v := NewView()
-	v.Replace([]Member{member("a", "s")}, 1)
+	v.Replace([]Member{member("a", "s")}, follow.At(1), time.Now())
 	state := func() model.UpstreamNodeState { return v.Current().UpstreamNodes("s")[0].State }
 	v.SetServing("a", false, now)
 	is.Equal(state(), model.NotServing)
@@ -113,7 +115,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	v := NewView()
-	v.Replace([]Member{member("a", "s")}, 1)
+	v.Replace([]Member{member("a", "s")}, follow.At(1), time.Now())
 	state := func() model.UpstreamNodeState { return v.Current().UpstreamNodes("s")[0].State }
 	is.True(v.SetUnreachable("a", now))
 	<-v.NewlyUnavailable()
@@ -138,7 +140,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	v := NewView()
-	v.Replace([]Member{member("a", "s")}, 1)
+	v.Replace([]Member{member("a", "s")}, follow.At(1), time.Now())
 	v.SetUnreachable("a", now)
 	due, _ := v.Probes(now)
 	is.Equal(len(due), 1)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -9,29 +9,20 @@
 	"go.uber.org/zap"
 )
 
-// Revision orders the states of the store: a later state has a higher revision.
-// 0 precedes every state.
-type Revision uint64
-
-// Era counts how often the store was restored from an older copy. A restored
-// store gives out revisions again, so revisions of different eras cannot be
-// compared.
-type Era uint64
-
-// ErrHistoryLost means that the store no longer has the changes after the
-// requested revision.
+// ErrHistoryLost means that the store does not have the changes after the
+// requested position.
 var ErrHistoryLost = errors.New("the store no longer has the requested changes")
 
 // Source reads one kind of state from the store. A Follower does not call its
 // methods concurrently. It treats every error other than ErrHistoryLost as an
 // unavailable store.
 type Source interface {
-	// Load reads and applies the whole state, and returns its revision.
-	Load(ctx context.Context) (Revision, error)
-	// Wait waits a limited time for changes after a revision, applies them, and
-	// returns the revision to continue from. It returns ErrHistoryLost if the
+	// Load reads and applies the whole state, and returns its position.
+	Load(ctx context.Context) (Position, error)
+	// Wait waits a limited time for changes after a position, applies them, and
+	// returns the position to continue from. It returns ErrHistoryLost if the
 	// whole state has to be loaded again.
-	Wait(ctx context.Context, after Revision) (Revision, error)
+	Wait(ctx context.Context, after Position) (Position, error)
 }
 
 // Schedule decides when a node reads from the store, if other nodes can read
@@ -51,7 +42,7 @@
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 1200 * time.Millisecond
 	// resumeWindow is the longest time after a response for which a node that
-	// stopped following the store resumes from its last revision. After that it
+	// stopped following the store resumes from its last position. After that it
 	// loads the whole state. The store keeps the changes of the last 20 s.
 	resumeWindow = 5 * time.Second
 )
@@ -78,9 +69,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = initialBackoff, maxBackoff
-	var revision Revision
+	var at Position
 	var lastRead time.Time // time of the last response
-	loaded, failing, reported, wasFollowing := false, false, false, true
+	loaded, failing, reported, wasFollowing, lostBefore := false, false, false, true, false
 	for ctx.Err() == nil {
 		follows := f.Schedule == nil || f.Schedule.Next(ctx)
 		if ctx.Err() != nil {
@@ -93,25 +84,32 @@
 			loaded = false // changes may have been missed
 		}
 		wasFollowing = follows
-		next, err := f.loadOrWait(ctx, loaded, revision)
+		next, err := f.loadOrWait(ctx, loaded, at)
 		switch {
 		case err == nil:
 			if failing || !reported {
-				f.Log.Info("store is available", zap.String("follows", f.Name), zap.Uint64("revision", uint64(next)))
+				f.Log.Info("store is available", zap.String("follows", f.Name), zap.Inline(next))
 				f.OnAvailability(true)
 			}
-			revision, lastRead, loaded, failing, reported = next, time.Now(), true, false, true
-			delays.Reset()
+			if loaded {
+				lostBefore = false
+			}
+			if !lostBefore {
+				delays.Reset()
+			}
+			at, lastRead, loaded, failing, reported = next, time.Now(), true, false, true
 			sleep(ctx, f.Pause)
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrHistoryLost):
 			f.Log.Warn("store no longer has the changes; the whole state is loaded again",
-				zap.String("follows", f.Name), zap.Uint64("revision", uint64(revision)))
-			loaded, reported = false, false
+				zap.String("follows", f.Name), zap.Inline(at))
+			if lostBefore {
+				sleep(ctx, delays.NextBackOff())
+			}
+			loaded, reported, lostBefore = false, false, true
 		default:
 			if !failing {
-				f.Log.Warn("store is not available", zap.String("follows", f.Name),
-					zap.Uint64("revision", uint64(revision)), zap.Error(err))
+				f.Log.Warn("store is not available", zap.String("follows", f.Name), zap.Inline(at), zap.Error(err))
 				f.OnAvailability(false)
 			}
 			failing = true
@@ -121,7 +119,7 @@
 	return nil
 }
 
-func (f *Follower) loadOrWait(ctx context.Context, loaded bool, at Revision) (Revision, error) {
+func (f *Follower) loadOrWait(ctx context.Context, loaded bool, at Position) (Position, error) {
 	if !loaded {
 		return f.Source.Load(ctx)
 	}
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -16,23 +16,25 @@
 type scriptedSource struct {
 	steps []error
 	calls []string
-	after []Revision
+	after []Position
 	done  chan struct{}
 }
 
-func (s *scriptedSource) next(ctx context.Context, call string, after Revision) (Revision, error) {
+func (s *scriptedSource) next(ctx context.Context, call string, after Position) (Position, error) {
 	s.calls, s.after = append(s.calls, call), append(s.after, after)
 	if len(s.calls) > len(s.steps) {
 		close(s.done)
 		<-ctx.Done()
-		return 0, ctx.Err()
+		return Position{}, ctx.Err()
 	}
-	return Revision(len(s.calls)), s.steps[len(s.calls)-1]
+	return At(Revision(len(s.calls))), s.steps[len(s.calls)-1]
 }
 
-func (s *scriptedSource) Load(ctx context.Context) (Revision, error) { return s.next(ctx, "load", 0) }
+func (s *scriptedSource) Load(ctx context.Context) (Position, error) {
+	return s.next(ctx, "load", Position{})
+}
 
-func (s *scriptedSource) Wait(ctx context.Context, after Revision) (Revision, error) {
+func (s *scriptedSource) Wait(ctx context.Context, after Position) (Position, error) {
 	return s.next(ctx, "wait", after)
 }
 
@@ -56,7 +58,7 @@
 	cancel()
 	is.NoErr(<-ended)
 	is.Equal(s.calls, []string{"load", "load", "wait", "wait", "wait", "wait", "load", "wait"})
-	is.Equal(s.after, []Revision{0, 0, 2, 3, 3, 5, 0, 7})
+	is.Equal(s.after, []Position{At(0), At(0), At(2), At(3), At(3), At(5), At(0), At(7)})
 	is.Equal(states, []bool{false, true, false, true, true})
 }
 
@@ -100,14 +102,14 @@
 // again and again, or of which a node reaches an older and a newer copy in turn.
 type restoringSource struct{ calls atomic.Int64 }
 
-func (s *restoringSource) Load(context.Context) (Revision, error) {
+func (s *restoringSource) Load(context.Context) (Position, error) {
 	s.calls.Add(1)
-	return 1, nil
+	return At(1), nil
 }
 
-func (s *restoringSource) Wait(context.Context, Revision) (Revision, error) {
+func (s *restoringSource) Wait(context.Context, Position) (Position, error) {
 	s.calls.Add(1)
-	return 0, ErrHistoryLost
+	return Position{}, ErrHistoryLost
 }
 
 // Guards against a follower that sends requests without a pause while the history
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/internal/rapidtest"
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -86,7 +87,7 @@
 		members = append(members, m)
 	}
 	for _, s := range p.nodes {
-		s.gateway.View.Replace(members, 1)
+		s.gateway.View.Replace(members, follow.At(1), time.Now())
 	}
 	return p
 }
@@ -102,7 +103,7 @@
 	for _, n := range p.nodes {
 		members = append(members, n.member)
 	}
-	s.gateway.View.Replace(members, 1)
+	s.gateway.View.Replace(members, follow.At(1), time.Now())
 	p.nodes[i] = s
 	s.start()
 }
--- a/pkg/gateway/download_test.go
+++ b/pkg/gateway/download_test.go
@@ -19,6 +19,7 @@
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
@@ -219,7 +220,7 @@
 	address, _ := rawUpstream(t, rawResponse(fmt.Sprintf("Content-Length: %d\r\n", downloadSize), downloadSize), false)
 	link := shaping.NewLink(20)
 	s.gateway.Local = newTestLocal(t, address, link, 2)
-	s.gateway.View.Replace([]fleet.Member{m}, 1)
+	s.gateway.View.Replace([]fleet.Member{m}, follow.At(1), time.Now())
 	began := time.Now()
 	nc, err := net.Dial("tcp", s.address)
 	is.NoErr(err)
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -18,6 +18,7 @@
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
@@ -240,7 +241,7 @@
 		upstreamNode, member = second, other
 	}
 	upstreamNode.gateway.Local.pool.Address = address
-	first.gateway.View.Replace([]fleet.Member{member}, 1)
+	first.gateway.View.Replace([]fleet.Member{member}, follow.At(1), time.Now())
 	for n := 0; n < len(whole); n++ {
 		set(whole[:n])
 		status, got, err := sendOnce(first.address)
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -57,7 +57,7 @@
 
 // logFields returns what identifies a call and what decided it.
 func (g *Gateway) logFields(c *call, dropped int64) []zap.Field {
-	f := make([]zap.Field, 0, 20)
+	f := make([]zap.Field, 0, 21)
 	f = append(f,
 		zap.String("request", c.x.Request.Header.Get(g.Names.RequestID)),
 		zap.Uint64("version", uint64(c.version)),
@@ -69,7 +69,8 @@
 			zap.Duration("remaining", time.Until(c.attempt.Deadline)))
 	}
 	if len(c.triedNodes) > 0 {
-		f = append(f, zap.Any("asked", c.triedNodes), zap.Uint64("fleet_revision", uint64(g.View.Current().Revision)),
+		at := g.View.Current().Position
+		f = append(f, zap.Any("asked", c.triedNodes), zap.Uint64("fleet_revision", uint64(at.Revision)), zap.Uint64("fleet_era", uint64(at.Era)),
 			zap.Int("retries", c.retries), zap.Int("moves", c.unreachedAttempts))
 	}
 	if dropped > 0 {
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -84,7 +85,7 @@
 	s.gateway.View.Replace([]fleet.Member{{
 		Node: "silent", Service: testService, CallAddress: silent.Addr().String(), MessageAddress: "unused",
 		Location: model.Location{Region: "r", AvailabilityZone: "z"},
-	}}, 2)
+	}}, follow.At(2), time.Now())
 	ended := make(chan outcome, 1)
 	go func() { ended <- p.sendWithin(0, false, 10*time.Second) }()
 	nc, err := silent.Accept()
@@ -148,7 +149,7 @@
 	holder := config.NewHolder()
 	s, m := newTestNode("n", holder, p.runs, injectedFault{})
 	p.nodes = []*testNode{s}
-	s.gateway.View.Replace([]fleet.Member{m}, 1)
+	s.gateway.View.Replace([]fleet.Member{m}, follow.At(1), time.Now())
 	// A call with little time does not wait for long.
 	is.Equal(p.sendWithin(0, true, 20*time.Millisecond).status, http.StatusServiceUnavailable)
 	ended := make(chan outcome, 1)
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -27,15 +27,21 @@
 	// StoreAvailable whether the store responds to it.
 	IsRelay        bool `json:"relay,omitempty"`
 	StoreAvailable bool `json:"store,omitempty"`
-	// ConfigVersion, FleetRevision and MembersDigest are those of the sender, as
+	// ConfigVersion, FleetRevision, FleetEra and MembersDigest are those of the sender, as
 	// in a Digest. They are set by relays only.
 	ConfigVersion config.Version  `json:"config,omitempty"`
 	FleetRevision follow.Revision `json:"fleet,omitempty"`
+	FleetEra      follow.Era      `json:"fleet_era,omitempty"`
 	MembersDigest uint64          `json:"members_digest,omitempty"`
 	// States are states of any nodes that the receiver is to apply.
 	States []State `json:"states,omitempty"`
 }
 
+// fleetPosition returns the position of the sender's fleet.
+func (d *Datagram) fleetPosition() follow.Position {
+	return follow.Position{Era: d.FleetEra, Revision: d.FleetRevision}
+}
+
 const (
 	// maxDatagramBytes bounds a datagram, in bytes, so that it fits in one packet.
 	maxDatagramBytes = 1400
@@ -70,14 +76,14 @@
 // ConfigUpdated must be called when a newer configuration is in force on this
 // node. It updates the lag and sends a beacon. It is safe for concurrent use.
 func (n *Node) ConfigUpdated() {
-	n.configLag.caughtUp(uint64(n.Config.Version()))
+	n.configLag.caughtUp(versionPosition(n.Config.Version()))
 	n.TriggerBeacon()
 }
 
 // FleetUpdated must be called when this node has a newer fleet. It updates the
 // lag and sends a beacon. It is safe for concurrent use.
 func (n *Node) FleetUpdated() {
-	n.fleetLag.caughtUp(uint64(n.View.Current().Revision))
+	n.fleetLag.caughtUp(n.View.Current().Position)
 	n.TriggerBeacon()
 }
 
@@ -111,7 +117,8 @@
 	if isRelay {
 		f := n.View.Current()
 		d.IsRelay, d.StoreAvailable = true, !n.storeUnavailable.Load()
-		d.ConfigVersion, d.FleetRevision, d.MembersDigest = n.Config.Version(), f.Revision, f.Digest
+		d.ConfigVersion, d.MembersDigest = n.Config.Version(), f.Digest
+		d.FleetRevision, d.FleetEra = f.Position.Revision, f.Position.Era
 	}
 	for first := true; first || len(states) > 0; first = false {
 		count := min(len(states), statesPerDatagram)
@@ -176,13 +183,16 @@
 	n.mu.Unlock()
 	now := time.Now()
 	f := n.View.Current()
+	if d.FleetEra > f.Position.Era {
+		n.OnEra(d.FleetEra)
+	}
 	configBehind := d.ConfigVersion > n.Config.Version()
-	fleetBehind := n.View.Loaded() && d.FleetRevision > f.Revision && d.MembersDigest != f.Digest
+	fleetBehind := n.View.Loaded() && d.fleetPosition().After(f.Position) && d.MembersDigest != f.Digest
 	if configBehind {
-		n.configLag.observe(uint64(d.ConfigVersion), now)
+		n.configLag.observe(versionPosition(d.ConfigVersion), now)
 	}
 	if fleetBehind {
-		n.fleetLag.observe(uint64(d.FleetRevision), now)
+		n.fleetLag.observe(d.fleetPosition(), now)
 	}
 	if !configBehind && !fleetBehind {
 		return
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +74,9 @@
 	// OnFleet is called when an update from another node was applied to the fleet.
 	// removed is empty if the whole fleet was replaced.
 	OnFleet func(removed []model.NodeID)
+	// OnEra is called when another node has a fleet of a later era of the store than
+	// this node.
+	OnEra func(follow.Era)
 	// ApplyTime is the time within which a change must be in force. Below
 	// relay.MinApplyTime every node follows the store.
 	ApplyTime time.Duration
@@ -168,11 +169,13 @@
 	e.POST(pathStates, n.handleStates)
 }
 
-func (n *Node) digest() Digest {
-	f := n.View.Current()
+func (n *Node) digest() Digest { return n.digestWith(n.View.Current()) }
+
+// digestWith returns the digest of this node with the fleet f.
+func (n *Node) digestWith(f *fleet.Snapshot) Digest {
 	return Digest{
 		From: n.Self, Serving: n.Serving(), NeedsUpdate: n.needsUpdate(time.Now()),
-		ConfigVersion: n.Config.Version(), FleetRevision: f.Revision, MembersDigest: f.Digest,
+		ConfigVersion: n.Config.Version(), FleetRevision: f.Position.Revision, FleetEra: f.Position.Era, MembersDigest: f.Digest,
 		Started: n.startNanos, Sequence: n.sequence.Add(1),
 	}
 }
@@ -189,38 +192,42 @@
 		n.fleetLag.duration(now) > fleetLagTimeout
 }
 
-// lag records since when another node is known to have a newer version. The
-// zero value means that none is known. It is safe for concurrent use.
+// lag records since when another node is known to have a newer version of the
+// configuration or a later position of the fleet. The zero value means that none
+// is known. It is safe for concurrent use.
 type lag struct {
-	since  atomic.Pointer[time.Time] // nil if no newer version is known
-	newest atomic.Uint64             // newest version known elsewhere
+	since  atomic.Pointer[time.Time]       // nil if none is known
+	newest atomic.Pointer[follow.Position] // newest one that is known elsewhere
 }
 
-// observe records that another node has a newer version. It reports whether
-// this node was up to date until now.
-func (l *lag) observe(version uint64, now time.Time) bool {
+// versionPosition returns a version of the configuration as a position, so that a
+// lag can hold it. Versions are ordered in the same way in each era of the store.
+func versionPosition(v config.Version) follow.Position { return follow.At(follow.Revision(v)) }
+
+// observe records that another node has a later one. It reports whether this node
+// was up to date until now.
+func (l *lag) observe(later follow.Position, now time.Time) bool {
 	for {
 		old := l.newest.Load()
-		if version <= old || l.newest.CompareAndSwap(old, version) {
+		if old != nil && !later.After(*old) || l.newest.CompareAndSwap(old, &later) {
 			break
 		}
 	}
 	return l.since.CompareAndSwap(nil, &now)
 }
 
-// caughtUp records the version of this node. It ends the lag only if no newer
-// version is known: a comparison with another node that lags too must not end
-// it.
-func (l *lag) caughtUp(version uint64) {
-	if version >= l.newest.Load() {
+// caughtUp records what this node has. It ends the lag only if nothing later is
+// known: a comparison with another node that lags too must not end it.
+func (l *lag) caughtUp(own follow.Position) {
+	if newest := l.newest.Load(); newest == nil || !newest.After(own) {
 		l.since.Store(nil)
 	}
 }
 
-// active reports whether a newer version is known.
+// active reports whether something later is known.
 func (l *lag) active() bool { return l.since.Load() != nil }
 
-// duration returns how long a newer version has been known, 0 if none is.
+// duration returns how long something later has been known, 0 if nothing is.
 func (l *lag) duration(now time.Time) time.Duration {
 	since := l.since.Load()
 	if since == nil {
@@ -236,26 +243,36 @@
 // the timeout was exceeded.
 func (n *Node) updateLag(d *Digest) {
 	now := time.Now()
-	if d.ConfigVersion > n.Config.Version() && n.configLag.observe(uint64(d.ConfigVersion), now) {
+	if d.ConfigVersion > n.Config.Version() && n.configLag.observe(versionPosition(d.ConfigVersion), now) {
 		time.AfterFunc(configLagTimeout+configLagTimeout/8, n.TriggerSync)
 	}
 	f := n.View.Current()
+	if d.FleetEra > f.Position.Era {
+		n.OnEra(d.FleetEra)
+	}
 	switch {
 	case !n.View.Loaded():
-	case d.MembersDigest == f.Digest: // the same fleet, whatever the revisions
-		n.fleetLag.caughtUp(max(uint64(d.FleetRevision), uint64(f.Revision)))
-	case d.FleetRevision > f.Revision:
-		if n.fleetLag.observe(uint64(d.FleetRevision), now) {
+	case d.MembersDigest == f.Digest: // the same fleet, whatever the positions
+		n.fleetLag.caughtUp(later(d.fleetPosition(), f.Position))
+	case d.fleetPosition().After(f.Position):
+		if n.fleetLag.observe(d.fleetPosition(), now) {
 			time.AfterFunc(fleetLagTimeout+fleetLagTimeout/8, n.TriggerSync)
 		}
 	}
 }
 
+func later(a, b follow.Position) follow.Position {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // NoteNewerConfig records that another node has decided a call by version v,
 // which is newer than the one on this node. It schedules a sync as updateLag
 // does.
 func (n *Node) NoteNewerConfig(v config.Version) {
-	if n.configLag.observe(uint64(v), time.Now()) {
+	if n.configLag.observe(versionPosition(v), time.Now()) {
 		time.AfterFunc(configLagTimeout+configLagTimeout/8, n.TriggerSync)
 	}
 }
@@ -267,7 +284,8 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	n.applyDigestState(d)
-	u := Update{Digest: n.digest()}
+	f := n.View.Current()
+	u := Update{Digest: n.digestWith(f)}
 	if s := n.Config.Current(); d.NeedsUpdate && s != nil && s.Version > d.ConfigVersion {
 		if base := n.Config.Recent(d.ConfigVersion); base != nil {
 			u.ConfigurationChange = config.Diff(base, s.Configuration)
@@ -276,10 +294,10 @@
 		}
 	}
 	if d.NeedsUpdate {
-		u.FleetChange, u.Nodes = n.fleetSince(d.FleetRevision)
+		u.FleetChange, u.Nodes = n.fleetSince(f, d.fleetPosition())
 	}
 	n.updateLag(&d)
-	if u.NeedsUpdate && (d.ConfigVersion > u.ConfigVersion || d.FleetRevision > u.FleetRevision) {
+	if u.NeedsUpdate && (d.ConfigVersion > u.ConfigVersion || d.fleetPosition().After(u.fleetPosition())) {
 		n.Guard.Go("ask back", func() { n.syncWith(context.Background(), d.From) })
 	}
 	return writeUpdate(c, &u)
@@ -303,17 +321,16 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-// fleetSince returns the update of the fleet for a node that has the revision
-// after: the changes since then if they are known, otherwise all nodes.
-func (n *Node) fleetSince(after follow.Revision) (*fleet.Change, []fleet.Member) {
-	f := n.View.Current()
-	if !n.View.Loaded() || f.Revision <= after {
+// fleetSince returns the update of the fleet for a node that is at the position
+// after: the changes since then if they are known, otherwise all nodes of f.
+func (n *Node) fleetSince(f *fleet.Snapshot, after follow.Position) (*fleet.Change, []fleet.Member) {
+	if !n.View.Loaded() || !f.Position.After(after) {
 		return nil, nil
 	}
 	if c, ok := n.View.ChangesSince(after); ok {
 		return &c, nil
 	}
-	return nil, slices.Collect(maps.Values(f.Members))
+	return nil, f.AllRegistered()
 }
 
 // applyDigestState applies the state that the sender of a digest reports.
@@ -384,13 +401,13 @@
 func (n *Node) applyFleet(u *Update, from model.NodeID) {
 	var removed []model.NodeID
 	switch {
-	case len(u.Nodes) > 0 && n.View.Replace(u.Nodes, u.FleetRevision):
-	case u.FleetChange != nil && n.View.Loaded() && n.View.Apply(*u.FleetChange):
+	case len(u.Nodes) > 0 && n.View.Replace(u.Nodes, u.fleetPosition(), time.Now()):
+	case u.FleetChange != nil && n.View.Loaded() && n.View.Apply(*u.FleetChange, time.Now()):
 		removed = u.FleetChange.Removed
 	default:
 		return
 	}
-	n.Log.Info("fleet was taken from another node", zap.String("from", string(from)), zap.Uint64("revision", uint64(u.FleetRevision)),
+	n.Log.Info("fleet was taken from another node", zap.String("from", string(from)), zap.Inline(n.View.Current().Position),
 		zap.Int("nodes", len(n.View.Current().Members)), zap.Bool("changes_only", u.FleetChange != nil))
 	n.OnFleet(removed)
 }
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -61,6 +61,7 @@
 		ApplyTime: relay.MinApplyTime, Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ string) { p.lastAccepted.Store(int64(v)) },
 	}
 	p.OnFleet = func([]model.NodeID) {}
+	p.OnEra = func(follow.Era) {}
 	// Datagrams use the port of the message listener, as on a node.
 	at := netip.MustParseAddrPort(p.Self.MessageAddress)
 	var err error
@@ -96,11 +97,11 @@
 	is := is.New(t)
 	a, b := newPeer(t, "a"), newPeer(t, "b")
 	a.offerConfig(t, 7)
-	a.View.Replace([]fleet.Member{a.Self, b.Self}, 3)
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(3), time.Now())
 	b.SetStoreAvailable(false)
 	b.syncWith(t.Context(), a.Self)
 	is.Equal(b.Config.Version(), config.Version(7))
-	is.Equal(b.View.Current().Revision, follow.Revision(3))
+	is.Equal(b.View.Current().Position, follow.At(3))
 	is.Equal(b.lastAccepted.Load(), int64(7))
 
 	// In the other direction: a node that receives a newer digest requests the
@@ -121,8 +122,8 @@
 	a, b := newPeer(t, "a"), newPeer(t, "b")
 	b.offerConfig(t, 6)
 	a.offerConfig(t, 7)
-	a.View.Replace([]fleet.Member{a.Self, b.Self}, 3)
-	b.View.Replace([]fleet.Member{a.Self}, 2)
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(3), time.Now())
+	b.View.Replace([]fleet.Member{a.Self}, follow.At(2), time.Now())
 	for range 10 {
 		b.syncWith(t.Context(), a.Self)
 		a.syncWith(t.Context(), b.Self)
@@ -137,7 +138,7 @@
 	b.configLag.since.Store(&longAgo)
 	b.syncWith(t.Context(), a.Self)
 	is.Equal(b.Config.Version(), config.Version(7))
-	is.Equal(b.View.Current().Revision, follow.Revision(3))
+	is.Equal(b.View.Current().Position, follow.At(3))
 }
 
 // Guards the order of the digests of a node: a late digest does not replace a
@@ -146,7 +147,7 @@
 	is := is.New(t)
 	a := newPeer(t, "a")
 	other := fleet.Member{Node: "b", Service: "s", CallAddress: "x:2", MessageAddress: "x:3", Location: a.Self.Location}
-	a.View.Replace([]fleet.Member{a.Self, other}, 1)
+	a.View.Replace([]fleet.Member{a.Self, other}, follow.At(1), time.Now())
 	state := func() model.UpstreamNodeState { return a.View.Current().UpstreamNodes("s")[1].State }
 	a.applyDigestState(Digest{From: other, Serving: false, Started: 1, Sequence: 5})
 	is.Equal(state(), model.NotServing)
@@ -187,7 +188,7 @@
 func TestCrashNoticesReachOtherNodes(t *testing.T) {
 	is := is.New(t)
 	a, b := newPeer(t, "a"), newPeer(t, "b")
-	a.View.Replace([]fleet.Member{a.Self, b.Self}, 1)
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(1), time.Now())
 	f := crashguard.Fingerprint{1}
 	now := time.Now()
 	for i, up := range []model.NodeID{"x", "y"} {
@@ -209,7 +210,7 @@
 func TestProbeRestoresReachability(t *testing.T) {
 	is := is.New(t)
 	a, b := newPeer(t, "a"), newPeer(t, "b")
-	a.View.Replace([]fleet.Member{a.Self, b.Self}, 1)
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(1), time.Now())
 	ended := make(chan error, 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { ended <- a.Probe(ctx) }()
@@ -228,7 +229,7 @@
 	is := is.New(t)
 	a := newPeer(t, "a")
 	m := fleet.Member{Node: "b", Service: "s", CallAddress: "x:2", MessageAddress: "x:3", Location: a.Self.Location}
-	a.View.Replace([]fleet.Member{a.Self, m}, 1)
+	a.View.Replace([]fleet.Member{a.Self, m}, follow.At(1), time.Now())
 	a.handleSendError(m, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})
 	a.handleSendError(m, &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded})
 	a.handleSendError(m, context.DeadlineExceeded)
@@ -249,7 +250,7 @@
 		m.Node = model.NodeID(name)
 		members = append(members, m)
 	}
-	a.View.Replace(members, 1)
+	a.View.Replace(members, follow.At(1), time.Now())
 	a.View.SetUnreachable("c", time.Now())
 	others := a.allOthers()
 	is.Equal(len(others), 3)
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -18,10 +18,11 @@
 	From fleet.Member `json:"from"`
 	// Serving reports whether the sender accepts calls.
 	Serving bool `json:"serving"`
-	// ConfigVersion and FleetRevision are those of the sender, 0 if it has no
-	// configuration or no fleet.
+	// ConfigVersion, FleetRevision and FleetEra are those of the sender, 0 if it has
+	// no configuration or no fleet.
 	ConfigVersion config.Version  `json:"config"`
 	FleetRevision follow.Revision `json:"fleet"`
+	FleetEra      follow.Era      `json:"fleet_era,omitempty"`
 	// MembersDigest identifies the content of the fleet.
 	MembersDigest uint64 `json:"members_digest"`
 	// NeedsUpdate requests the versions that the sender does not have. A node
@@ -35,6 +36,11 @@
 	Sequence uint64 `json:"sequence"`
 }
 
+// fleetPosition returns the position of the sender's fleet.
+func (d *Digest) fleetPosition() follow.Position {
+	return follow.Position{Era: d.FleetEra, Revision: d.FleetRevision}
+}
+
 // Update is the response to a Digest: the digest of the responding node, and
 // the updates that the requesting node needs.
 type Update struct {
@@ -45,8 +51,8 @@
 	// ConfigurationChange is set instead of Configuration if the responding node
 	// still has the version of the requesting node.
 	ConfigurationChange *config.Change `json:"configuration_change,omitempty"`
-	// Nodes is the whole fleet, and FleetChange the changes since the revision of
-	// the requesting node. One of them is set if that revision is older.
+	// Nodes is the whole fleet, and FleetChange the changes since the position of
+	// the requesting node. One of them is set if that position is older.
 	Nodes       []fleet.Member `json:"nodes,omitempty"`
 	FleetChange *fleet.Change  `json:"changes,omitempty"`
 }
--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -46,7 +46,7 @@
 		members = append(members, p.Self)
 	}
 	for _, p := range peers {
-		p.View.Replace(members, at)
+		p.View.Replace(members, follow.At(at), time.Now())
 	}
 }
 
@@ -103,7 +103,7 @@
 	first.TriggerBeacon()
 	joined := first.Self
 	joined.Node, joined.MessageAddress = "z-new", "127.0.0.1:1"
-	first.View.Apply(fleet.Change{Set: []fleet.Member{joined}, Removed: []model.NodeID{peers[7].Self.Node}, Revision: 6})
+	first.View.Apply(fleet.Change{Set: []fleet.Member{joined}, Removed: []model.NodeID{peers[7].Self.Node}, Position: follow.At(6)}, time.Now())
 	first.TriggerBeacon()
 	eventually(t, "third node is a relay", func() bool {
 		isRelay, _, _ := peers[2].RelayRole()
@@ -114,7 +114,7 @@
 			f := p.View.Current()
 			_, gone := f.Members[peers[7].Self.Node]
 			_, new := f.Members["z-new"]
-			return p.Config.Version() == 7 && f.Revision == 6 && new && !gone
+			return p.Config.Version() == 7 && f.Position == follow.At(6) && new && !gone
 		})
 	}
 }
@@ -131,18 +131,18 @@
 		members = append(members, m)
 	}
 	members = append(members, a.Self, b.Self)
-	a.View.Replace(members, 10)
-	b.View.Replace(members, 10)
+	a.View.Replace(members, follow.At(10), time.Now())
+	b.View.Replace(members, follow.At(10), time.Now())
 	for r := follow.Revision(11); r < 14; r++ {
 		m := members[int(r)]
 		m.CallAddress = fmt.Sprint("x:", r)
-		a.View.Apply(fleet.Change{Set: []fleet.Member{m}, Revision: r})
+		a.View.Apply(fleet.Change{Set: []fleet.Member{m}, Position: follow.At(r)}, time.Now())
 	}
 	d := b.digest()
 	d.NeedsUpdate = true
 	b.exchangeDigests(t.Context(), a.Self, d)
 	is.Equal(b.View.Current().Digest, a.View.Current().Digest)
-	is.Equal(b.View.Current().Revision, follow.Revision(13))
+	is.Equal(b.View.Current().Position, follow.At(13))
 	is.True(a.bytesSent.Load() < 2500)
 
 	c := newPeer(t, "c") // has no fleet, so it gets all nodes
@@ -284,7 +284,7 @@
 // Guards the size of datagrams when hundreds of nodes of a zone return at once.
 func TestDatagramsAreBounded(t *testing.T) {
 	is := is.New(t)
-	d := Datagram{From: model.NodeID(strings.Repeat("n", 63)), IsRelay: true, StoreAvailable: true, ConfigVersion: 1 << 60, FleetRevision: 1 << 60, MembersDigest: 1 << 63}
+	d := Datagram{From: model.NodeID(strings.Repeat("n", 63)), IsRelay: true, StoreAvailable: true, ConfigVersion: 1 << 60, FleetRevision: 1 << 60, FleetEra: 1 << 60, MembersDigest: 1 << 63}
 	for range statesPerDatagram {
 		d.States = append(d.States, State{Node: d.From, Serving: true, Started: 1 << 62, Sequence: 1 << 62})
 	}
@@ -357,8 +357,8 @@
 	a, b := newPeer(t, "a"), newPeer(t, "b")
 	a.offerConfig(t, 4)
 	b.offerConfig(t, 4)
-	a.View.Replace([]fleet.Member{a.Self, b.Self}, 1)
-	b.View.Replace([]fleet.Member{a.Self, b.Self}, 1)
+	a.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(1), time.Now())
+	b.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(1), time.Now())
 	a.NoteNewerConfig(6)
 	a.syncWith(t.Context(), b.Self)
 	b.syncWith(t.Context(), a.Self)
--- a/pkg/model/version.go
+++ b/pkg/model/version.go
@@ -29,9 +29,10 @@
 	// milliseconds.
 	VersionAgeMillis int64 `json:"version_age_ms"`
 	// FleetRevision is the revision of the store up to which the node has read
-	// the fleet, and Nodes the number of nodes that it knows. Nodes that know the
-	// same fleet have the same MembersDigest.
+	// the fleet, FleetEra the era that it belongs to, and Nodes the number of nodes
+	// that it knows. Nodes that know the same fleet have the same MembersDigest.
 	FleetRevision uint64 `json:"fleet_revision"`
+	FleetEra      uint64 `json:"fleet_era"`
 	Nodes         int    `json:"nodes"`
 	MembersDigest string `json:"members_digest"`
 	// StoreAvailable says whether the store responds to the node.
