Let lentilctl put versions after those of the nodes, with tags of one era

Operators saw an accepted rules file that did not come into force after a restore of the store: the version was derived from the restored store, and nodes that had a lost version in force took it for an old one. A tag that was read before the restore was accepted if its revision had been given out again, so a change of another operator was overwritten unseen.

The next version is now the one after those of the store and of all nodes that respond; a tag has the era of the store, for example 2.31; if the store is restored between the check and the write, the command says so. lentilctl status says if nodes have a version that the store has lost.

--- a/cmd/lentilctl/cli/cli.go
+++ b/cmd/lentilctl/cli/cli.go
@@ -56,7 +56,9 @@
 }
 
 // Commands returns the operations that change the deployment.
-func (e *Env) Commands() *operator.Commands { return &operator.Commands{Store: e.rulesStore()} }
+func (e *Env) Commands() *operator.Commands {
+	return &operator.Commands{Store: e.rulesStore(), Client: http.DefaultClient}
+}
 
 // Queries returns the operations that read the state of the deployment.
 func (e *Env) Queries() *operator.Queries {
--- a/cmd/lentilctl/rules/put.go
+++ b/cmd/lentilctl/rules/put.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -42,12 +41,9 @@
 // error if the file was put but, after c.Wait.Wait, is not in force on every node
 // that responds.
 func (c *Put) Run(env *cli.Env) error {
-	tag := uint64(0)
-	if c.IfMatch != "none" {
-		var err error
-		if tag, err = strconv.ParseUint(c.IfMatch, 10, 64); err != nil {
-			return merry.Errorf("--if-match: %q is not accepted (accepted: number that \"rules get\" prints, or none)", c.IfMatch)
-		}
+	tag, err := operator.ParseTag(c.IfMatch)
+	if err != nil {
+		return merry.Prepend(err, "--if-match")
 	}
 	text, err := readFile(c.File)
 	if err != nil {
@@ -62,7 +58,7 @@
 
 // put puts a rules file in force and returns its version. It prints faults of the
 // file to standard error.
-func put(env *cli.Env, file, text string, tag uint64) (model.Version, error) {
+func put(env *cli.Env, file, text string, tag operator.Tag) (model.Version, error) {
 	ctx, cancel := env.RequestContext()
 	defer cancel()
 	version, faults, err := env.Commands().Put(ctx, file, text, tag)
--- a/cmd/lentilctl/rules/rules.go
+++ b/cmd/lentilctl/rules/rules.go
@@ -139,7 +139,7 @@
 	if env.Output == "json" {
 		return env.Print(f, nil)
 	}
-	env.Infof("tag %d, version %d", f.Tag, f.Version)
+	env.Infof("tag %s, version %d", f.Tag, f.Version)
 	_, err = io.WriteString(env.Stdout, f.Text)
 	return err
 }
--- a/cmd/lentilctl/status/status.go
+++ b/cmd/lentilctl/status/status.go
@@ -33,6 +33,9 @@
 		fmt.Fprintf(w, "version %d in force on %d of %d nodes (%d behind, %d without an answer)\n",
 			s.Version, s.InForce, len(s.Nodes), s.Behind, s.Unresponsive)
 	}
+	if s.NewestAtNodes > s.Version {
+		fmt.Fprintf(w, "nodes have version %d in force, which the store has lost; put the rules file again\n", s.NewestAtNodes)
+	}
 	region := model.Region("")
 	for _, n := range s.Nodes {
 		if n.Member.Location.Region != region {
--- a/pkg/devcluster/cluster.go
+++ b/pkg/devcluster/cluster.go
@@ -109,8 +109,8 @@
 		return merry.Prepend(err, "store")
 	}
 	c.store = endpoint
-	commands := operator.Commands{Store: c.rulesStore()}
-	_, faults, err := commands.Put(ctx, c.cfg.Deployment.Name, string(c.cfg.Deployment.Rules), 0)
+	commands := operator.Commands{Store: c.rulesStore(), Client: http.DefaultClient}
+	_, faults, err := commands.Put(ctx, c.cfg.Deployment.Name, string(c.cfg.Deployment.Rules), operator.Tag{})
 	if err != nil || len(faults) > 0 {
 		return merry.Errorf("example rules of %s: %v %w", c.cfg.Deployment.Name, faults, err)
 	}
--- a/pkg/operator/queries.go
+++ b/pkg/operator/queries.go
@@ -39,7 +39,7 @@
 type RulesFile struct {
 	Text    string        `json:"text"`
 	Version model.Version `json:"version"`
-	Tag     uint64        `json:"tag"`
+	Tag     Tag           `json:"tag"`
 }
 
 // Rules returns the rules file in force with its tag. Text and version are
@@ -97,6 +97,9 @@
 	InForce      int `json:"in_force"`
 	Behind       int `json:"behind"`
 	Unresponsive int `json:"silent"`
+	// NewestAtNodes is the newest version that a node has in force. It is newer than
+	// Version only if the store was restored from an older copy.
+	NewestAtNodes model.Version `json:"newest_at_nodes"`
 }
 
 // Status requests the state of all nodes. It returns an error only if the store
@@ -110,7 +113,8 @@
 	if err != nil {
 		return Status{}, err
 	}
-	s := Status{Version: v, Nodes: q.nodeStates(ctx, members)}
+	s := Status{Version: v, Nodes: nodeStates(ctx, q.Client, members)}
+	s.NewestAtNodes = newestVersion(s.Nodes)
 	for _, n := range s.Nodes {
 		switch {
 		case n.State == nil:
@@ -124,13 +128,23 @@
 	return s, nil
 }
 
-func (q *Queries) nodeStates(ctx context.Context, members []fleet.Member) []Node {
+// newestVersion returns the newest version in force at nodes, 0 if there is none.
+func newestVersion(nodes []Node) (newest model.Version) {
+	for _, n := range nodes {
+		if n.State != nil {
+			newest = max(newest, n.State.Version)
+		}
+	}
+	return newest
+}
+
+func nodeStates(ctx context.Context, client *http.Client, members []fleet.Member) []Node {
 	nodes := make([]Node, len(members))
 	var g errgroup.Group
 	g.SetLimit(maxConcurrentRequests)
 	for i, m := range members {
 		g.Go(func() error {
-			state, err := q.nodeState(ctx, m)
+			state, err := nodeState(ctx, client, m)
 			nodes[i] = Node{Member: m, State: state}
 			if err != nil {
 				nodes[i].Error = err.Error()
@@ -149,14 +163,14 @@
 	return nodes
 }
 
-func (q *Queries) nodeState(ctx context.Context, m fleet.Member) (*model.NodeState, error) {
+func nodeState(ctx context.Context, client *http.Client, m fleet.Member) (*model.NodeState, error) {
 	ctx, cancel := context.WithTimeout(ctx, nodeStateTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.MessageAddress+model.StatePath, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := q.Client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/operator/rules_store.go
+++ b/pkg/operator/rules_store.go
@@ -15,6 +15,10 @@
 	// ErrChanged means that another configuration has been put in force since
 	// the tag was read; nothing was changed.
 	ErrChanged = merry.Sentinel("another configuration was put in force meanwhile")
+	// ErrRestored means that the store was restored from an older copy after the
+	// tag was read. The configuration is in force, and may have replaced another
+	// change of the restored state.
+	ErrRestored = merry.Sentinel("the store was restored from an older copy meanwhile; the rules file is in force, and may have replaced a change that it does not contain")
 	// ErrNoConfiguration means that no configuration is in force yet.
 	ErrNoConfiguration = merry.Sentinel("no configuration is in force yet")
 )
@@ -23,12 +27,13 @@
 // configuration in force.
 type RulesStore interface {
 	// Tag returns the version in force and the tag of its row in the store. Both
-	// are 0 if there is none. The tag changes with every change of the row.
-	Tag(ctx context.Context) (model.Version, uint64, error)
+	// are zero if there is none. The tag changes with every change of the row.
+	Tag(ctx context.Context) (model.Version, Tag, error)
 	// Accept atomically puts a configuration in force and stores its rules file,
-	// if the row still has the given tag. Otherwise it returns ErrChanged. After
-	// any other error, the configuration may or may not be in force.
-	Accept(ctx context.Context, rules string, c *config.Configuration, tag uint64) error
+	// if the row still has the given tag. Otherwise it returns ErrChanged, or
+	// ErrRestored. After any other error, the configuration may or may not be in
+	// force.
+	Accept(ctx context.Context, rules string, c *config.Configuration, tag Tag) error
 	// Versions returns all accepted rules files, the oldest first.
 	Versions(ctx context.Context) ([]model.VersionedText, error)
 	// InForce returns the configuration in force, or ErrNoConfiguration.
