Do not take a late copy of a refusal for the response to a request that runs

Reported by operators of similar systems: an upstream wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run that an upstream was running, or it ran at a second upstream.

It could happen here in two ways. A request that an upstream had refused was sent again to it with the same id on the same connection, so a late copy of the first refusal had the right id. And a refusal without an id was accepted on a connection in use.

A connection on which a request was refused is no longer used for the same request, and a refusal without an id is accepted only as the first response of a connection. The stand-in for the upstream states the id in all responses, as the protocol says.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -51,7 +51,7 @@
 
 // outgoing returns the request to send, with additional header fields. echo
 // reports whether a response belongs to it.
-func (att *Attempt) outgoing(echo func(int, http.Header) bool, fields ...h1.Field) *h1.Request {
+func (att *Attempt) outgoing(echo func(status int, h http.Header, reused bool) bool, fields ...h1.Field) *h1.Request {
 	o := &h1.Request{
 		Method: att.Method, Target: att.Target, Host: att.Host, Header: att.Header, Fields: fields,
 		Body: att.Body, Rest: att.Rest, Length: att.Length, Matches: echo,
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -290,10 +290,12 @@
 	}()
 	l.requestsSent.Add(1)
 	l.Metrics.countRequestSent()
-	a, err := l.pool.Do(ctx, att.outgoing(l.matchesRequest(att.RequestID),
+	o := att.outgoing(l.matchesRequest(att.RequestID),
 		h1.Field{Name: l.Names.Deadline, Value: millis(remaining)},
 		h1.Field{Name: l.Names.ExpectedBoot, Value: boot.ID},
-	))
+	)
+	o.ID = att.RequestID
+	a, err := l.pool.Do(ctx, o)
 	if err != nil {
 		return nil, l.refusalFor(ctx, entry, err)
 	}
@@ -303,6 +305,7 @@
 	}
 	if r := l.notRunRefusal(a, boot); r != nil {
 		if a.Header.Get(l.Names.RequestID) != "" {
+			a.AvoidFor(att.RequestID)
 			discard(a)
 		}
 		a.Close() // closes the connection if the body was not read
@@ -320,13 +323,13 @@
 
 // matchesRequest returns a function that reports whether a response belongs to
 // the request with an ID. A response without a request ID is accepted only if
-// it is of a kind that an upstream sends before it runs a request. exchange
-// does not use the connection of such a response again, so a late duplicate
-// cannot be matched to another request.
-func (l *Local) matchesRequest(id string) func(int, http.Header) bool {
-	return func(status int, h http.Header) bool {
+// it is of a kind that an upstream sends before it runs a request, and the first
+// one of its connection. Such a response on a reused connection may be a late copy.
+// exchange does not use the connection of such a response again.
+func (l *Local) matchesRequest(id string) func(int, http.Header, bool) bool {
+	return func(status int, h http.Header, reused bool) bool {
 		got := h.Get(l.Names.RequestID)
-		return got == id || got == "" && (h.Get(l.Names.NotRun) != "" || status == http.StatusMisdirectedRequest)
+		return got == id || got == "" && !reused && (h.Get(l.Names.NotRun) != "" || status == http.StatusMisdirectedRequest)
 	}
 }
 
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -127,7 +127,7 @@
 	}
 	attemptID, end := r.beginAttempt(address)
 	defer end()
-	o := att.outgoing(func(_ int, h http.Header) bool { return h.Get(headerAttempt) == attemptID },
+	o := att.outgoing(func(_ int, h http.Header, _ bool) bool { return h.Get(headerAttempt) == attemptID },
 		h1.Field{Name: headerCall, Value: f.String()}, h1.Field{Name: headerAttempt, Value: attemptID})
 	o.DialTimeout = dialTimeout(f.remaining)
 	if s, ok := r.statements.get(address); ok {
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,9 @@
 	// after which its idle connections are no longer used. If the server closes
 	// a connection while a request is in flight, the request may have run.
 	keepAliveFraction = 0.7
+	// maxAvoidedIDs is the number of requests that a connection can be kept from; a
+	// connection with more of them is closed.
+	maxAvoidedIDs = 32
 	// connBufferSize is the size of the read buffer and of the write buffer of a
 	// connection, in bytes. Responses of a few KB fit in.
 	connBufferSize = 4 << 10
@@ -78,9 +82,14 @@
 	Body                 []byte    // whole body, or its start when Rest is set
 	Rest                 io.Reader // what follows Body, or nil; may be read after Do has returned
 	Length               int64     // whole length in bytes, or Chunked
-	// Matches reports whether a response belongs to this request. Do skips other
-	// responses. Nil accepts any response.
-	Matches func(status int, h http.Header) bool
+	// ID identifies the request in its responses, if it may be sent again. Do does
+	// not send it on a connection for which Response.AvoidFor was called with it: a
+	// late copy of the earlier response could not be told from the new one.
+	ID string
+	// Matches reports whether a response belongs to this request. reused says
+	// whether the connection has served earlier requests, so that the response may
+	// be a late copy. Do skips other responses. Nil accepts any response.
+	Matches func(status int, h http.Header, reused bool) bool
 	// Fields are sent after Header.
 	Fields []Field
 	// MaxIdleTime bounds how long a reused connection may have been idle; 0
@@ -137,6 +146,16 @@
 	r.pool.putIdle(c)
 }
 
+// AvoidFor keeps a request from being sent again on the connection of r. It must be
+// called before Close.
+func (r *Response) AvoidFor(id string) {
+	if len(r.conn.avoided) == maxAvoidedIDs {
+		r.reusable = false
+		return
+	}
+	r.conn.avoided = append(r.conn.avoided, id)
+}
+
 // clientConn is the client side of one connection.
 type clientConn struct {
 	nc          net.Conn
@@ -146,6 +165,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	exchanges   int
+	avoided     []string // IDs of requests that must not be sent on it again
 }
 
 // Pool keeps idle connections to one address. Its methods are safe for
@@ -202,7 +222,7 @@
 }
 
 func (p *Pool) getConn(ctx context.Context, req *Request) (*clientConn, error) {
-	if c := p.takeIdle(req.MaxIdleTime); c != nil {
+	if c := p.takeIdle(req.MaxIdleTime, req.ID); c != nil {
 		return c, nil
 	}
 	if req.DialTimeout > 0 {
@@ -220,20 +240,22 @@
 	}, nil
 }
 
-// takeIdle removes the most recently used connection that is still open from
-// the pool and returns it. It closes the connections that it finds expired or
-// closed by the server. It returns nil if there is none, or if the most
-// recently used one has been idle for longer than maxIdle; 0 means no such
-// limit.
-func (p *Pool) takeIdle(maxIdle time.Duration) *clientConn {
+// takeIdle removes the most recently used connection that is still open and may
+// carry the request id from the pool and returns it. It closes the connections that
+// it finds expired or closed by the server. It returns nil if there is none, or if
+// it has been idle for longer than maxIdle; 0 means no such limit.
+func (p *Pool) takeIdle(maxIdle time.Duration, id string) *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.conns) > 0 {
-		c := p.conns[len(p.conns)-1]
+	for i := len(p.conns) - 1; i >= 0; i-- {
+		c := p.conns[i]
 		if maxIdle > 0 && time.Since(c.idleSince) > maxIdle {
 			return nil
 		}
-		p.conns = p.conns[:len(p.conns)-1]
+		if id != "" && slices.Contains(c.avoided, id) {
+			continue
+		}
+		p.conns = slices.Delete(p.conns, i, i+1)
 		if time.Since(c.idleSince) < c.idleTimeout && idleAndOpen(c.nc) {
 			return c
 		}
@@ -382,7 +404,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if req.Matches == nil || req.Matches(resp.StatusCode, resp.Header) {
+		if req.Matches == nil || req.Matches(resp.StatusCode, resp.Header, c.exchanges > 0) {
 			c.setReadDeadline(ctx, time.Time{})
 			return c.newResponse(resp), nil
 		}
--- a/pkg/h1/h1_test.go
+++ b/pkg/h1/h1_test.go
@@ -341,7 +341,7 @@
 }
 
 func newRequest(id string) *Request {
-	return &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Matches: func(_ int, h http.Header) bool {
+	return &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Matches: func(_ int, h http.Header, _ bool) bool {
 		return h.Get("Id") == "" || h.Get("Id") == id
 	}}
 }
--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -188,6 +188,9 @@
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set(headerInstance, u.ID)
+	if id := r.Header.Get(headerID); id != "" {
+		h.Set(headerID, id)
+	}
 	u.setStatements(h)
 	if want := r.Header.Get(headerExpected); want != "" && want != u.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
