Test requests that arrive late in the grace time of a stopping node

Reported by operators of similar systems: such requests were passed on and cut off without a response at the end of the grace time. TestLateRequestsOfAStoppingNodeAreNotCutOff sends requests on old and new connections every 40 ms from the signal to the end of the process, with upstreams that take 60 ms and 1.5 s.

--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -176,3 +177,69 @@
 		}
 	}
 }
+
+// Guards against requests that arrive late in the grace time of a stopping node, in
+// calm, and are passed on but cut off at its end: each gets a complete response of
+// the upstream, or was not run. The callers use connections that were open before
+// the stop, and new ones.
+func TestLateRequestsOfAStoppingNodeAreNotCutOff(t *testing.T) {
+	const (
+		interval = 40 * time.Millisecond // between two requests
+		calm     = 3 * time.Second       // since the signal; later requests may not be ended by the node
+	)
+	for name, serviceTime := range map[string]time.Duration{"short": 60 * time.Millisecond, "long": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := startCluster(t, 2)
+			for _, n := range c.nodes {
+				n.upstream.Set(upstream.Behaviour{ServiceTime: serviceTime})
+			}
+			n := c.nodes[0]
+			callers := make([]*caller, 20)
+			for i := range callers {
+				callers[i] = newCaller(n)
+				callers[i].send(http.MethodGet, "/nothing", time.Second) // opens a connection
+			}
+			type sent struct {
+				response
+				after time.Duration // the signal
+			}
+			var mu sync.Mutex
+			var all []sent
+			var requests sync.WaitGroup
+			start := time.Now()
+			n.signal(syscall.SIGTERM)
+			for i := 0; !n.process.endsWithin(interval); i++ {
+				caller, method, path := callers[i%len(callers)], http.MethodPost, "/bookings/1"
+				if i%3 == 0 {
+					caller = newCaller(n)
+				}
+				if i%2 == 0 {
+					method, path = http.MethodGet, "/status/1"
+				}
+				requests.Go(func() {
+					after := time.Since(start)
+					r := caller.send(method, path, 2*time.Second)
+					mu.Lock()
+					defer mu.Unlock()
+					all = append(all, sent{r, after})
+				})
+				is.True(time.Since(start) < 7*time.Second) // grace period and a second for a busy machine
+			}
+			requests.Wait()
+			served := 0
+			for _, r := range all {
+				ran := c.ledger.Count(r.id) > 0
+				switch {
+				case r.served():
+					served++
+				case ran && r.status == 0, ran && r.refused(), ran && r.after > calm && r.status != http.StatusGatewayTimeout:
+					t.Errorf("request %s, %s after the signal, has run: status %d, error %v", r.id, r.after, r.status, r.err)
+				}
+			}
+			if served == 0 {
+				t.Errorf("none of %d requests was served", len(all))
+			}
+		})
+	}
+}
