Restore the store of the soak from older copies in a third of the seeds

The store loses up to 4 s, is away for up to 1 s, keeps the connections in a quarter of the restores and gives out its last versions again in half of them. In each seed all nodes must end with the fleet of the store and the newest configuration. The random numbers of the other faults stay as they are.

--- a/pkg/standin/store/endpoint.go
+++ b/pkg/standin/store/endpoint.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -36,6 +37,8 @@
 	listener net.Listener
 	server   *http.Server
 	fault    atomic.Pointer[Fault]
+	away     atomic.Bool
+	conns    sync.Map // of open connections (net.Conn)
 	ended    chan struct{}
 }
 
@@ -52,7 +55,14 @@
 	mux.HandleFunc("POST /-/rows-tx", s.serveCommit)
 	mux.HandleFunc("GET /-/rows-get", s.servePage)
 	mux.HandleFunc("GET /-/rows-feed", s.serveFeed)
-	e.server = &http.Server{Handler: e.injectFault(mux)}
+	e.server = &http.Server{Handler: e.injectFault(mux), ConnState: func(nc net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			e.conns.Store(nc, nil)
+		case http.StateClosed, http.StateHijacked:
+			e.conns.Delete(nc)
+		}
+	}}
 	go func() { _ = e.server.Serve(l) }()
 	return e, nil
 }
@@ -70,6 +80,18 @@
 	}
 }
 
+// SetAway closes all connections of the endpoint, and resets the requests that
+// arrive until it is called with false. The fault stays.
+func (e *Endpoint) SetAway(away bool) {
+	e.away.Store(away)
+	if away {
+		e.conns.Range(func(nc, _ any) bool {
+			_ = nc.(net.Conn).Close()
+			return true
+		})
+	}
+}
+
 // Close stops the endpoint and closes its connections.
 func (e *Endpoint) Close() {
 	close(e.ended)
@@ -95,7 +117,7 @@
 		case f.Status != 0:
 			http.Error(w, "store has an injected fault", f.Status)
 			return
-		case f.Reset:
+		case f.Reset || e.away.Load():
 			panic(http.ErrAbortHandler)
 		case f.Silent:
 			e.waitWhileSilent(r)
@@ -138,7 +160,7 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (g *faultCheckedWriter) WriteHeader(status int) {
-	if f := g.endpoint.fault.Load(); f.Status != 0 || f.Silent || f.Reset {
+	if f := g.endpoint.fault.Load(); f.Status != 0 || f.Silent || f.Reset || g.endpoint.away.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	g.ResponseWriter.WriteHeader(status)
--- a/test/restore_test.go
+++ b/test/restore_test.go
@@ -28,13 +28,13 @@
 // from a copy, calls whileAway, and lets the nodes reach the store again.
 func (c *cluster) restoreStore(from *store.Copy, whileAway func()) {
 	for _, n := range c.nodes {
-		n.endpoint.Set(store.Fault{Reset: true})
+		n.endpoint.SetAway(true)
 	}
 	c.store.Restore(from)
 	time.Sleep(300 * time.Millisecond)
 	whileAway()
 	for _, n := range c.nodes {
-		n.endpoint.Set(store.Fault{})
+		n.endpoint.SetAway(false)
 	}
 }
 
--- /dev/null
+++ b/test/soak_restore_test.go
@@ -0,0 +1,94 @@
+package test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/standin/store"
+)
+
+const (
+	// restoreStream separates the random numbers of restores from those of the other
+	// faults, which are the same with and without restores.
+	restoreStream = 31
+	// maxCopyAge is how much a restored store loses at the most.
+	maxCopyAge = 4 * time.Second
+	// copyInterval is the time between two copies of the store.
+	copyInterval = 100 * time.Millisecond
+)
+
+// storeCopy is a copy of the store with the time at which it was made.
+type storeCopy struct {
+	*store.Copy
+	at time.Time
+}
+
+// startRestores restores the store from older copies again and again, if the seed
+// is one of those whose store does so, until end is called. Then it writes the
+// newest configuration again, as the operator does.
+func (s *soak) startRestores(seed uint64) (end func()) {
+	if seed%6 != 3 && seed%6 != 5 {
+		return func() {}
+	}
+	rnd := rand.New(rand.NewPCG(seed, restoreStream))
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		copies := []storeCopy{{s.store.Copy(), time.Now()}}
+		for {
+			age := time.Duration(rnd.Int64N(int64(maxCopyAge)))
+			away := time.Duration(rnd.IntN(1000)) * time.Millisecond
+			next := time.Now().Add(time.Duration(500+rnd.IntN(2500)) * time.Millisecond)
+			keepsConnections, raises := rnd.IntN(4) == 0, rnd.IntN(2) == 0
+			for time.Now().Before(next) {
+				select {
+				case <-ended:
+					return
+				case <-time.After(copyInterval):
+					copies = append(copies, storeCopy{s.store.Copy(), time.Now()})
+				}
+			}
+			for len(copies) > 1 && time.Since(copies[1].at) > age {
+				copies = copies[1:]
+			}
+			s.restoreFrom(copies[0].Copy, away, keepsConnections, raises)
+			copies = []storeCopy{{s.store.Copy(), time.Now()}}
+		}
+	})
+	return func() {
+		close(ended)
+		wait.Wait()
+		s.putNewestAgain()
+	}
+}
+
+// restoreFrom restores the store. It closes the connections to it, unless they
+// survive, and gives out its last versions again, if raises is set, before nodes
+// reach it. The operator writes the newest configuration again afterwards.
+func (s *soak) restoreFrom(from *store.Copy, away time.Duration, keepsConnections, raises bool) {
+	s.recordAction("restore")
+	version := s.store.Version()
+	if !keepsConnections {
+		for _, n := range s.nodes {
+			n.endpoint.SetAway(true)
+		}
+	}
+	s.store.Restore(from)
+	time.Sleep(away)
+	if raises {
+		s.raiseVersion(version)
+	}
+	for _, n := range s.nodes {
+		n.endpoint.SetAway(false)
+	}
+	s.putNewestAgain()
+}
+
+// putNewestAgain writes the newest configuration again, as the operator does after a
+// restore.
+func (s *soak) putNewestAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(s.newestConfiguration())
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -38,13 +38,14 @@
 var regressionSeeds = []uint64{
 	1, 2,
 	34, 55, 60, // the stand-in's repeated responses did not state the rate limit, which ended it
+	3, 5, // the store is restored from older copies
 }
 
 // TestSoak runs real processes and injects faults that a seed determines, one
 // after the other and overlapping:
 //   - Processes are stopped, paused, killed and restarted.
 //   - The store is unavailable, slow, loses responses, serves only some nodes, or
-//     loses its history.
+//     loses its history. In a third of the seeds it is restored from older copies.
 //   - Connections to the store and to upstreams are reset, delayed, limited in
 //     bandwidth, blackholed in one direction, or cut within a stream.
 //   - Upstreams lose, truncate or repeat responses, fail, slow down, drain and
@@ -157,6 +158,7 @@
 	t.Cleanup(func() { s.saveArtifacts(seed) })
 	s.await(startTimeout, "all nodes ready", func() bool { return s.ready(len(s.nodes)) })
 	stop := s.startCallers()
+	endRestores := s.startRestores(seed)
 	duration := soakDuration
 	if text := os.Getenv("LENTILFLOW_SOAK_TIME"); text != "" {
 		var err error
@@ -169,10 +171,12 @@
 		time.Sleep(time.Duration(s.rnd.IntN(400)) * time.Millisecond)
 	}
 	s.tasks.Wait()
+	endRestores()
 	s.clearFaults()
 	s.await(soakRecoveryTimeout, "every node serves the newest version", func() bool {
 		return s.ready(len(s.nodes)) && s.inForce(s.version) && s.allNodesServe()
 	})
+	s.awaitSameFleet(soakRecoveryTimeout)
 	stop()
 	time.Sleep(500 * time.Millisecond) // requests whose callers gave up end
 	violations := checkSoak(s.observations, s.ledger.Runs(), s.drainTimes)
@@ -291,13 +295,19 @@
 	if s.busy[n.name].Swap(true) {
 		return
 	}
-	s.actions = append(s.actions, time.Now().Format(time.RFC3339Nano)+" "+a.name+" "+n.name)
+	s.recordAction(a.name + " " + n.name)
 	s.tasks.Go(func() {
 		defer s.busy[n.name].Store(false)
 		a.do()
 	})
 }
 
+func (s *soak) recordAction(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.actions = append(s.actions, time.Now().Format(time.RFC3339Nano)+" "+text)
+}
+
 // link is a proxy between a node and its store or upstream.
 type link struct{ *faultproxy.Proxy }
 
@@ -394,12 +404,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += increment
+	s.put(s.newestConfiguration())
+}
+
+// newestConfiguration returns the configuration with the newest version. The mutex is
+// held.
+func (s *soak) newestConfiguration() *config.Configuration {
 	c := baseConfiguration(s.version)
+	if s.version == 1 { // the first one
+		return c
+	}
 	c.Routes = append(c.Routes, config.Route{
 		Name: "extra", Host: host, Prefix: fmt.Sprintf("/extra%d/", s.version), MaxAttempts: 1,
 		Split: []config.Share{{Service: services[0], Weight: 1}},
 	})
-	s.put(c)
+	return c
 }
 
 // replaceUpstream drains the upstream of a node and starts another boot at its
