Let nodes leave and join while the store of the soak is restored

Without it the soak did not detect the fault: rows were written long before the first copy, so none was lost.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -170,8 +170,9 @@
 		s.startRandomAction()
 		time.Sleep(time.Duration(s.rnd.IntN(400)) * time.Millisecond)
 	}
-	s.tasks.Wait()
 	endRestores()
+	s.tasks.Wait()
+	s.putNewestAgain()
 	s.clearFaults()
 	s.await(soakRecoveryTimeout, "every node serves the newest version", func() bool {
 		return s.ready(len(s.nodes)) && s.inForce(s.version) && s.allNodesServe()
@@ -365,15 +366,22 @@
 // has not ended 8 s after the signal, when its grace period is over, is reported
 // as an error and killed.
 func (s *soak) restart(n *node, sig syscall.Signal) {
-	generation := s.generations[n.name]
-	generation.Add(1)
+	s.stopProcess(n, sig)
+	s.startProcessAgain(n)
+}
+
+func (s *soak) stopProcess(n *node, sig syscall.Signal) {
+	s.generations[n.name].Add(1)
 	n.signal(syscall.SIGCONT)
 	n.signal(sig)
 	if !n.process.endsWithin(8 * time.Second) {
 		s.t.Errorf("%s has not ended 8 s after signal %s", n.name, sig)
 		n.kill()
 	}
-	generation.Add(1)
+}
+
+func (s *soak) startProcessAgain(n *node) {
+	s.generations[n.name].Add(1)
 	n.startProcess()
 }
 
