--- a/pkg/agent/rows.go
+++ b/pkg/agent/rows.go
@@ -43,7 +43,7 @@
 		case <-a.rowOutdated:
 		}
 		if missing := a.fleetView.Current().Unconfirmed(); missing > 0 {
-			sleep(ctx, rand.N(fleet.RegistrationSpread(missing)))
+			sleep(ctx, fleet.RegistrationDelay(missing, rand.Float64()))
 		}
 		for !a.stopping.Load() && ctx.Err() == nil {
 			writeCtx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
@@ -59,7 +59,7 @@
 				a.log.Warn("row of this node cannot be written", zap.Error(err))
 			}
 			failing = true
-			sleep(ctx, rowRetryDelay/2+rand.N(rowRetryDelay+fleet.RegistrationSpread(a.fleetView.Current().Unconfirmed())))
+			sleep(ctx, rowRetryDelay/2+rand.N(rowRetryDelay)+fleet.RegistrationDelay(a.fleetView.Current().Unconfirmed(), rand.Float64()))
 		}
 	}
 }
--- a/pkg/fleet/reconcile.go
+++ b/pkg/fleet/reconcile.go
@@ -15,7 +15,7 @@
 	// again in a second. One part of the store takes 200 transactions a second.
 	registrationRate = 100
 	// confirmTime is how long a node whose row was lost stays in the fleet, in
-	// addition to RegistrationSpread. It covers a repeated write of the row and the
+	// addition to registrationSpread. It covers a repeated write of the row and the
 	// pause between two watches of the fleet.
 	confirmTime = 5 * time.Second
 	// departedAfter is how long a node that had left before the store brought its
@@ -30,12 +30,18 @@
 	maxDeparted = 1024
 )
 
-// RegistrationSpread returns the time over which nodes spread the writes of their
+// registrationSpread returns the time over which nodes spread the writes of their
 // rows if a number of rows is missing from the store.
-func RegistrationSpread(missing int) time.Duration {
+func registrationSpread(missing int) time.Duration {
 	return time.Duration(missing) * time.Second / registrationRate
 }
 
+// RegistrationDelay returns how long a node waits before it writes its row if a
+// number of rows is missing from the store. random is a random number in [0, 1).
+func RegistrationDelay(missing int, random float64) time.Duration {
+	return time.Duration(random * float64(registrationSpread(missing)))
+}
+
 // reconciliation holds what a view knows about rows that a restored store has
 // lost or brought back.
 type reconciliation struct {
@@ -97,7 +103,7 @@
 		}
 	}
 	if restored {
-		until := now.Add(confirmTime + RegistrationSpread(len(v.rows.unconfirmed)))
+		until := now.Add(confirmTime + registrationSpread(len(v.rows.unconfirmed)))
 		for id, u := range v.rows.unconfirmed {
 			v.rows.unconfirmed[id] = unconfirmed{member: u.member, until: until}
 		}
--- a/pkg/fleet/reconcile_test.go
+++ b/pkg/fleet/reconcile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -47,7 +48,7 @@
 	v.Apply(Change{Set: []Member{member("b", "s")}, Position: position(2, 6)}, restoredAt)
 	is.Equal(v.Current().Unconfirmed(), 1)
 	is.Equal(len(v.DropUnconfirmed(restoredAt.Add(confirmTime))), 0)
-	is.Equal(v.DropUnconfirmed(restoredAt.Add(confirmTime+RegistrationSpread(2)+1)), []model.NodeID{"c"})
+	is.Equal(v.DropUnconfirmed(restoredAt.Add(confirmTime+registrationSpread(2)+1)), []model.NodeID{"c"})
 	is.Equal(ids(v.Current().Members), []model.NodeID{"a", "b"})
 	is.True(!v.Reconciling())
 }
@@ -196,3 +197,20 @@
 		}
 	})
 }
+
+// Guards against a fleet whose nodes all write their lost rows at once after a
+// restore: a part of the store takes 200 transactions a second, and refuses more once
+// a second of them waits. The writes of 2,800 nodes must also end before the nodes
+// are dropped.
+func TestLostRowsAreWrittenAtTheRateOfTheStore(t *testing.T) {
+	is := is.New(t)
+	const nodes, transactionsPerSecond = 2800, 200
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var writes [60]int // by second
+	for range nodes {
+		writes[int(RegistrationDelay(nodes, rnd.Float64()).Seconds())]++
+	}
+	is.True(slices.Max(writes[:]) <= transactionsPerSecond)
+	is.True(RegistrationDelay(nodes, 1) < confirmTime+registrationSpread(nodes))
+	is.True(RegistrationDelay(18, 1) < time.Second) // a small fleet does not wait
+}
