--- a/test/restore_test.go
+++ b/test/restore_test.go
@@ -111,8 +111,10 @@
 // changes were applied to a state that they did not belong to. It covers a zone in
 // which every node follows the store and one with relays.
 func TestNodesKnowSameFleetAfterRestore(t *testing.T) {
+	t.Parallel()
 	for name, zone := range map[string]string{"small zone": zones[2], "zone with relays": zones[0]} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := startCluster(t, 2)
 			for range 3 {
 				c.addRunningNode(zones[0], services[0])
@@ -135,6 +137,7 @@
 // must write it again, also if the store has given out the old revision again
 // before any node reads, so that no read fails.
 func TestLostRowReturnsUnderReusedRevision(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 2)
 	from := c.store.Copy()
 	n := c.addRunningNode(zones[1], services[0])
@@ -151,6 +154,7 @@
 // Guards against a restore that a node does not notice because its requests to
 // the store still wait for a change and no connection ends.
 func TestRestoreWithOpenConnectionsIsNoticed(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 2)
 	from := c.store.Copy()
 	n := c.addRunningNode(zones[1], services[0])
@@ -167,6 +171,7 @@
 // Guards against the return of a node that has left: a restored store brings its
 // row back, and its own process that could remove it has ended.
 func TestDepartedNodeLeavesAgainAfterRestore(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 2)
 	gone := c.addRunningNode(zones[1], services[0])
 	c.await(startTimeout, "all nodes ready", func() bool { return c.ready(len(c.nodes)) })
@@ -185,6 +190,7 @@
 // that was running and at one that starts then, and against a version that the
 // operator writes again, or the next one, not being in force in time.
 func TestConfigurationStaysNewestAfterRestore(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 2)
 	from := c.store.Copy()
 	c.put(changedConfiguration(4))
@@ -208,6 +214,7 @@
 // Guards against two restores in a row, the second while the first is being
 // worked on and with nodes that do not reach the store in between.
 func TestNodesKnowSameFleetAfterTwoRestores(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 3)
 	first := c.store.Copy()
 	c.addRunningNode(zones[1], services[0])
