Remove the rows of departed nodes in zones with relays, too

A node that does not follow the store does not know the revisions of rows. It reported a row of a lost node as removed without removing it, so only relays removed rows; the removal after a restore, which goes by turns, would have failed at all other nodes. A row is now read before it is removed, and stays if it describes the node differently. The next node takes its turn after 3 s, longer than the pause between two watches, so that usually one node writes.

--- a/pkg/agent/rows.go
+++ b/pkg/agent/rows.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/fleet"
-	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
 const (
@@ -103,15 +102,15 @@
 
 // removeRows removes the rows of other nodes. A row that has changed in the
 // meantime stays.
-func (a *Agent) removeRows(ctx context.Context, ids []model.NodeID, reason string) {
-	for _, id := range ids {
+func (a *Agent) removeRows(ctx context.Context, members []fleet.Member, reason string) {
+	for _, m := range members {
 		writeCtx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
-		err := a.registry.RemoveKnown(writeCtx, id)
+		err := a.registry.Remove(writeCtx, m)
 		cancel()
 		if err != nil {
-			a.log.Warn("row of a lost node cannot be removed", zap.String("other", string(id)), zap.String("reason", reason), zap.Error(err))
+			a.log.Warn("row of a lost node cannot be removed", zap.String("other", string(m.Node)), zap.String("reason", reason), zap.Error(err))
 			continue
 		}
-		a.log.Info("row of a lost node is removed", zap.String("other", string(id)), zap.String("reason", reason))
+		a.log.Info("row of a lost node is removed", zap.String("other", string(m.Node)), zap.String("reason", reason))
 	}
 }
--- a/pkg/fleet/lost.go
+++ b/pkg/fleet/lost.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"time"
-
-	"github.com/lentilflow/lentilflow/pkg/model"
-)
+import "time"
 
 const (
 	// LostAfter is how long a node must be unreachable before its row is
@@ -25,11 +21,18 @@
 // by the number of reachable nodes. If every reachable node calls NodesToRemove
 // once, about one of them gets the list. random is a random number in [0, 1).
 // NodesToRemove is safe for concurrent use.
-func (v *View) NodesToRemove(now time.Time, random float64) []model.NodeID {
-	nodes := len(v.Current().Members)
+func (v *View) NodesToRemove(now time.Time, random float64) []Member {
+	f := v.Current()
+	nodes := len(f.Members)
 	unreachable := len(v.unreachableFor(now, 0))
 	if unreachable == 0 || float64(unreachable) > maxLostShare*float64(nodes) || random*float64(nodes-unreachable) >= 1 {
 		return nil
 	}
-	return v.unreachableFor(now, LostAfter)
+	var lost []Member
+	for _, id := range v.unreachableFor(now, LostAfter) {
+		if m, ok := f.Registered(id); ok {
+			lost = append(lost, m)
+		}
+	}
+	return lost
 }
--- a/pkg/fleet/lost_test.go
+++ b/pkg/fleet/lost_test.go
@@ -32,10 +32,10 @@
 	v.SetUnreachable("n2", now.Add(time.Minute))
 	v.SetServing("n3", false, now) // not serving, but reachable
 	is.Equal(len(v.NodesToRemove(now.Add(LostAfter-1), 0)), 0)
-	is.Equal(v.NodesToRemove(now.Add(LostAfter), 0), []model.NodeID{"n1"})
+	is.Equal(v.NodesToRemove(now.Add(LostAfter), 0), []Member{member("n1", "s")})
 	v.Apply(Change{Removed: []model.NodeID{"n1"}, Position: follow.At(2)}, time.Now())
 	is.Equal(len(v.NodesToRemove(now.Add(LostAfter), 0)), 0)
-	is.Equal(v.NodesToRemove(now.Add(LostAfter+time.Minute), 0), []model.NodeID{"n2"})
+	is.Equal(v.NodesToRemove(now.Add(LostAfter+time.Minute), 0), []Member{member("n2", "s")})
 }
 
 // Guards against a disconnected node that removes the rows of all others.
--- a/pkg/fleet/reconcile.go
+++ b/pkg/fleet/reconcile.go
@@ -23,8 +23,8 @@
 	// take half a second each.
 	departedAfter = 2 * time.Second
 	// removalStagger is the time after which the next node removes a row that is
-	// still there.
-	removalStagger = time.Second
+	// still there. It is longer than the pause between two watches of the fleet.
+	removalStagger = 3 * time.Second
 	// maxDeparted bounds the number of nodes that are remembered after their rows
 	// were removed.
 	maxDeparted = 1024
@@ -48,7 +48,7 @@
 	// unconfirmed are the nodes whose rows were lost.
 	unconfirmed map[model.NodeID]unconfirmed
 	// returned are the nodes that had left before the store brought their rows
-	// back, and the times at which this was noticed.
+	// back, and the times at which this was noticed or a removal was due last.
 	returned map[model.NodeID]time.Time
 	// departed are nodes whose rows were removed, and departures their order.
 	departed   map[model.NodeID]Member
@@ -161,11 +161,11 @@
 // DepartedToRemove returns the nodes that had left before a restored store brought
 // their rows back, and whose rows the node self is to remove now. The reachable
 // nodes take turns in an order that all of them know, so that usually one of them
-// removes a row.
-func (v *View) DepartedToRemove(self model.NodeID, now time.Time) []model.NodeID {
+// removes a row. If the row is still there a whole turn later, it is due again.
+func (v *View) DepartedToRemove(self model.NodeID, now time.Time) []Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var due []model.NodeID
+	var due []Member
 	turn := time.Duration(-1)
 	for id, since := range v.rows.returned {
 		if v.unavailable[id].state != model.Unreachable {
@@ -176,7 +176,8 @@
 			turn = time.Duration(v.rank(self)) * removalStagger
 		}
 		if now.Sub(since) >= departedAfter+turn {
-			due = append(due, id)
+			due = append(due, v.current.Load().registered[id])
+			v.rows.returned[id] = now
 		}
 	}
 	return due
--- a/pkg/fleet/reconcile_test.go
+++ b/pkg/fleet/reconcile_test.go
@@ -80,7 +80,7 @@
 	is.Equal(len(due), 2)
 	v.SetServing("c", true, restoredAt)
 	is.Equal(len(v.DepartedToRemove("a", restoredAt.Add(departedAfter-1))), 0)
-	is.Equal(v.DepartedToRemove("a", restoredAt.Add(departedAfter+removalStagger)), []model.NodeID{"b"}) // at its turn
+	is.Equal(v.DepartedToRemove("a", restoredAt.Add(departedAfter+removalStagger)), []Member{member("b", "s")}) // at its turn
 	v.Apply(Change{Removed: []model.NodeID{"b"}, Position: position(2, 6)}, restoredAt)
 	is.True(!v.Reconciling())
 	is.Equal(ids(v.Current().Members), []model.NodeID{"a", "c"})
@@ -100,6 +100,7 @@
 		due := 0
 		for i := range nodes {
 			self := model.NodeID(fmt.Sprint("n", i))
+			v.rows.returned["n7"] = restoredAt // each node has a view of its own
 			if self != "n7" && len(v.DepartedToRemove(self, restoredAt.Add(departedAfter+time.Duration(k)*removalStagger))) > 0 {
 				due++
 			}
--- a/pkg/fleet/source.go
+++ b/pkg/fleet/source.go
@@ -19,9 +19,9 @@
 	Register(ctx context.Context, m Member) (follow.Position, error)
 	// Deregister removes the row of a node, whatever it contains.
 	Deregister(ctx context.Context, id model.NodeID) error
-	// RemoveKnown removes the row of another node if it is still the one that List
-	// or Watch has returned last. It returns an error if the row has changed.
-	RemoveKnown(ctx context.Context, id model.NodeID) error
+	// Remove removes the row of another node if it still describes that node as m
+	// does. It returns an error if the row has changed.
+	Remove(ctx context.Context, m Member) error
 	// List returns all rows at one position.
 	List(ctx context.Context) ([]Member, follow.Position, error)
 	// Watch returns the changes after a position. It blocks until there is one,
--- a/test/restore_test.go
+++ b/test/restore_test.go
@@ -169,21 +169,30 @@
 }
 
 // Guards against the return of a node that has left: a restored store brings its
-// row back, and its own process that could remove it has ended.
+// row back, and its own process that could remove it has ended. In a zone with
+// relays most nodes have not read the row themselves.
 func TestDepartedNodeLeavesAgainAfterRestore(t *testing.T) {
 	t.Parallel()
-	c := startCluster(t, 2)
-	gone := c.addRunningNode(zones[1], services[0])
-	c.await(startTimeout, "all nodes ready", func() bool { return c.ready(len(c.nodes)) })
-	from := c.store.Copy()
-	c.removeNode(gone)
-	c.awaitSameFleet(awaitTimeout)
-	c.restoreStore(from, func() {})
-	c.await(departedRowTimeout, "the row of "+gone.name+" is removed", func() bool {
-		_, ok := c.store.Get(nodesTable, gone.name)
-		return !ok
-	})
-	c.awaitSameFleet(awaitTimeout)
+	for name, more := range map[string]int{"small zones": 0, "zone with relays": 4} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := startCluster(t, 2)
+			for range more {
+				c.addRunningNode(zones[0], services[0])
+			}
+			gone := c.addRunningNode(zones[0], services[0])
+			c.await(startTimeout, "all nodes ready", func() bool { return c.ready(len(c.nodes)) })
+			from := c.store.Copy()
+			c.removeNode(gone)
+			c.awaitSameFleet(awaitTimeout)
+			c.restoreStore(from, func() {})
+			c.await(departedRowTimeout, "the row of "+gone.name+" is removed", func() bool {
+				_, ok := c.store.Get(nodesTable, gone.name)
+				return !ok
+			})
+			c.awaitSameFleet(awaitTimeout)
+		})
+	}
 }
 
 // Guards against a configuration that goes back after a restore, at a process
