--- a/pkg/fleet/reconcile.go
+++ b/pkg/fleet/reconcile.go
@@ -53,7 +53,7 @@
 	// departed are nodes whose rows were removed, and departures their order.
 	departed   map[model.NodeID]Member
 	departures []model.NodeID
-	started    chan struct{} // gets a value when one of the first two maps is filled
+	noticed    chan struct{} // gets a value when the rows of a restored store are taken
 }
 
 type unconfirmed struct {
@@ -64,7 +64,7 @@
 func newReconciliation() reconciliation {
 	return reconciliation{
 		unconfirmed: make(map[model.NodeID]unconfirmed), returned: make(map[model.NodeID]time.Time), departed: make(map[model.NodeID]Member),
-		started: make(chan struct{}, 1),
+		noticed: make(chan struct{}, 1),
 	}
 }
 
@@ -108,7 +108,7 @@
 			v.rows.unconfirmed[id] = unconfirmed{member: u.member, until: until}
 		}
 		select {
-		case v.rows.started <- struct{}{}:
+		case v.rows.noticed <- struct{}{}:
 		default:
 		}
 	}
@@ -129,7 +129,7 @@
 
 // RestoreNoticed returns a channel that gets a value when the view has taken the
 // rows of a restored store.
-func (v *View) RestoreNoticed() <-chan struct{} { return v.rows.started }
+func (v *View) RestoreNoticed() <-chan struct{} { return v.rows.noticed }
 
 // Reconciling reports whether nodes are unconfirmed, or rows of nodes that have
 // left are back.
