--- a/pkg/agent/rows.go
+++ b/pkg/agent/rows.go
@@ -77,7 +77,7 @@
 
 // removeLostNodes removes the rows of nodes that fleet.View considers lost.
 func (a *Agent) removeLostNodes(ctx context.Context) {
-	a.removeRows(ctx, a.fleetView.NodesToRemove(time.Now(), rand.Float64()), "node has not responded for a long time")
+	a.removeRows(ctx, a.fleetView.NodesToRemove(time.Now(), rand.Float64()), fleet.LostAfter, "node has not responded for a long time")
 }
 
 // reconcileRows completes the fleet after a restore of the store: it removes nodes
@@ -95,14 +95,14 @@
 				a.log.Warn("nodes have not written their rows again after a restore of the store", zap.Any("others", dropped))
 				a.onFleetChange(dropped)
 			}
-			a.removeRows(ctx, a.fleetView.DepartedToRemove(a.self.Node, time.Now()), "node had left before a restore of the store")
+			a.removeRows(ctx, a.fleetView.DepartedToRemove(a.self.Node, time.Now()), fleet.DepartedAfter, "node had left before a restore of the store")
 		}
 	}
 }
 
-// removeRows removes the rows of other nodes. A row that has changed in the
-// meantime stays.
-func (a *Agent) removeRows(ctx context.Context, members []fleet.Member, reason string) {
+// removeRows removes the rows of other nodes that have been unreachable for at
+// least the given time. A row that has changed in the meantime stays.
+func (a *Agent) removeRows(ctx context.Context, members []fleet.Member, unreachable time.Duration, reason string) {
 	for _, m := range members {
 		writeCtx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
 		err := a.registry.Remove(writeCtx, m)
@@ -111,6 +111,7 @@
 			a.log.Warn("row of a lost node cannot be removed", zap.String("other", string(m.Node)), zap.String("reason", reason), zap.Error(err))
 			continue
 		}
-		a.log.Info("row of a lost node is removed", zap.String("other", string(m.Node)), zap.String("reason", reason))
+		a.log.Info("row of a lost node is removed", zap.String("other", string(m.Node)), zap.Duration("unreachable_for_at_least", unreachable),
+			zap.String("reason", reason))
 	}
 }
--- a/pkg/fleet/reconcile.go
+++ b/pkg/fleet/reconcile.go
@@ -18,10 +18,10 @@
 	// addition to registrationSpread. It covers a repeated write of the row and the
 	// pause between two watches of the fleet.
 	confirmTime = 5 * time.Second
-	// departedAfter is how long a node that had left before the store brought its
+	// DepartedAfter is how long a node that had left before the store brought its
 	// row back must be unreachable for the row to be removed. Probes of the node
 	// take half a second each.
-	departedAfter = 2 * time.Second
+	DepartedAfter = 2 * time.Second
 	// removalStagger is the time after which the next node removes a row that is
 	// still there. It is longer than the pause between two watches of the fleet.
 	removalStagger = 3 * time.Second
@@ -175,7 +175,7 @@
 		if turn < 0 {
 			turn = time.Duration(v.rank(self)) * removalStagger
 		}
-		if now.Sub(since) >= departedAfter+turn {
+		if now.Sub(since) >= DepartedAfter+turn {
 			due = append(due, v.current.Load().registered[id])
 			v.rows.returned[id] = now
 		}
--- a/pkg/fleet/reconcile_test.go
+++ b/pkg/fleet/reconcile_test.go
@@ -79,8 +79,8 @@
 	due, _ := v.Probes(restoredAt)
 	is.Equal(len(due), 2)
 	v.SetServing("c", true, restoredAt)
-	is.Equal(len(v.DepartedToRemove("a", restoredAt.Add(departedAfter-1))), 0)
-	is.Equal(v.DepartedToRemove("a", restoredAt.Add(departedAfter+removalStagger)), []Member{member("b", "s")}) // at its turn
+	is.Equal(len(v.DepartedToRemove("a", restoredAt.Add(DepartedAfter-1))), 0)
+	is.Equal(v.DepartedToRemove("a", restoredAt.Add(DepartedAfter+removalStagger)), []Member{member("b", "s")}) // at its turn
 	v.Apply(Change{Removed: []model.NodeID{"b"}, Position: position(2, 6)}, restoredAt)
 	is.True(!v.Reconciling())
 	is.Equal(ids(v.Current().Members), []model.NodeID{"a", "c"})
@@ -101,7 +101,7 @@
 		for i := range nodes {
 			self := model.NodeID(fmt.Sprint("n", i))
 			v.rows.returned["n7"] = restoredAt // each node has a view of its own
-			if self != "n7" && len(v.DepartedToRemove(self, restoredAt.Add(departedAfter+time.Duration(k)*removalStagger))) > 0 {
+			if self != "n7" && len(v.DepartedToRemove(self, restoredAt.Add(DepartedAfter+time.Duration(k)*removalStagger))) > 0 {
 				due++
 			}
 		}
--- a/test/soak_restore_test.go
+++ b/test/soak_restore_test.go
@@ -117,11 +117,3 @@
 	}
 	s.putNewestAgain()
 }
-
-// putNewestAgain writes the newest configuration again, as the operator does after a
-// restore.
-func (s *soak) putNewestAgain() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.put(s.newestConfiguration())
-}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/faultproxy"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/standin/store"
@@ -406,29 +405,6 @@
 	return all[s.rnd.IntN(len(all))]
 }
 
-// putNextVersion raises the version by increment and puts a configuration with
-// that version and one more route.
-func (s *soak) putNextVersion(increment model.Version) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version += increment
-	s.put(s.newestConfiguration())
-}
-
-// newestConfiguration returns the configuration with the newest version. The mutex is
-// held.
-func (s *soak) newestConfiguration() *config.Configuration {
-	c := baseConfiguration(s.version)
-	if s.version == 1 { // the first one
-		return c
-	}
-	c.Routes = append(c.Routes, config.Route{
-		Name: "extra", Host: host, Prefix: fmt.Sprintf("/extra%d/", s.version), MaxAttempts: 1,
-		Split: []config.Share{{Service: services[0], Weight: 1}},
-	})
-	return c
-}
-
 // replaceUpstream drains the upstream of a node and starts another boot at its
 // address. The upstream serves on for drainTime after the drain.
 func (s *soak) replaceUpstream(n *node, drainTime time.Duration) {
