Keep a node of a test from asking back

Cause: the node of the test had no configuration, so it asked the other one back in a goroutine, and that exchange could end after the era had changed. The report is idempotent; the test now gives both nodes a configuration, so that there is no such exchange, and checks the same.

--- a/pkg/gossip/restore_test.go
+++ b/pkg/gossip/restore_test.go
@@ -42,6 +42,9 @@
 	a, b := newPeer(t, "a"), newPeer(t, "b")
 	var eras []follow.Era
 	b.OnEra = func(era follow.Era) { eras = append(eras, era) }
+	for _, p := range []*peer{a, b} {
+		p.offerConfig(t, 7) // a node without a configuration would ask b back, later
+	}
 	members := []fleet.Member{a.Self, b.Self}
 	b.View.Replace(members, inEra(1, 9), time.Now())
 	a.View.Replace(members, inEra(1, 5), time.Now())
