Log and measure how far the configuration of a node lags behind that of other nodes

The logs could not tell a store that is silent from one that has nothing new, nor when a node had learned of a newer version. Digests and beacons now state for how long a version has been in force, a tracker keeps the newer versions that are known and the node that each was heard of from, and a node logs that it is behind, since when, and for how long the store has been silent. The lag of each version goes into the histogram lentilflow_config_lag_seconds, the present one into lentilflow_config_behind_seconds and into lentilctl status.

No decision is changed.

--- a/cmd/lentilctl/status/status.go
+++ b/cmd/lentilctl/status/status.go
@@ -87,6 +87,8 @@
 	switch {
 	case !t.StoreAvailable:
 		return "store does not answer"
+	case t.BehindMillis > 0:
+		return fmt.Sprintf("behind for %s, %s has version %d", age(t.BehindMillis), t.NewestKnownFrom, t.NewestKnown)
 	case t.Version < newest:
 		return "behind"
 	case !t.Ready:
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -41,6 +41,9 @@
 	// later than the one that the store has stated to this node, the sources that
 	// wait for changes return follow.ErrHistoryLost.
 	ReportEra(era follow.Era)
+	// StoreSilence returns how long ago the store has last responded to this node,
+	// or how long ago the node was started if it has not.
+	StoreSilence() time.Duration
 	// ServeReports adds the handlers for reports of the upstream on this VM to e
 	// and passes the reports to u.
 	ServeReports(e *echo.Echo, u ReportReceiver)
@@ -92,6 +95,7 @@
 	rowWrittenAt      atomic.Pointer[follow.Position] // nil before the first write
 	configUnavailable atomic.Bool
 	fleetUnavailable  atomic.Bool
+	configLag         prometheus.Histogram
 	// inForceSince is when the current version came into force.
 	inForceSince atomic.Pointer[time.Time]
 }
@@ -137,8 +141,8 @@
 		OnConfig:  func(v config.Version, from string) { a.onConfigInForce(v, zap.String("from_node", from)) },
 		OnFleet:   a.onFleetChange,
 		OnEra:     c.Platform.ReportEra,
-		ApplyTime: time.Duration(s.Store.Apply),
-		Guard:     a.guard,
+		ApplyTime: time.Duration(s.Store.Apply), StoreSilence: c.Platform.StoreSilence,
+		Guard: a.guard,
 	}
 	a.gossip.Init(time.Now())
 	a.local = gateway.NewLocal(&gateway.Local{
@@ -200,6 +204,11 @@
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "lentilflow", Name: name, Help: help}, value))
 	}
 	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(a.configHolder.Version()) })
+	gauge("config_behind_seconds", "For how long another node has had a newer configuration than this one; 0 if none is known.", func() float64 { return a.gossip.ConfigLag().Total.Seconds() })
+	a.configLag = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "lentilflow", Name: "config_lag_seconds", Help: "How late versions came into force, after the first node known to have them.", Buckets: lagBuckets,
+	})
+	r.MustRegister(a.configLag)
 	gauge("fleet_revision", "Revision of the known fleet.", func() float64 { return float64(a.fleetView.Current().Position.Revision) })
 	gauge("fleet_era", "Era of the store to which the revision of the known fleet belongs.", func() float64 { return float64(a.fleetView.Current().Position.Era) })
 	gauge("fleet_unconfirmed_nodes", "Known nodes whose rows a restored store has lost and that have not written them again.", func() float64 { return float64(a.fleetView.Current().Unconfirmed()) })
@@ -211,6 +220,10 @@
 	gauge("serving", "1 while the upstream of this node takes work.", func() float64 { return boolFloat(a.local.Serving()) })
 }
 
+// lagBuckets are upper bounds in seconds. A version must be in force on all nodes
+// within 2 or 3 s, depending on the deployment.
+var lagBuckets = []float64{0.01, 0.03, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 20, 30}
+
 func boolFloat(b bool) float64 {
 	if b {
 		return 1
@@ -228,12 +241,13 @@
 func (a *Agent) onConfigInForce(v config.Version, source zap.Field) {
 	s, now := a.configHolder.Current(), time.Now()
 	a.inForceSince.Store(&now)
-	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source,
-		zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
+	lag := a.gossip.ConfigUpdated()
+	a.configLag.Observe(lag.Total.Seconds())
+	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source, zap.Duration("behind_for", lag.Total),
+		zap.Duration("known_for", lag.Known), zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
 	a.local.Reconfigure()
 	a.findUpstreamOnce.Do(func() { a.guard.Go("find upstream", a.local.DetectBoot) })
 	a.gateway.ReleaseIfReady()
-	a.gossip.ConfigUpdated()
 }
 
 // onServingChange informs the other nodes whether the upstream of this node is
--- a/pkg/agent/state.go
+++ b/pkg/agent/state.go
@@ -20,6 +20,9 @@
 		FleetRevision: uint64(fleet.Position.Revision), FleetEra: uint64(fleet.Position.Era), Nodes: len(fleet.Members), MembersDigest: fleet.DigestText(),
 		StoreAvailable: !a.configUnavailable.Load() && !a.fleetUnavailable.Load(), Ready: a.ready(), Serving: a.local.Serving(),
 	}
+	lag := a.gossip.ConfigLag()
+	s.BehindMillis, s.NewestKnown, s.NewestKnownFrom = lag.Total.Milliseconds(), model.Version(lag.Newest.Revision), lag.From
+	s.StoreSilentMillis = a.platform.StoreSilence().Milliseconds()
 	if at := a.inForceSince.Load(); at != nil {
 		s.VersionAgeMillis = time.Since(*at).Milliseconds()
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -57,9 +57,9 @@
 	Budgets *Budgets
 	Metrics *Metrics
 	Log     *zap.Logger
-	// OnNewerConfig is called when a remote node has a newer configuration than
-	// this node; v is its version. Several calls may run at the same time.
-	OnNewerConfig func(v config.Version)
+	// OnNewerConfig is called when the remote node from has a newer configuration
+	// than this node; v is its version. Several calls may run at the same time.
+	OnNewerConfig func(v config.Version, from model.NodeID)
 
 	callLog           *callLog
 	startTime         time.Time
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -114,6 +114,12 @@
 	}
 }
 
+// attemptSender returns the node that has begun an attempt.
+func attemptSender(attemptID string) model.NodeID {
+	node, _, _ := strings.Cut(attemptID, "/")
+	return model.NodeID(node)
+}
+
 // Run sends an attempt to the node at an address, as host:port. The request is
 // sent at most once. Either the response or the refusal is nil.
 func (r *Remote) Run(ctx context.Context, address string, att *Attempt) (*Response, *Refusal) {
@@ -235,10 +241,10 @@
 		_ = x.Reply(&h1.Reply{Status: http.StatusBadRequest})
 		return
 	}
+	attemptID := x.Request.Header.Get(headerAttempt)
 	if f.version > g.Config.Version() {
-		g.OnNewerConfig(f.version)
+		g.OnNewerConfig(f.version, attemptSender(attemptID))
 	}
-	attemptID := x.Request.Header.Get(headerAttempt)
 	if text := x.Request.Header.Get(headerUpstream); text != "" {
 		g.Local.adoptStatement(x.Request.Header.Get(g.Names.RequestID), text)
 	}
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lentilflow/lentilflow/pkg/catchup"
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/follow"
@@ -27,9 +28,10 @@
 	// StoreAvailable whether the store responds to it.
 	IsRelay        bool `json:"relay,omitempty"`
 	StoreAvailable bool `json:"store,omitempty"`
-	// ConfigVersion, FleetRevision, FleetEra and MembersDigest are those of the sender, as
+	// ConfigVersion, ConfigAge, FleetRevision, FleetEra and MembersDigest are those of the sender, as
 	// in a Digest. They are set by relays only.
 	ConfigVersion config.Version  `json:"config,omitempty"`
+	ConfigAge     milliseconds    `json:"config_age_ms,omitempty"`
 	FleetRevision follow.Revision `json:"fleet,omitempty"`
 	FleetEra      follow.Era      `json:"fleet_era,omitempty"`
 	MembersDigest uint64          `json:"members_digest,omitempty"`
@@ -73,20 +75,6 @@
 	}
 }
 
-// ConfigUpdated must be called when a newer configuration is in force on this
-// node. It updates the lag and sends a beacon. It is safe for concurrent use.
-func (n *Node) ConfigUpdated() {
-	n.configLag.caughtUp(versionPosition(n.Config.Version()))
-	n.TriggerBeacon()
-}
-
-// FleetUpdated must be called when this node has a newer fleet. It updates the
-// lag and sends a beacon. It is safe for concurrent use.
-func (n *Node) FleetUpdated() {
-	n.fleetLag.caughtUp(n.View.Current().Position)
-	n.TriggerBeacon()
-}
-
 // RunBeacons sends beacons while this node is a relay, and forwards pending
 // states, until ctx ends. It returns nil.
 func (n *Node) RunBeacons(ctx context.Context) error {
@@ -117,7 +105,7 @@
 	if isRelay {
 		f := n.View.Current()
 		d.IsRelay, d.StoreAvailable = true, !n.storeUnavailable.Load()
-		d.ConfigVersion, d.MembersDigest = n.Config.Version(), f.Digest
+		d.ConfigVersion, d.ConfigAge, d.MembersDigest = n.Config.Version(), n.configAge(time.Now()), f.Digest
 		d.FleetRevision, d.FleetEra = f.Position.Revision, f.Position.Era
 	}
 	for first := true; first || len(states) > 0; first = false {
@@ -189,10 +177,10 @@
 	configBehind := d.ConfigVersion > n.Config.Version()
 	fleetBehind := n.View.Loaded() && d.fleetPosition().After(f.Position) && d.MembersDigest != f.Digest
 	if configBehind {
-		n.configLag.observe(versionPosition(d.ConfigVersion), now)
+		n.observeConfig(d.ConfigVersion, d.From, d.ConfigAge.duration(), now)
 	}
 	if fleetBehind {
-		n.fleetLag.observe(d.fleetPosition(), now)
+		n.fleetLag.Observe(catchup.Observation{At: d.fleetPosition(), From: d.From}, f.Position, now)
 	}
 	if !configBehind && !fleetBehind {
 		return
@@ -212,7 +200,7 @@
 // only the first relay follows the fleet in the store (FleetSchedule).
 func (n *Node) fetchFromRelay(m fleet.Member) {
 	defer n.fetching.Store(false)
-	if isRelay, first, _ := n.RelayRole(); isRelay && !n.storeUnavailable.Load() && (first || !n.fleetLag.active()) {
+	if isRelay, first, _ := n.RelayRole(); isRelay && !n.storeUnavailable.Load() && (first || !n.fleetLag.Lag(time.Now()).Active()) {
 		return
 	}
 	time.Sleep(rand.N(maxFetchJitter))
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/lentilflow/lentilflow/pkg/catchup"
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/contain"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
@@ -86,6 +87,10 @@
 	// Guard starts goroutines and recovers their panics.
 	Guard *contain.Guard
 
+	// StoreSilence returns how long ago the store has last responded to this node;
+	// nil if that is not known.
+	StoreSilence func() time.Duration
+
 	startTime         time.Time
 	beaconTrigger     chan struct{}
 	fetching          atomic.Bool
@@ -97,8 +102,9 @@
 	sequence          atomic.Uint64
 	storeUnavailable  atomic.Bool
 	syncTrigger       chan struct{}
-	configLag         lag // of the configuration
-	fleetLag          lag // of the fleet
+	configLag         catchup.Tracker
+	configSince       atomic.Pointer[time.Time] // when the version in force came into force at some node
+	fleetLag          catchup.Tracker
 	mu                sync.Mutex
 	lastStates        map[model.NodeID]stateOrder
 	zone              *relay.Zone
@@ -175,7 +181,7 @@
 func (n *Node) digestWith(f *fleet.Snapshot) Digest {
 	return Digest{
 		From: n.Self, Serving: n.Serving(), NeedsUpdate: n.needsUpdate(time.Now()),
-		ConfigVersion: n.Config.Version(), FleetRevision: f.Position.Revision, FleetEra: f.Position.Era, MembersDigest: f.Digest,
+		ConfigVersion: n.Config.Version(), ConfigAge: n.configAge(time.Now()), FleetRevision: f.Position.Revision, FleetEra: f.Position.Era, MembersDigest: f.Digest,
 		Started: n.startNanos, Sequence: n.sequence.Add(1),
 	}
 }
@@ -188,93 +194,8 @@
 // is isolated, has no configuration, or has been behind another node for longer
 // than a read of the store takes.
 func (n *Node) needsUpdate(now time.Time) bool {
-	return n.isolated() || n.Config.Current() == nil || n.configLag.duration(now) > configLagTimeout ||
-		n.fleetLag.duration(now) > fleetLagTimeout
-}
-
-// lag records since when another node is known to have a newer version of the
-// configuration or a later position of the fleet. The zero value means that none
-// is known. It is safe for concurrent use.
-type lag struct {
-	since  atomic.Pointer[time.Time]       // nil if none is known
-	newest atomic.Pointer[follow.Position] // newest one that is known elsewhere
-}
-
-// versionPosition returns a version of the configuration as a position, so that a
-// lag can hold it. Versions are ordered in the same way in each era of the store.
-func versionPosition(v config.Version) follow.Position { return follow.At(follow.Revision(v)) }
-
-// observe records that another node has a later one. It reports whether this node
-// was up to date until now.
-func (l *lag) observe(later follow.Position, now time.Time) bool {
-	for {
-		old := l.newest.Load()
-		if old != nil && !later.After(*old) || l.newest.CompareAndSwap(old, &later) {
-			break
-		}
-	}
-	return l.since.CompareAndSwap(nil, &now)
-}
-
-// caughtUp records what this node has. It ends the lag only if nothing later is
-// known: a comparison with another node that lags too must not end it.
-func (l *lag) caughtUp(own follow.Position) {
-	if newest := l.newest.Load(); newest == nil || !newest.After(own) {
-		l.since.Store(nil)
-	}
-}
-
-// active reports whether something later is known.
-func (l *lag) active() bool { return l.since.Load() != nil }
-
-// duration returns how long something later has been known, 0 if nothing is.
-func (l *lag) duration(now time.Time) time.Duration {
-	since := l.since.Load()
-	if since == nil {
-		return 0
-	}
-	return now.Sub(*since)
-}
-
-// updateLag compares the versions of another node with those of this one. If
-// they are newer, it schedules a sync for the case that the store does not
-// deliver them within configLagTimeout or fleetLagTimeout. The sync takes place
-// one eighth after the timeout, because needsUpdate requests a version only once
-// the timeout was exceeded.
-func (n *Node) updateLag(d *Digest) {
-	now := time.Now()
-	if d.ConfigVersion > n.Config.Version() && n.configLag.observe(versionPosition(d.ConfigVersion), now) {
-		time.AfterFunc(configLagTimeout+configLagTimeout/8, n.TriggerSync)
-	}
-	f := n.View.Current()
-	if d.FleetEra > f.Position.Era {
-		n.OnEra(d.FleetEra)
-	}
-	switch {
-	case !n.View.Loaded():
-	case d.MembersDigest == f.Digest: // the same fleet, whatever the positions
-		n.fleetLag.caughtUp(later(d.fleetPosition(), f.Position))
-	case d.fleetPosition().After(f.Position):
-		if n.fleetLag.observe(d.fleetPosition(), now) {
-			time.AfterFunc(fleetLagTimeout+fleetLagTimeout/8, n.TriggerSync)
-		}
-	}
-}
-
-func later(a, b follow.Position) follow.Position {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// NoteNewerConfig records that another node has decided a call by version v,
-// which is newer than the one on this node. It schedules a sync as updateLag
-// does.
-func (n *Node) NoteNewerConfig(v config.Version) {
-	if n.configLag.observe(versionPosition(v), time.Now()) {
-		time.AfterFunc(configLagTimeout+configLagTimeout/8, n.TriggerSync)
-	}
+	return n.isolated() || n.Config.Current() == nil || n.configLag.Lag(now).Known > configLagTimeout ||
+		n.fleetLag.Lag(now).Known > fleetLagTimeout
 }
 
 func (n *Node) handleSync(c echo.Context) error {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/lentilflow/lentilflow/pkg/catchup"
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
@@ -134,8 +135,8 @@
 
 	// If the store does not deliver the version within configLagTimeout, the other
 	// node does.
-	longAgo := time.Now().Add(-configLagTimeout - time.Millisecond)
-	b.configLag.since.Store(&longAgo)
+	b.configLag.CaughtUp(versionPosition(7), time.Now())
+	b.configLag.Observe(catchup.Observation{At: versionPosition(7), From: "a"}, versionPosition(6), time.Now().Add(-configLagTimeout-time.Millisecond))
 	b.syncWith(t.Context(), a.Self)
 	is.Equal(b.Config.Version(), config.Version(7))
 	is.Equal(b.View.Current().Position, follow.At(3))
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"time"
+
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
@@ -23,6 +25,9 @@
 	ConfigVersion config.Version  `json:"config"`
 	FleetRevision follow.Revision `json:"fleet"`
 	FleetEra      follow.Era      `json:"fleet_era,omitempty"`
+	// ConfigAge is how long ConfigVersion has been in force at some node, as far as
+	// the sender knows.
+	ConfigAge milliseconds `json:"config_age_ms,omitempty"`
 	// MembersDigest identifies the content of the fleet.
 	MembersDigest uint64 `json:"members_digest"`
 	// NeedsUpdate requests the versions that the sender does not have. A node
@@ -36,6 +41,11 @@
 	Sequence uint64 `json:"sequence"`
 }
 
+// milliseconds is a duration that messages contain as a whole number.
+type milliseconds int64
+
+func (m milliseconds) duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
 // fleetPosition returns the position of the sender's fleet.
 func (d *Digest) fleetPosition() follow.Position {
 	return follow.Position{Era: d.FleetEra, Revision: d.FleetRevision}
--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/catchup"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/relay"
@@ -92,7 +93,7 @@
 	// hasState reports whether the node has any state; without one it reads the
 	// store at once. If it is nil, the relays supply the first state too.
 	hasState func() bool
-	lag      *lag
+	lag      *catchup.Tracker
 	// firstOnly means that only the first relay follows the store.
 	firstOnly bool
 	// relayTimeout is the time without a beacon of a relay with an available store
@@ -172,7 +173,7 @@
 		timeout *= outageFactor
 	}
 	wait := max(lastHealthy, s.lastRead) + timeout - n.clock()
-	if behindFor := s.lag.duration(now); behindFor > 0 {
+	if behindFor := s.lag.Lag(now).Known; behindFor > 0 {
 		wait = min(wait, max(maxLag-behindFor, s.lastRead+s.relayTimeout-n.clock()))
 	}
 	return wait
--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -165,9 +165,9 @@
 	d.NeedsUpdate = true
 	b.exchangeDigests(t.Context(), a.Self, d)
 	is.Equal(b.Config.Version(), config.Version(8))
-	is.True(b.configLag.active()) // until the agent calls ConfigUpdated
+	is.True(b.ConfigLag().Active()) // until the agent calls ConfigUpdated
 	b.ConfigUpdated()
-	is.True(!b.configLag.active()) // otherwise the node would read the store a second later
+	is.True(!b.ConfigLag().Active()) // otherwise the node would read the store a second later
 	is.Equal(b.Config.Current().Routes[5].MaxAttempts, 9)
 	is.Equal(len(b.Config.Current().Routes), len(next.Routes))
 	is.True(a.bytesSent.Load() < 2000)
@@ -359,14 +359,14 @@
 	b.offerConfig(t, 4)
 	a.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(1), time.Now())
 	b.View.Replace([]fleet.Member{a.Self, b.Self}, follow.At(1), time.Now())
-	a.NoteNewerConfig(6)
+	a.NoteNewerConfig(6, "c")
 	a.syncWith(t.Context(), b.Self)
 	b.syncWith(t.Context(), a.Self)
-	is.True(a.configLag.active())
+	is.True(a.ConfigLag().Active())
 	a.offerConfig(t, 5)
 	a.ConfigUpdated()
-	is.True(a.configLag.active())
+	is.True(a.ConfigLag().Active())
 	a.offerConfig(t, 6)
 	a.ConfigUpdated()
-	is.True(!a.configLag.active())
+	is.True(!a.ConfigLag().Active())
 }
--- a/pkg/model/version.go
+++ b/pkg/model/version.go
@@ -28,6 +28,13 @@
 	// VersionAgeMillis is how long the version has been in force at the node, in
 	// milliseconds.
 	VersionAgeMillis int64 `json:"version_age_ms"`
+	// NewestKnown is the newest version that the node knows to be in force on another
+	// node, NewestKnownFrom, and that it does not have; 0 if there is none.
+	// BehindMillis is for how long other nodes have had a newer version, in
+	// milliseconds.
+	NewestKnown     Version `json:"newest_known,omitempty"`
+	NewestKnownFrom NodeID  `json:"newest_known_from,omitempty"`
+	BehindMillis    int64   `json:"behind_ms,omitempty"`
 	// FleetRevision is the revision of the store up to which the node has read
 	// the fleet, FleetEra the era that it belongs to, and Nodes the number of nodes
 	// that it knows. Nodes that know the same fleet have the same MembersDigest.
@@ -37,6 +44,9 @@
 	MembersDigest string `json:"members_digest"`
 	// StoreAvailable says whether the store responds to the node.
 	StoreAvailable bool `json:"store_available"`
+	// StoreSilentMillis is how long ago the store has last responded to the node, in
+	// milliseconds. A store in which nothing changes responds every 25 s.
+	StoreSilentMillis int64 `json:"store_silent_ms"`
 	// Ready says whether the node accepts new callers, Serving whether its
 	// upstream is serving.
 	Ready   bool `json:"ready"`
