Add failing tests of a store that falls silent on open watches

The stand-in of the store closed a watch as soon as its response was due, so no test saw a watch that stays open without one. It now leaves such watches open, and can also let the open connections fall silent for good, or return an older state to one node.

--- a/pkg/standin/store/endpoint.go
+++ b/pkg/standin/store/endpoint.go
@@ -18,9 +18,16 @@
 	// Status is the HTTP status with which every request is rejected before it
 	// has any effect; 0 rejects none.
 	Status int
-	// Silent leaves every request without a response. When it is switched off,
-	// the connections of the requests that wait are closed.
+	// Silent leaves every request without a response, also the feed requests that
+	// already wait for a change. When it is switched off, the connections of these
+	// requests are closed.
 	Silent bool
+	// SilentConnections leaves the requests on the connections that are open when it
+	// is set without a response, for good. New connections work.
+	SilentConnections bool
+	// Stale makes reads return the state of an older copy; nil returns the current
+	// one. Feed requests wait, as if nothing had changed since the copy.
+	Stale *Copy
 	// Reset closes the connection of every request without a response.
 	Reset bool
 	// Delay is how long every request waits before it is processed.
@@ -39,6 +46,7 @@
 	fault    atomic.Pointer[Fault]
 	away     atomic.Bool
 	conns    sync.Map // of open connections (net.Conn)
+	silenced sync.Map // of the remote addresses of connections that are silent for good
 	ended    chan struct{}
 }
 
@@ -71,9 +79,15 @@
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
 // Set replaces the fault; the zero Fault ends it. A feed request that already waits
-// for a change continues to wait. Its connection is closed if Status, Silent or Reset
-// is set when its response is ready.
+// for a change continues to wait. Its connection is closed if Status or Reset is set
+// when its response is ready; with Silent it stays open without a response.
 func (e *Endpoint) Set(f Fault) {
+	if f.SilentConnections {
+		e.conns.Range(func(nc, _ any) bool {
+			e.silenced.Store(nc.(net.Conn).RemoteAddr().String(), nil)
+			return true
+		})
+	}
 	old := e.fault.Swap(&f)
 	if *old != f {
 		wakeWatches(e)
@@ -119,10 +133,14 @@
 			return
 		case f.Reset || e.away.Load():
 			panic(http.ErrAbortHandler)
-		case f.Silent:
+		case f.Silent || e.isSilenced(r):
 			e.waitWhileSilent(r)
 			panic(http.ErrAbortHandler)
 		}
+		if f.Stale != nil && operation != "rows-tx" {
+			e.serveStale(w, r, f.Stale, operation)
+			return
+		}
 		if f.Delay > 0 {
 			time.Sleep(f.Delay)
 		}
@@ -130,16 +148,34 @@
 			next.ServeHTTP(discardWriter{header: make(http.Header)}, r)
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(&faultCheckedWriter{ResponseWriter: w, endpoint: e}, r)
+		next.ServeHTTP(&faultCheckedWriter{ResponseWriter: w, endpoint: e, request: r}, r)
 	})
 }
 
+// isSilenced reports whether the connection of a request is silent for good.
+func (e *Endpoint) isSilenced(r *http.Request) bool {
+	_, silenced := e.silenced.Load(r.RemoteAddr)
+	return silenced
+}
+
+// serveStale responds to a read with the state of an older copy.
+func (e *Endpoint) serveStale(w http.ResponseWriter, r *http.Request, c *Copy, operation string) {
+	old := New()
+	old.Restore(c)
+	old.era = e.store.Era()
+	if operation == "rows-feed" {
+		old.serveFeed(&faultCheckedWriter{ResponseWriter: w, endpoint: e, request: r}, r)
+		return
+	}
+	old.servePage(w, r)
+}
+
 // waitWhileSilent waits until the client disconnects, the fault ends, or the
 // endpoint is closed.
 func (e *Endpoint) waitWhileSilent(r *http.Request) {
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
-	for e.fault.Load().Silent {
+	for e.fault.Load().Silent || e.isSilenced(r) {
 		select {
 		case <-r.Context().Done():
 			return
@@ -151,16 +187,21 @@
 }
 
 // faultCheckedWriter closes the connection instead of sending a response, if the
-// endpoint got a fault while the request was processed. That concerns mainly feed
-// requests, which wait for a change.
+// endpoint got a fault while the request was processed; a silent endpoint leaves it
+// open first. That concerns mainly feed requests, which wait for a change.
 type faultCheckedWriter struct {
 	http.ResponseWriter
 	endpoint *Endpoint
+	request  *http.Request
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (g *faultCheckedWriter) WriteHeader(status int) {
-	if f := g.endpoint.fault.Load(); f.Status != 0 || f.Silent || f.Reset || g.endpoint.away.Load() {
+	if g.endpoint.fault.Load().Silent || g.endpoint.isSilenced(g.request) {
+		g.endpoint.waitWhileSilent(g.request)
+		panic(http.ErrAbortHandler)
+	}
+	if f := g.endpoint.fault.Load(); f.Status != 0 || f.Reset || g.endpoint.away.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	g.ResponseWriter.WriteHeader(status)
--- /dev/null
+++ b/test/silent_store_test.go
@@ -0,0 +1,133 @@
+package test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/relay"
+	"github.com/lentilflow/lentilflow/pkg/standin/store"
+)
+
+// awaitVersions puts versions one after the other and fails the test if one of them
+// is not in force on all nodes within applyTimeout.
+func (c *cluster) awaitVersions(from, count model.Version) {
+	c.t.Helper()
+	for v := from; v < from+count; v++ {
+		c.put(changedConfiguration(v))
+		c.await(applyTimeout, "version is in force on all nodes", func() bool { return c.inForce(v) })
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// silence makes the store silent to all nodes except one, on open connections too.
+func (c *cluster) silence(except *node) {
+	for _, n := range c.nodes {
+		if n != except {
+			n.endpoint.Set(store.Fault{Silent: true})
+		}
+	}
+}
+
+// Guards against versions that are late at nodes to which the store falls silent: an
+// open watch without a response counted as "nothing new" for 27 s, and a node that
+// learned of a newer version asked random nodes for it. All nodes can reach the one
+// node that has the version. It covers zones in which every node follows the store
+// and one with relays, and a node that the store serves in each of them.
+func TestVersionIsInForceWhenStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	for name, servedZone := range map[string]string{"small zone": zones[2], "zone with relays": zones[0]} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := startCluster(t, 3)
+			for range 2 {
+				for _, service := range services {
+					c.addRunningNode(zones[0], service)
+				}
+			}
+			c.await(startTimeout, "all nodes ready", func() bool { return c.ready(len(c.nodes)) })
+			c.awaitVersions(2, 1)
+			time.Sleep(3 * time.Second) // after that every follower watches again
+			served := c.follower(servedZone)
+			c.silence(served)
+			c.awaitVersions(3, 6)
+		})
+	}
+}
+
+// follower returns the first relay of a zone; it follows the configuration in the
+// store.
+func (c *cluster) follower(zone string) *node {
+	var ids []model.NodeID
+	byName := make(map[model.NodeID]*node)
+	for _, n := range c.nodes {
+		if n.zone == zone {
+			ids = append(ids, model.NodeID(n.name))
+			byName[model.NodeID(n.name)] = n
+		}
+	}
+	return byName[relay.Order(ids)[0]]
+}
+
+// Guards against a connection to the store that falls silent without a reset: a node
+// that has heard of a newer version must notice it, and read the store on another
+// connection.
+func TestSilentConnectionToStoreIsReplaced(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	time.Sleep(3 * time.Second)
+	n := c.nodes[0]
+	n.endpoint.Set(store.Fault{SilentConnections: true})
+	c.awaitVersions(2, 1)
+	reads := c.store.RequestCount("rows-get")
+	c.await(awaitTimeout, "the node reads the store on another connection", func() bool { return c.store.RequestCount("rows-get") > reads })
+	c.awaitVersions(3, 1)
+}
+
+// Guards against a process that starts with an older configuration, because the store
+// returns an old state to it, and serves with that although its neighbours have a
+// newer one.
+func TestStartWithStaleStoreTakesNeighboursVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := startCluster(t, 2)
+	old := c.store.Copy()
+	c.awaitVersions(2, 3)
+	n := c.nodes[0]
+	n.kill()
+	n.endpoint.Set(store.Fault{Stale: old})
+	n.startProcess()
+	c.await(startTimeout, "the node has a configuration", func() bool {
+		s, err := n.state()
+		return err == nil && s.Version > 0
+	})
+	c.await(applyTimeout, "the node has the version of its neighbours", func() bool { return c.inForce(4) })
+	r := newCaller(n).send(http.MethodGet, "/status/1", 3*time.Second)
+	is.Equal(r.header.Get("Lentilflow-Version"), "4")
+}
+
+// Guards against a version that only some nodes see: it is followed by a row that
+// cannot be used before others read the store. They must take it from the nodes that
+// have it.
+func TestVersionBeforeUnusableRowReachesAllNodes(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 2)
+	time.Sleep(3 * time.Second)
+	late := c.nodes[0]
+	late.endpoint.Set(store.Fault{Status: http.StatusServiceUnavailable})
+	c.put(changedConfiguration(2))
+	c.await(applyTimeout, "version 2 at the other nodes", func() bool {
+		for _, n := range c.nodes[1:] {
+			if s, err := n.state(); err != nil || s.Version != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	c.store.Put("op", "config", []byte("{not JSON"))
+	late.endpoint.Set(store.Fault{})
+	c.await(applyTimeout, "version 2 at the node that could not read it", func() bool { return c.inForce(2) })
+}
