Announce versions to all zones and fetch them from nodes that are known to have them

Cause: the only prompt way of a version to a node was the node's own watch, and a watch without a response counts as "nothing new" for up to 27 s. The way around it had no bound: nobody told a node of a newer version, and a node that heard of one by chance waited 0.9 s and then asked random nodes, one every 1 to 3 s.

Change: the second way no longer depends on the store, and each step of it has a bound (package catchup, no I/O). The first node of a zone that has a version tells the other zones of its region and one node of each other region by datagram, until they are known to have it; a node that has been told, and does not get the version within 0.1 s, tells its zone and region. Each node keeps which nodes have which newer version, fetches it 0.3 s (from its zone) or 0.4 s (from elsewhere) after the first news, asks a second node after 0.4 s without an outcome and the next one at once after a failure. If the store has not responded to a watch 1 s after such news, the node ends the watch and reads the store within 1 s, so that a silent store is noticed.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -50,6 +50,10 @@
 	// settingsPollInterval is the time between two checks of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
+	// storeSilenceLimit is how long the watch of the fleet must have been without a
+	// response for it to be verified when the store does not respond to the watch of
+	// the configuration.
+	storeSilenceLimit = time.Second
 	// cleanUpInterval is the time between two removals of state that belongs to
 	// nodes that are gone.
 	cleanUpInterval = 10 * time.Second
@@ -74,12 +78,24 @@
 	defer func() { _ = a.gossip.Datagrams.Close() }()
 	var g run.Group
 	a.addStop(ctx, &g, callListener)
-	a.addLoop(&g, "follow configuration", a.follower("configuration", a.platform.ConfigSource(a.configHolder, func(v config.Version, at follow.Position) {
+	configFollower := a.follower("configuration", a.platform.ConfigSource(a.configHolder, func(v config.Version, at follow.Position) {
 		a.onConfigInForce(v, zap.Inline(at))
-	}), 0, a.gossip.ConfigSchedule(a.firstStart()), func(ok bool) { a.configUnavailable.Store(!ok); a.updateStoreAvailability() }))
-	a.addLoop(&g, "follow fleet", a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, Log: a.log, OnChange: a.onFleetChange}, fleetWatchInterval,
-		a.delayFirstRead(a.gossip.FleetSchedule()), func(ok bool) { a.fleetUnavailable.Store(!ok); a.updateStoreAvailability() }))
+	}), 0, a.gossip.ConfigSchedule(a.firstStart()))
+	fleetFollower := a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, Log: a.log, OnChange: a.onFleetChange}, fleetWatchInterval,
+		a.delayFirstRead(a.gossip.FleetSchedule()))
+	configFollower.OnAvailability = func(ok bool) {
+		a.configUnavailable.Store(!ok)
+		a.updateStoreAvailability()
+		if !ok {
+			fleetFollower.Verify(time.Now().Add(-storeSilenceLimit))
+		}
+	}
+	fleetFollower.OnAvailability = func(ok bool) { a.fleetUnavailable.Store(!ok); a.updateStoreAvailability() }
+	a.gossip.OnUndelivered = configFollower.Verify
+	a.addLoop(&g, "follow configuration", configFollower.Run)
+	a.addLoop(&g, "follow fleet", fleetFollower.Run)
 	a.addLoop(&g, "exchange digests", a.gossip.Run)
+	a.addLoop(&g, "catch up", a.gossip.RunCatchUp)
 	a.addLoop(&g, "probe nodes", a.gossip.Probe)
 	a.addLoop(&g, "send beacons", a.gossip.RunBeacons)
 	a.addLoop(&g, "read datagrams", a.gossip.ReadDatagrams)
@@ -100,11 +116,10 @@
 	return err
 }
 
-// follower returns the loop that keeps the state of s up to date. pause is the
+// follower returns a follower that keeps the state of s up to date. pause is the
 // shortest time between a response of the store and the next request.
-func (a *Agent) follower(name string, s follow.Source, pause time.Duration, schedule follow.Schedule, onAvailability func(bool)) func(context.Context) error {
-	f := &follow.Follower{Name: name, Source: s, Pause: pause, Schedule: schedule, Log: a.log, OnAvailability: onAvailability}
-	return f.Run
+func (a *Agent) follower(name string, s follow.Source, pause time.Duration, schedule follow.Schedule) *follow.Follower {
+	return &follow.Follower{Name: name, Source: s, Pause: pause, Schedule: schedule, Log: a.log}
 }
 
 // firstStartDelay is how long a node waits for the rows of other nodes when the
--- a/pkg/catchup/tracker_test.go
+++ b/pkg/catchup/tracker_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
 var start = time.Unix(1000, 0)
@@ -46,3 +47,115 @@
 	tr.CaughtUp(follow.At(10*maxPending), at(10*maxPending))
 	is.True(!tr.Lag(at(10 * maxPending)).Active())
 }
+
+const (
+	zoneDelay   = 300 * time.Millisecond
+	remoteDelay = 500 * time.Millisecond
+)
+
+var testDelays = Delays{SameZone: zoneDelay, Elsewhere: remoteDelay, Interval: 600 * time.Millisecond}
+
+// Guards the choice of the node to ask: a near one that has the newest version first,
+// and not before the usual way to the version has had its time.
+func TestNextPrefersNewestAndNearest(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	own := follow.At(1)
+	tr.Observe(Observation{At: follow.At(2), From: "old", Distance: model.SameZone}, own, at(0))
+	tr.Observe(Observation{At: follow.At(3), From: "far", Distance: model.OtherRegion}, own, at(10))
+	tr.Observe(Observation{At: follow.At(3), From: "near", Distance: model.SameRegion}, own, at(20))
+	_, wait, due := tr.Next(testDelays, at(100))
+	is.True(!due)
+	is.Equal(wait, 200*time.Millisecond) // "old" is of this zone
+	node, _, due := tr.Next(testDelays, at(600))
+	is.True(due)
+	is.Equal(string(node), "near")
+}
+
+// Guards against a node that does not respond and holds up the version: another one is
+// asked after hedgeDelay, at once after a failure, and the failed one only later.
+func TestNextAsksOthersWhenOneFails(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	own := follow.At(1)
+	for _, id := range []model.NodeID{"a", "b", "c"} {
+		tr.Observe(Observation{At: follow.At(2), From: id, Distance: model.SameZone}, own, at(0))
+	}
+	first, _, due := tr.Next(testDelays, at(300))
+	is.True(due)
+	_, wait, due := tr.Next(testDelays, at(400))
+	is.True(!due)
+	is.Equal(wait, hedgeDelay-100*time.Millisecond)
+	second, _, due := tr.Next(testDelays, at(700))
+	is.True(due && second != first)
+	tr.Finish(first, own, at(710))
+	tr.Finish(second, own, at(710))
+	third, _, due := tr.Next(testDelays, at(710))
+	is.True(due && third != first && third != second)
+	tr.Finish(third, own, at(720))
+	_, wait, due = tr.Next(testDelays, at(720))
+	is.True(!due)
+	is.Equal(wait, minRetryDelay-10*time.Millisecond)
+	_, _, due = tr.Next(testDelays, at(910))
+	is.True(due)
+}
+
+// Guards against a version that no reachable node is known to have: random nodes are
+// asked, at intervals.
+func TestNextAsksRandomNodeWithoutSource(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	tr.Observe(Observation{At: follow.At(2)}, follow.At(1), at(0))
+	_, _, due := tr.Next(testDelays, at(499))
+	is.True(!due)
+	node, _, due := tr.Next(testDelays, at(500))
+	is.True(due && node == "")
+	_, wait, due := tr.Next(testDelays, at(500))
+	is.True(!due)
+	is.Equal(wait, unknownSourceDelay)
+	tr.Observe(Observation{At: follow.At(2), From: "a", Distance: model.SameZone}, follow.At(1), at(510))
+	node, _, due = tr.Next(testDelays, at(510))
+	is.True(due && node == "a")
+}
+
+// Guards against requests without a pause when versions follow each other quickly.
+func TestNextPausesAfterSuccess(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	tr.Observe(Observation{At: follow.At(2), From: "a", Distance: model.SameZone}, follow.At(1), at(0))
+	_, _, due := tr.Next(Delays{Interval: testDelays.Interval}, at(0))
+	is.True(due)
+	tr.Observe(Observation{At: follow.At(3), From: "a", Distance: model.SameZone}, follow.At(1), at(5))
+	tr.CaughtUp(follow.At(2), at(10))
+	tr.Finish("a", follow.At(2), at(10))
+	_, wait, due := tr.Next(Delays{Interval: testDelays.Interval}, at(10))
+	is.True(!due)
+	is.Equal(wait, testDelays.Interval-10*time.Millisecond)
+}
+
+// Guards the end of announcements: a zone that is known to have the version gets none,
+// and one that does not respond only a limited number.
+func TestAnnouncementsEnd(t *testing.T) {
+	is := is.New(t)
+	var a Announcer
+	near, far := Area{Region: "r", Zone: "x"}, Area{Region: "s"}
+	a.Begin(follow.At(2), 0, at(0))
+	a.Heard(model.Location{Region: "r", AvailabilityZone: "x"}, follow.At(3), follow.Position{})
+	send := func(from, to int) (sent int) {
+		for now := from; now < to; now += 10 {
+			due, _ := a.Next([]Area{near, far}, false, at(now))
+			for _, d := range due {
+				is.Equal(d.Area, far)
+				sent++
+			}
+		}
+		return sent
+	}
+	is.Equal(send(0, 300), 2)
+	a.Heard(model.Location{Region: "s", AvailabilityZone: "y"}, follow.At(1), follow.At(2)) // knows of it
+	is.Equal(send(300, 900), 1)
+	is.Equal(send(900, 9000), maxAnnouncements-3)
+	is.Equal(a.Announced(), follow.At(2))
+	a.Begin(follow.At(1), 0, at(5000)) // not later
+	is.Equal(a.Announced(), follow.At(2))
+}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -13,6 +14,9 @@
 // requested position.
 var ErrHistoryLost = errors.New("the store no longer has the requested changes")
 
+// errUndelivered is the cause with which Verify ends a wait.
+var errUndelivered = errors.New("another node has a change that the store has not delivered")
+
 // Source reads one kind of state from the store. A Follower does not call its
 // methods concurrently. It treats every error other than ErrHistoryLost as an
 // unavailable store.
@@ -45,6 +49,9 @@
 	// stopped following the store resumes from its last position. After that it
 	// loads the whole state. The store keeps the changes of the last 20 s.
 	resumeWindow = 5 * time.Second
+	// verifyTimeout bounds the read with which a follower verifies that the store
+	// responds. A store that answers 150 times as slowly as usual needs 0.6 s.
+	verifyTimeout = time.Second
 )
 
 // Follower keeps the state of one Source up to date. Its fields must not change
@@ -62,6 +69,24 @@
 	// first of consecutive errors, and true for the first response after the start,
 	// after errors, or after the history of the store was lost.
 	OnAvailability func(available bool)
+
+	waiting atomic.Pointer[wait] // nil if the source is not waiting for changes
+}
+
+// wait is a call of Source.Wait that is in progress.
+type wait struct {
+	began time.Time
+	end   context.CancelCauseFunc
+}
+
+// Verify says that a change exists at another node since a time. If the source has
+// been waiting for changes since then or longer, without a response, its silence may
+// mean that the store does not respond: the wait ends, and the whole state is read,
+// for a short time. It is safe for concurrent use.
+func (f *Follower) Verify(since time.Time) {
+	if w := f.waiting.Load(); w != nil && !w.began.After(since) {
+		w.end(errUndelivered)
+	}
 }
 
 // Run follows the source until ctx ends, then returns nil. It must not be
@@ -71,7 +96,7 @@
 	delays.InitialInterval, delays.MaxInterval = initialBackoff, maxBackoff
 	var at Position
 	var lastRead time.Time // time of the last response
-	loaded, failing, reported, wasFollowing, lostBefore := false, false, false, true, false
+	loaded, failing, reported, wasFollowing, lostBefore, verifying := false, false, false, true, false, false
 	for ctx.Err() == nil {
 		follows := f.Schedule == nil || f.Schedule.Next(ctx)
 		if ctx.Err() != nil {
@@ -84,7 +109,8 @@
 			loaded = false // changes may have been missed
 		}
 		wasFollowing = follows
-		next, err := f.loadOrWait(ctx, loaded, at)
+		next, err := f.loadOrWait(ctx, loaded, verifying, at)
+		verifying = false
 		switch {
 		case err == nil:
 			if failing || !reported {
@@ -100,6 +126,10 @@
 			at, lastRead, loaded, failing, reported = next, time.Now(), true, false, true
 			sleep(ctx, f.Pause)
 		case ctx.Err() != nil:
+		case errors.Is(err, errUndelivered):
+			f.Log.Info("store has not delivered a change that another node has; the whole state is read", zap.String("follows", f.Name),
+				zap.Inline(at), zap.Duration("waited", time.Since(lastRead)))
+			loaded, verifying = false, true
 		case errors.Is(err, ErrHistoryLost):
 			f.Log.Warn("store no longer has the changes; the whole state is loaded again",
 				zap.String("follows", f.Name), zap.Inline(at))
@@ -119,11 +149,25 @@
 	return nil
 }
 
-func (f *Follower) loadOrWait(ctx context.Context, loaded bool, at Position) (Position, error) {
+// loadOrWait calls the source. A wait that Verify ends returns errUndelivered.
+func (f *Follower) loadOrWait(ctx context.Context, loaded, verifying bool, at Position) (Position, error) {
+	if !loaded && verifying {
+		ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+		defer cancel()
+		return f.Source.Load(ctx)
+	}
 	if !loaded {
 		return f.Source.Load(ctx)
 	}
-	return f.Source.Wait(ctx, at)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	f.waiting.Store(&wait{began: time.Now(), end: end})
+	defer f.waiting.Store(nil)
+	next, err := f.Source.Wait(ctx, at)
+	if err != nil && errors.Is(context.Cause(ctx), errUndelivered) {
+		err = errUndelivered
+	}
+	return next, err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -4,14 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/lentilflow/lentilflow/pkg/catchup"
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/follow"
@@ -35,6 +33,13 @@
 	FleetRevision follow.Revision `json:"fleet,omitempty"`
 	FleetEra      follow.Era      `json:"fleet_era,omitempty"`
 	MembersDigest uint64          `json:"members_digest,omitempty"`
+	// Announced is the newest version that the sender has announced to all zones.
+	Announced config.Version `json:"announced,omitempty"`
+	// Known is a version that the sender does not have.
+	Known *KnownVersion `json:"known,omitempty"`
+	// Announces requests a datagram with the version of the receiver, so that the
+	// sender knows that this one has arrived.
+	Announces bool `json:"announces,omitempty"`
 	// States are states of any nodes that the receiver is to apply.
 	States []State `json:"states,omitempty"`
 }
@@ -57,8 +62,8 @@
 	// maxFetchJitter spreads the fetches of the nodes of a zone, so that they do
 	// not reach a relay at the same time.
 	maxFetchJitter = 40 * time.Millisecond
-	// minFetchInterval is the minimum time between two fetches. When versions
-	// follow each other quickly, 20 nodes that fetch each one saturate the link of
+	// minFetchInterval is the minimum time from a fetch to the next one after it has
+	// succeeded. When versions follow each other quickly, 20 nodes that fetch each one saturate the link of
 	// the relay.
 	minFetchInterval = 600 * time.Millisecond
 	// fetchTimeout bounds one fetch from a relay. A compressed configuration of
@@ -98,15 +103,20 @@
 	states := n.pendingStates
 	n.pendingStates = nil
 	n.mu.Unlock()
-	if !isRelay && len(states) == 0 {
+	forwardsKnown := n.forwardsKnown.Swap(false)
+	if !isRelay && len(states) == 0 && !forwardsKnown {
 		return
 	}
 	d := Datagram{From: n.Self.Node}
+	if isRelay || forwardsKnown {
+		d.Known = n.knownVersion(time.Now())
+	}
 	if isRelay {
 		f := n.View.Current()
 		d.IsRelay, d.StoreAvailable = true, !n.storeUnavailable.Load()
 		d.ConfigVersion, d.ConfigAge, d.MembersDigest = n.Config.Version(), n.configAge(time.Now()), f.Digest
 		d.FleetRevision, d.FleetEra = f.Position.Revision, f.Position.Era
+		d.Announced = config.Version(n.announcer.Announced().Revision)
 	}
 	for first := true; first || len(states) > 0; first = false {
 		count := min(len(states), statesPerDatagram)
@@ -119,20 +129,29 @@
 // be lost: the next beacon replaces a lost beacon, and a node that missed a
 // state gets it from a refusal.
 func (n *Node) sendDatagram(d *Datagram) {
+	n.sendDatagramTo(d, n.zonePeers())
+}
+
+// sendDatagramTo sends d to members.
+func (n *Node) sendDatagramTo(d *Datagram, members []fleet.Member) {
 	body, err := json.Marshal(d)
 	if err != nil {
 		n.Log.Error("datagram cannot be encoded", zap.Error(err))
 		return
 	}
-	for _, m := range n.zonePeers() {
+	for _, m := range members {
 		to, err := netip.ParseAddrPort(m.MessageAddress)
 		if err != nil {
 			n.Log.Warn("message address of a node is not an IP address with a port", zap.String("other", string(m.Node)), zap.Error(err))
 			continue
 		}
-		if _, err := n.Datagrams.WriteToUDPAddrPort(body, to); err != nil && !errors.Is(err, net.ErrClosed) {
-			n.Log.Debug("datagram was not sent", zap.String("to", string(m.Node)), zap.Error(err))
-		}
+		n.writeDatagram(body, to)
+	}
+}
+
+func (n *Node) writeDatagram(body []byte, to netip.AddrPort) {
+	if _, err := n.Datagrams.WriteToUDPAddrPort(body, to); err != nil && !errors.Is(err, net.ErrClosed) {
+		n.Log.Debug("datagram was not sent", zap.Stringer("to", to), zap.Error(err))
 	}
 }
 
@@ -157,56 +176,33 @@
 			continue
 		}
 		n.handleDatagram(&d)
+		if d.Announces {
+			n.acknowledge(from)
+		}
 	}
 	return nil
 }
 
 func (n *Node) handleDatagram(d *Datagram) {
 	n.applyStates(d.States)
-	if !d.IsRelay || d.From == n.Self.Node {
+	if d.From == n.Self.Node {
+		return
+	}
+	now := time.Now()
+	n.observeAnnouncement(d, now)
+	if !d.IsRelay {
 		return
 	}
 	n.mu.Lock()
 	n.zone.RecordBeacon(d.From, d.StoreAvailable, n.clock())
+	n.zoneVersions[d.From] = d.ConfigVersion
 	n.mu.Unlock()
-	now := time.Now()
+	n.announcer.End(versionPosition(d.Announced))
 	f := n.View.Current()
 	if d.FleetEra > f.Position.Era {
 		n.OnEra(d.FleetEra)
 	}
-	configBehind := d.ConfigVersion > n.Config.Version()
-	fleetBehind := n.View.Loaded() && d.fleetPosition().After(f.Position) && d.MembersDigest != f.Digest
-	if configBehind {
-		n.observeConfig(d.ConfigVersion, d.From, d.ConfigAge.duration(), now)
-	}
-	if fleetBehind {
-		n.fleetLag.Observe(catchup.Observation{At: d.fleetPosition(), From: d.From}, f.Position, now)
-	}
-	if !configBehind && !fleetBehind {
-		return
-	}
-	if last := n.lastFetch.Load(); last > 0 && n.clock()-time.Duration(last) < minFetchInterval {
-		return // the next beacon triggers the fetch
-	}
-	if m, ok := f.Members[d.From]; ok && n.fetching.CompareAndSwap(false, true) {
-		n.lastFetch.Store(int64(n.clock()))
-		n.Guard.Go("fetch from relay", func() { n.fetchFromRelay(m) })
-	}
-}
-
-// fetchFromRelay fetches newer versions from the relay m. A node that is itself
-// a relay and whose store is available reads them from the store instead. A
-// relay other than the first fetches nevertheless if its fleet lags, because
-// only the first relay follows the fleet in the store (FleetSchedule).
-func (n *Node) fetchFromRelay(m fleet.Member) {
-	defer n.fetching.Store(false)
-	if isRelay, first, _ := n.RelayRole(); isRelay && !n.storeUnavailable.Load() && (first || !n.fleetLag.Lag(time.Now()).Active()) {
-		return
+	if n.View.Loaded() && d.MembersDigest != f.Digest {
+		n.observeFleet(d.fleetPosition(), d.From, now)
 	}
-	time.Sleep(rand.N(maxFetchJitter))
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	d := n.digest()
-	d.NeedsUpdate = true
-	n.exchangeDigests(ctx, m, d)
 }
--- a/pkg/gossip/catchup_test.go
+++ b/pkg/gossip/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,11 +33,13 @@
 func (p *peer) runCatchUp(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- p.Run(ctx) }()
+	var ended sync.WaitGroup
+	for _, loop := range []func(context.Context) error{p.Run, p.RunCatchUp} {
+		ended.Go(func() { _ = loop(ctx) })
+	}
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		ended.Wait()
 	})
 }
 
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -24,16 +24,14 @@
 
 const (
 	// syncPeriod is the mean time between two digests that a node sends, unless
-	// urgentSyncPeriod applies. It bounds the lag of a node that gets no response
-	// from the store. A version must be in force after 2 s.
-	syncPeriod = 2 * time.Second
+	// urgentSyncPeriod applies.
+	syncPeriod = 2400 * time.Millisecond
 	// urgentSyncPeriod replaces syncPeriod while the node is isolated (see
 	// isolated) or has no configuration.
 	urgentSyncPeriod = 300 * time.Millisecond
-	// configLagTimeout is how long a node waits for a newer configuration from the
-	// store before it requests it from another node. It covers the pause between
-	// two watches and the response of a slow store. A version must be in force
-	// after 2 s.
+	// configLagTimeout is how long a node must have been behind for its periodic
+	// digests to request the newer configuration, and for a log line. It covers the
+	// pause between two polls of the store.
 	configLagTimeout = 800 * time.Millisecond
 	// fleetLagTimeout is the same for the fleet, whose watch pauses longer. A new
 	// VM need not be used at once.
@@ -75,6 +73,9 @@
 	// OnFleet is called when an update from another node was applied to the fleet.
 	// removed is empty if the whole fleet was replaced.
 	OnFleet func(removed []model.NodeID)
+	// OnUndelivered is called when another node has a newer configuration than this
+	// node had a while ago, at since, although this node follows the store.
+	OnUndelivered func(since time.Time)
 	// OnEra is called when another node has a fleet of a later era of the store than
 	// this node.
 	OnEra func(follow.Era)
@@ -93,8 +94,6 @@
 
 	startTime         time.Time
 	beaconTrigger     chan struct{}
-	fetching          atomic.Bool
-	lastFetch         atomic.Int64 // start of the last fetch, as returned by clock
 	compressMu        sync.Mutex
 	compressedVersion config.Version
 	compressedConfig  []byte
@@ -102,14 +101,19 @@
 	sequence          atomic.Uint64
 	storeUnavailable  atomic.Bool
 	syncTrigger       chan struct{}
+	catchUpTrigger    chan struct{}
 	configLag         catchup.Tracker
 	configSince       atomic.Pointer[time.Time] // when the version in force came into force at some node
 	fleetLag          catchup.Tracker
+	announcer         catchup.Announcer // of the version of the configuration
+	forwarder         catchup.Announcer // of a version that this node knows of and does not have
+	forwardsKnown     atomic.Bool       // the next datagram states a version that this node does not have
 	mu                sync.Mutex
 	lastStates        map[model.NodeID]stateOrder
 	zone              *relay.Zone
 	zoneNodes         rankedNodes
-	pendingStates     []State // to be forwarded in the zone
+	pendingStates     []State                         // to be forwarded in the zone
+	zoneVersions      map[model.NodeID]config.Version // of the nodes of the zone that send beacons
 }
 
 // stateOrder identifies the newest state that was received of a node. started
@@ -142,7 +146,8 @@
 func (n *Node) Init(now time.Time) {
 	n.startNanos = now.UnixNano()
 	n.startTime = now
-	n.syncTrigger, n.beaconTrigger = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.syncTrigger, n.beaconTrigger, n.catchUpTrigger = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+	n.zoneVersions = make(map[model.NodeID]config.Version)
 	n.zone = relay.NewZone(n.Self.Node, 0)
 	n.zone.AllFollow = n.ApplyTime < relay.MinApplyTime
 	n.lastStates = make(map[model.NodeID]stateOrder)
@@ -154,6 +159,7 @@
 	if n.storeUnavailable.Swap(!available) != !available {
 		n.TriggerBeacon()
 	}
+	n.triggerCatchUp()
 	if !available {
 		n.TriggerSync()
 	}
@@ -259,11 +265,14 @@
 	n.applyStates([]State{{Node: d.From.Node, Serving: d.Serving, Started: d.Started, Sequence: d.Sequence}})
 }
 
-// RemoveNode deletes the last state of a node that has left the fleet.
+// RemoveNode deletes what is known of a node that has left the fleet.
 func (n *Node) RemoveNode(id model.NodeID) {
+	n.configLag.Forget(id)
+	n.fleetLag.Forget(id)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.lastStates, id)
+	delete(n.zoneVersions, id)
 }
 
 // Run exchanges digests with random nodes until ctx ends. It returns nil.
--- a/pkg/gossip/lag.go
+++ b/pkg/gossip/lag.go
@@ -16,12 +16,24 @@
 // the store.
 func versionPosition(v config.Version) follow.Position { return follow.At(follow.Revision(v)) }
 
+// undeliveredDelay is how long after the first news of a newer version the store must
+// have responded to a node that follows it. Otherwise the node checks whether the
+// store still responds. It covers the pause between two polls.
+const undeliveredDelay = time.Second
+
 // observeConfig records that another node has version v of the configuration, which
 // some node has had for age. It reports whether nothing as new was known before. If
 // the version is still missing after configLagTimeout, a line is logged.
 func (n *Node) observeConfig(v config.Version, from model.NodeID, age time.Duration, now time.Time) bool {
-	o := catchup.Observation{At: versionPosition(v), From: from, Age: age}
-	if !n.configLag.Observe(o, versionPosition(n.Config.Version()), now) {
+	own := n.Config.Version()
+	if v <= own {
+		return false
+	}
+	o := catchup.Observation{At: versionPosition(v), Age: age}
+	o.From, o.Distance = n.reachable(from)
+	isNew := n.configLag.Observe(o, versionPosition(own), now)
+	n.triggerCatchUp()
+	if !isNew {
 		return false
 	}
 	time.AfterFunc(configLagTimeout, func() {
@@ -29,9 +41,24 @@
 			n.logConfigLag(v, own)
 		}
 	})
+	time.AfterFunc(undeliveredDelay, func() {
+		if isRelay, _, _ := n.RelayRole(); isRelay && n.OnUndelivered != nil {
+			n.OnUndelivered(now)
+		}
+	})
 	return true
 }
 
+// reachable returns a node of the fleet and its distance, or an empty name if the
+// node is not known.
+func (n *Node) reachable(id model.NodeID) (model.NodeID, model.Distance) {
+	m, ok := n.View.Current().Members[id]
+	if !ok {
+		return "", 0
+	}
+	return id, n.Self.Location.DistanceTo(m.Location)
+}
+
 // logConfigLag says that this node lags behind others, since when, and what it has
 // heard of the store meanwhile.
 func (n *Node) logConfigLag(v, own config.Version) {
@@ -64,17 +91,11 @@
 // nodes.
 func (n *Node) ConfigLag() catchup.Lag { return n.configLag.Lag(time.Now()) }
 
-// updateLag compares the versions of another node with those of this one. If
-// they are newer, it schedules a sync for the case that the store does not
-// deliver them within configLagTimeout or fleetLagTimeout. The sync takes place
-// one eighth after the timeout, because needsUpdate requests a version only once
-// the timeout was exceeded.
+// updateLag compares the versions of another node with those of this one.
 func (n *Node) updateLag(d *Digest) {
 	now := time.Now()
-	wasActive := n.configLag.Lag(now).Active()
-	if n.observeConfig(d.ConfigVersion, d.From.Node, d.ConfigAge.duration(), now) && !wasActive {
-		time.AfterFunc(configLagTimeout+configLagTimeout/8, n.TriggerSync)
-	}
+	n.observeConfig(d.ConfigVersion, d.From.Node, d.ConfigAge.duration(), now)
+	n.announcer.Heard(d.From.Location, versionPosition(d.ConfigVersion), versionPosition(d.ConfigVersion))
 	f := n.View.Current()
 	if d.FleetEra > f.Position.Era {
 		n.OnEra(d.FleetEra)
@@ -82,42 +103,41 @@
 	switch {
 	case !n.View.Loaded():
 	case d.MembersDigest == f.Digest: // the same fleet, whatever the positions
-		n.fleetLag.CaughtUp(later(d.fleetPosition(), f.Position), now)
-	case d.fleetPosition().After(f.Position):
-		wasActive := n.fleetLag.Lag(now).Active()
-		if n.fleetLag.Observe(catchup.Observation{At: d.fleetPosition(), From: d.From.Node}, f.Position, now) && !wasActive {
-			time.AfterFunc(fleetLagTimeout+fleetLagTimeout/8, n.TriggerSync)
-		}
+		n.fleetLag.CaughtUp(catchup.Later(d.fleetPosition(), f.Position), now)
+	default:
+		n.observeFleet(d.fleetPosition(), d.From.Node, now)
 	}
 }
 
-func later(a, b follow.Position) follow.Position {
-	if a.After(b) {
-		return a
+// observeFleet records that another node has a fleet at a position.
+func (n *Node) observeFleet(at follow.Position, from model.NodeID, now time.Time) {
+	own := n.View.Current().Position
+	if !at.After(own) {
+		return
 	}
-	return b
+	o := catchup.Observation{At: at}
+	o.From, o.Distance = n.reachable(from)
+	n.fleetLag.Observe(o, own, now)
+	n.triggerCatchUp()
 }
 
 // NoteNewerConfig records that the node from has decided a call by version v,
-// which is newer than the one on this node. It schedules a sync as updateLag
-// does.
+// which is newer than the one on this node.
 func (n *Node) NoteNewerConfig(v config.Version, from model.NodeID) {
-	now := time.Now()
-	wasActive := n.configLag.Lag(now).Active()
-	if n.observeConfig(v, from, 0, now) && !wasActive {
-		time.AfterFunc(configLagTimeout+configLagTimeout/8, n.TriggerSync)
-	}
+	n.observeConfig(v, from, 0, time.Now())
 }
 
 // ConfigUpdated must be called when a newer configuration is in force on this
-// node. It updates the lag, sends a beacon, and returns the lag that has ended. It
-// is safe for concurrent use.
+// node. It updates the lag, announces the version, and returns the lag that has
+// ended. It is safe for concurrent use.
 func (n *Node) ConfigUpdated() catchup.Lag {
 	now := time.Now()
 	ended := n.configLag.CaughtUp(versionPosition(n.Config.Version()), now)
 	since := now.Add(-ended.Total)
 	n.configSince.Store(&since)
+	n.announcer.Begin(versionPosition(n.Config.Version()), n.announceDelay(), now)
 	n.TriggerBeacon()
+	n.triggerCatchUp()
 	return ended
 }
 
@@ -126,4 +146,5 @@
 func (n *Node) FleetUpdated() {
 	n.fleetLag.CaughtUp(n.View.Current().Position, time.Now())
 	n.TriggerBeacon()
+	n.triggerCatchUp()
 }
--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -50,12 +50,12 @@
 	}
 }
 
-// run runs the beacon loops of p until the test ends.
+// run runs the loops of p for datagrams and for fetches until the test ends.
 func (p *peer) run(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{}, 2)
-	for _, loop := range []func(context.Context) error{p.RunBeacons, p.ReadDatagrams} {
+	ended := make(chan struct{}, 3)
+	for _, loop := range []func(context.Context) error{p.RunBeacons, p.ReadDatagrams, p.RunCatchUp} {
 		go func() {
 			_ = loop(ctx)
 			ended <- struct{}{}
@@ -63,8 +63,9 @@
 	}
 	t.Cleanup(func() {
 		cancel()
-		<-ended
-		<-ended
+		for range 3 {
+			<-ended
+		}
 	})
 }
 
