Keep other tests from holding a port that a test is about to use

One run of TestVersionIsInForceWhenStoreIsSilent in a loop ended with "address already in use" in both of its parts, 10 ms after their start.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -166,11 +166,9 @@
 	defer ports.Unlock()
 	for ; ports.next < 32000; ports.next++ {
 		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
+		if !isFree(address) {
 			continue
 		}
-		_ = l.Close()
 		ports.next++
 		return address
 	}
@@ -178,6 +176,20 @@
 	return ""
 }
 
+// isFree reports whether nothing listens on an address. No process is started
+// meanwhile: until it executes its program, a new process holds a copy of the
+// listener, so that the address is still in use after the listener was closed.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 func (n *node) startUpstream() {
 	n.c.t.Helper()
 	u, err := upstream.Start(upstream.Config{
