Let an odd entry of a list cost only itself

A page of the store was decoded as a whole, so that one row with a version out of range, a value of another type, a value that is not base64 or an unknown field nested 20,000 deep refused the page, and the store counted as unavailable, again and again.

Change: package jsonlist splits objects and arrays without decoding them, in one pass and without recursion. Rows of the store, nodes and states in messages are decoded one by one; one that cannot be used is logged and left out. Members are checked where they come in, from rows and from messages: addresses are IP addresses of hosts with a valid port, names are short and have no control characters. States of nodes outside the fleet are bounded in number, a version that no node has is forgotten after a minute, and a node whose row another writer keeps changing writes it ever less often.

--- a/pkg/agent/rows.go
+++ b/pkg/agent/rows.go
@@ -32,15 +32,20 @@
 }
 
 // maintainRow writes the row of this node whenever it is missing from the store
-// or wrong. If the rows of many nodes are missing, the nodes spread their writes.
+// or wrong, and ever less often if another writer keeps changing it. If the rows of many nodes are missing, the nodes spread their writes.
 func (a *Agent) maintainRow(ctx context.Context) error {
 	failing := false
+	var pacer fleet.RewritePacer
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-a.rowOutdated:
 		}
+		if pause := pacer.Pause(time.Now()); pause > 0 {
+			a.log.Warn("row of this node was changed by another writer soon after it was written", zap.Duration("written_again_in", pause))
+			sleep(ctx, pause)
+		}
 		if missing := a.fleetView.Current().Unconfirmed(); missing > 0 {
 			sleep(ctx, fleet.RegistrationDelay(missing, rand.Float64()))
 		}
@@ -50,6 +55,7 @@
 			cancel()
 			if err == nil {
 				a.rowWrittenAt.Store(&at)
+				pacer.Written(time.Now())
 				a.log.Info("row of this node is written", zap.Inline(at))
 				failing = false
 				break
--- a/pkg/catchup/tracker.go
+++ b/pkg/catchup/tracker.go
@@ -14,6 +14,9 @@
 	// maxPending bounds the number of newer versions that a tracker remembers. When
 	// there are more, the later ones count as known since the last of these.
 	maxPending = 16
+	// observationTimeout is the time after which a version counts as unknown if no node
+	// has been observed to have it since. Nodes that have it show it in each digest.
+	observationTimeout = time.Minute
 	// maxSources bounds the number of nodes that a tracker remembers.
 	maxSources = 8
 	// hedgeDelay is the time without an outcome after which a second node is asked. An
@@ -47,6 +50,7 @@
 type pendingVersion struct {
 	at        follow.Position
 	firstSeen time.Time // when this node learned of it
+	lastSeen  time.Time // of the last observation
 	inForce   time.Time // since when another node has had it, as far as is known
 	from      model.NodeID
 }
@@ -113,15 +117,18 @@
 	n := len(t.pending)
 	switch {
 	case n > 0 && !o.At.After(t.pending[n-1].at):
-		if p := &t.pending[n-1]; p.at == o.At && inForce.Before(p.inForce) {
-			p.inForce = inForce
+		if p := &t.pending[n-1]; p.at == o.At {
+			p.lastSeen = now
+			if inForce.Before(p.inForce) {
+				p.inForce = inForce
+			}
 		}
 		return false
 	case n == maxPending:
 		p := &t.pending[n-1]
-		p.at, p.from = o.At, o.From
+		p.at, p.from, p.lastSeen = o.At, o.From, now
 	default:
-		t.pending = append(t.pending, pendingVersion{at: o.At, firstSeen: now, inForce: inForce, from: o.From})
+		t.pending = append(t.pending, pendingVersion{at: o.At, firstSeen: now, lastSeen: now, inForce: inForce, from: o.From})
 	}
 	return true
 }
@@ -183,9 +190,18 @@
 func (t *Tracker) Lag(now time.Time) Lag {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(now)
 	return lagOf(t.pending, now)
 }
 
+// expire forgets versions that no node has been observed to have for a long time:
+// their nodes are gone, or have never had them. The mutex is held.
+func (t *Tracker) expire(now time.Time) {
+	if n := len(t.pending); n > 0 && now.Sub(t.pending[n-1].lastSeen) > observationTimeout {
+		t.pending, t.sources = nil, nil
+	}
+}
+
 func lagOf(pending []pendingVersion, now time.Time) Lag {
 	if len(pending) == 0 {
 		return Lag{}
@@ -204,6 +220,7 @@
 func (t *Tracker) Next(d Delays, now time.Time) (node model.NodeID, wait time.Duration, due bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(now)
 	if len(t.pending) == 0 {
 		return "", 0, false
 	}
--- a/pkg/catchup/tracker_test.go
+++ b/pkg/catchup/tracker_test.go
@@ -159,3 +159,16 @@
 	a.Begin(follow.At(1), 0, at(5000)) // not later
 	is.Equal(a.Announced(), follow.At(2))
 }
+
+// Guards against a lag without end because of a version that no node has, for example
+// from a damaged message.
+func TestVersionThatNobodyHasIsForgotten(t *testing.T) {
+	is := is.New(t)
+	var tr Tracker
+	own := follow.At(1)
+	tr.Observe(Observation{At: follow.At(1 << 60), From: "a"}, own, at(0))
+	is.True(tr.Lag(start.Add(observationTimeout)).Active())
+	is.True(!tr.Lag(start.Add(observationTimeout + 1)).Active())
+	_, wait, due := tr.Next(testDelays, start.Add(observationTimeout+1))
+	is.True(!due && wait == 0)
+}
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -171,7 +171,7 @@
 			continue // for example an ICMP error for a datagram to a closed port
 		}
 		var d Datagram
-		if err := json.Unmarshal(buf[:size], &d); err != nil || d.From == "" {
+		if err := n.decodeDatagram(buf[:size], &d); err != nil {
 			n.Log.Debug("datagram is invalid", zap.Stringer("remote", from), zap.Error(err))
 			continue
 		}
--- /dev/null
+++ b/pkg/gossip/entries.go
@@ -0,0 +1,111 @@
+package gossip
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+
+	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/jsonlist"
+	"github.com/lentilflow/lentilflow/pkg/model"
+)
+
+// maxNameBytes bounds the names of nodes and services in messages, in bytes.
+const maxNameBytes = 200
+
+var errStateName = errors.New("state names no node")
+
+func checkMember(m *fleet.Member) error { return m.Check() }
+
+func checkState(s *State) error {
+	if s.Node == "" || len(s.Node) > maxNameBytes {
+		return errStateName
+	}
+	return nil
+}
+
+// decodeUpdate decodes an Update. Nodes that cannot be used are left out.
+func (n *Node) decodeUpdate(text []byte, u *Update, from model.NodeID) error {
+	ignored := n.logIgnored(from)
+	rest, nodes, err := takeList(text, "nodes", checkMember, ignored)
+	if err != nil {
+		return err
+	}
+	fields, err := jsonlist.Fields(rest)
+	if err != nil {
+		return err
+	}
+	var set []fleet.Member
+	if changes, ok := fields["changes"]; ok && string(changes) != "null" {
+		if fields["changes"], set, err = takeList(changes, "set", checkMember, ignored); err != nil {
+			return err
+		}
+		if rest, err = joinFields(fields); err != nil {
+			return err
+		}
+	}
+	if err := json.Unmarshal(rest, u); err != nil {
+		return err
+	}
+	if err := u.From.Check(); err != nil {
+		return err
+	}
+	u.Nodes = nodes
+	if u.FleetChange != nil {
+		u.FleetChange.Set = set
+	}
+	return nil
+}
+
+// decodeDatagram decodes a Datagram. States that cannot be used are left out.
+func (n *Node) decodeDatagram(text []byte, d *Datagram) error {
+	rest, states, err := takeList(text, "states", checkState, n.logIgnored(""))
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(rest, d); err != nil {
+		return err
+	}
+	if d.From == "" || len(d.From) > maxNameBytes {
+		return errStateName
+	}
+	d.States = states
+	return nil
+}
+
+// logIgnored returns a function that logs an entry of a message that is left out.
+func (n *Node) logIgnored(from model.NodeID) func(error) {
+	return func(err error) {
+		n.Log.Warn("entry of a message from another node is ignored", zap.String("from", string(from)), zap.Error(err))
+	}
+}
+
+// takeList decodes the list in a field of an object, entry by entry, and returns it
+// and the object without the field.
+func takeList[T any](text []byte, name string, check func(*T) error, ignored func(error)) (rest []byte, list []T, err error) {
+	fields, err := jsonlist.Fields(text)
+	if err != nil {
+		return nil, nil, err
+	}
+	value, ok := fields[name]
+	if !ok {
+		return text, nil, nil
+	}
+	if list, err = jsonlist.Decode(value, check, ignored); err != nil {
+		return nil, nil, err
+	}
+	delete(fields, name)
+	rest, err = joinFields(fields)
+	return rest, list, err
+}
+
+// joinFields returns an object with the given fields.
+func joinFields(fields map[string][]byte) ([]byte, error) {
+	raw := make(map[string]json.RawMessage, len(fields))
+	for name, value := range maps.All(fields) {
+		raw[name] = value
+	}
+	return json.Marshal(raw)
+}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -206,7 +206,11 @@
 
 func (n *Node) handleSync(c echo.Context) error {
 	var d Digest
-	if err := readMessage(c, &d); err != nil || !d.From.Complete() {
+	err := readMessage(c, &d)
+	if err == nil {
+		err = d.From.Check()
+	}
+	if err != nil {
 		n.Log.Warn("message from another node is invalid", zap.String("remote", c.RealIP()), zap.Error(err))
 		return c.NoContent(http.StatusBadRequest)
 	}
@@ -232,7 +236,7 @@
 
 func (n *Node) handleCrash(c echo.Context) error {
 	var notice CrashNotice
-	if err := readMessage(c, &notice); err != nil || notice.Fingerprint == (crashguard.Fingerprint{}) || notice.Service == "" {
+	if err := readMessage(c, &notice); err != nil || notice.Fingerprint == (crashguard.Fingerprint{}) || notice.Service == "" || len(notice.Service) > maxNameBytes {
 		n.Log.Warn("crash notice is invalid", zap.String("remote", c.RealIP()), zap.Error(err))
 		return c.NoContent(http.StatusBadRequest)
 	}
@@ -309,8 +313,12 @@
 
 // exchangeDigests sends d to m and applies the updates of the response.
 func (n *Node) exchangeDigests(ctx context.Context, m fleet.Member, d Digest) {
-	var u Update
-	if err := n.post(ctx, m, pathSync, d, &u); err != nil {
+	var text []byte
+	u, err := Update{}, n.post(ctx, m, pathSync, d, &text)
+	if err == nil {
+		err = n.decodeUpdate(text, &u, m.Node)
+	}
+	if err != nil {
 		n.handleSendError(m, err)
 		return
 	}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -55,7 +57,7 @@
 	t.Cleanup(server.Close)
 	p.Node = &Node{
 		Self: fleet.Member{
-			Node: model.NodeID(name), Service: "s", CallAddress: "x:1", MessageAddress: strings.TrimPrefix(server.URL, "http://"),
+			Node: model.NodeID(name), Service: "s", CallAddress: "127.0.0.1:1", MessageAddress: strings.TrimPrefix(server.URL, "http://"),
 			Location: model.Location{Region: "r", AvailabilityZone: "z"},
 		},
 		Config: config.NewHolder(), View: fleet.NewView(), Notices: crashguard.NewMemoryRegistry(time.Now), Serving: p.serving.Load,
@@ -147,7 +149,7 @@
 func TestDigestsAreOrdered(t *testing.T) {
 	is := is.New(t)
 	a := newPeer(t, "a")
-	other := fleet.Member{Node: "b", Service: "s", CallAddress: "x:2", MessageAddress: "x:3", Location: a.Self.Location}
+	other := fleet.Member{Node: "b", Service: "s", CallAddress: "127.0.0.1:2", MessageAddress: "127.0.0.1:3", Location: a.Self.Location}
 	a.View.Replace([]fleet.Member{a.Self, other}, follow.At(1), time.Now())
 	state := func() model.UpstreamNodeState { return a.View.Current().UpstreamNodes("s")[1].State }
 	a.applyDigestState(Digest{From: other, Serving: false, Started: 1, Sequence: 5})
@@ -229,7 +231,7 @@
 func TestOnlyDialTimeoutMakesNodeUnreachable(t *testing.T) {
 	is := is.New(t)
 	a := newPeer(t, "a")
-	m := fleet.Member{Node: "b", Service: "s", CallAddress: "x:2", MessageAddress: "x:3", Location: a.Self.Location}
+	m := fleet.Member{Node: "b", Service: "s", CallAddress: "127.0.0.1:2", MessageAddress: "127.0.0.1:3", Location: a.Self.Location}
 	a.View.Replace([]fleet.Member{a.Self, m}, follow.At(1), time.Now())
 	a.handleSendError(m, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})
 	a.handleSendError(m, &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded})
@@ -257,3 +259,50 @@
 	is.Equal(len(others), 3)
 	is.Equal(others[2].Node, model.NodeID("c"))
 }
+
+// Guards against one odd entry of a message, for example a node with a port out of
+// range, that makes a node refuse the message or take the entry for a node.
+func TestOddEntriesOfMessagesCostOnlyThemselves(t *testing.T) {
+	is := is.New(t)
+	a := newPeer(t, "a")
+	good, err := json.Marshal(a.Self)
+	is.NoErr(err)
+	odd := strings.Replace(strings.Replace(string(good), `"a"`, `"b"`, 1), a.Self.MessageAddress, "127.0.0.1:99999", 1)
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	list := fmt.Sprintf(`[%s,7,%s,{"node":%s},null]`, odd, good, deep)
+	for _, text := range []string{
+		fmt.Sprintf(`{"from":%s,"nodes":%s,"fleet":3}`, good, list),
+		fmt.Sprintf(`{"from":%s,"changes":{"set":%s,"revision":3},"fleet":3}`, good, list),
+	} {
+		var u Update
+		is.NoErr(a.decodeUpdate([]byte(text), &u, "x"))
+		nodes := u.Nodes
+		if u.FleetChange != nil {
+			nodes = u.FleetChange.Set
+			is.Equal(u.FleetChange.Position, follow.At(3))
+		}
+		is.Equal(nodes, []fleet.Member{a.Self})
+		is.Equal(u.fleetPosition(), follow.At(3))
+	}
+	var d Datagram
+	is.NoErr(a.decodeDatagram([]byte(`{"from":"b","relay":true,"states":[{"node":7},{"node":"c","serving":true,"sequence":1},{"node":""},{"node":"d","sequence":-1}]}`), &d))
+	is.Equal(d.States, []State{{Node: "c", Serving: true, Sequence: 1}})
+	is.True(d.IsRelay)
+
+	body := `[{"node":1},{"node":"e","serving":true,"started":1,"sequence":1}]`
+	resp, err := http.Post("http://"+a.Self.MessageAddress+pathStates, "application/json", strings.NewReader(body))
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusNoContent)
+}
+
+// Guards against memory that grows with the names in states of nodes that do not
+// exist.
+func TestStatesOfUnknownNodesAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := newPeer(t, "a")
+	for i := range 3 * maxUnknownNodes {
+		a.applyStates([]State{{Node: model.NodeID(fmt.Sprint("unknown-", i)), Sequence: 1}})
+	}
+	is.Equal(len(a.lastStates), maxUnknownNodes)
+}
--- a/pkg/gossip/relays_test.go
+++ b/pkg/gossip/relays_test.go
@@ -136,7 +136,7 @@
 	b.View.Replace(members, follow.At(10), time.Now())
 	for r := follow.Revision(11); r < 14; r++ {
 		m := members[int(r)]
-		m.CallAddress = fmt.Sprint("x:", r)
+		m.CallAddress = fmt.Sprint("127.0.0.1:", r)
 		a.View.Apply(fleet.Change{Set: []fleet.Member{m}, Position: follow.At(r)}, time.Now())
 	}
 	d := b.digest()
--- a/pkg/gossip/restore_test.go
+++ b/pkg/gossip/restore_test.go
@@ -22,7 +22,7 @@
 func TestFleetOfALaterEraIsTaken(t *testing.T) {
 	is := is.New(t)
 	a, b := newPeer(t, "a"), newPeer(t, "b")
-	lost := fleet.Member{Node: "lost", Service: "s", CallAddress: "x:1", MessageAddress: "x:2", Location: a.Self.Location}
+	lost := fleet.Member{Node: "lost", Service: "s", CallAddress: "127.0.0.1:1", MessageAddress: "127.0.0.1:2", Location: a.Self.Location}
 	now := time.Now()
 	b.View.Replace([]fleet.Member{a.Self, b.Self, lost}, inEra(1, 90), now)
 	a.View.Replace([]fleet.Member{a.Self, b.Self}, inEra(2, 3), now)
--- a/pkg/gossip/states.go
+++ b/pkg/gossip/states.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/jsonlist"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/relay"
 )
@@ -32,6 +34,15 @@
 // from a digest.
 const maxAnnounceTries = 3
 
+const (
+	// maxStatesBytes bounds a message with states, in bytes. The states of 2,800 nodes
+	// have 300 KB.
+	maxStatesBytes = 1 << 20
+	// maxUnknownNodes is the number of nodes outside the fleet whose states are kept:
+	// the state of a node may arrive before its row.
+	maxUnknownNodes = 1024
+)
+
 // Announce sends the state of this node to all nodes: by datagrams to those of
 // its zone, and by a message to one node of each other zone, which forwards it.
 // It blocks until each message was delivered or has failed; RunBeacons sends the
@@ -91,8 +102,8 @@
 }
 
 func (n *Node) handleStates(c echo.Context) error {
-	var states []State
-	if err := readMessage(c, &states); err != nil {
+	states, err := n.readStates(c)
+	if err != nil {
 		n.Log.Warn("states of other nodes are invalid", zap.String("remote", c.RealIP()), zap.Error(err))
 		return c.NoContent(http.StatusBadRequest)
 	}
@@ -101,6 +112,25 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+// readStates reads a list of states. Those that cannot be used are left out; a list
+// in which there is no other one is invalid.
+func (n *Node) readStates(c echo.Context) ([]State, error) {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxStatesBytes))
+	if err != nil {
+		return nil, err
+	}
+	var lastErr error
+	ignored := n.logIgnored("")
+	states, err := jsonlist.Decode(body, checkState, func(err error) {
+		lastErr = err
+		ignored(err)
+	})
+	if err == nil && len(states) == 0 {
+		err = lastErr
+	}
+	return states, err
+}
+
 // applyStates applies the states of other nodes, except those that are older
 // than the last one of the same node.
 func (n *Node) applyStates(states []State) {
@@ -124,6 +154,9 @@
 	if ok && !last.olderThan(&s, now) {
 		return false
 	}
+	if !ok && len(n.lastStates) >= len(n.View.Current().Members)+maxUnknownNodes {
+		return false
+	}
 	n.lastStates[s.Node] = stateOrder{s.Started, s.Sequence, now}
 	return true
 }
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -65,16 +65,13 @@
 	return body
 }
 
-// decodeResponse decodes a response of writeUpdate.
-func decodeResponse(resp *http.Response, into any) error {
+// readResponse returns the JSON of a response of writeUpdate.
+func readResponse(resp *http.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
-	if err != nil {
-		return err
-	}
-	if resp.Header.Get(echo.HeaderContentType) == compressedType {
-		return decodeCompressed(body, into)
+	if err == nil && resp.Header.Get(echo.HeaderContentType) == compressedType {
+		return text.Decompress(body, maxMessageBytes)
 	}
-	return json.Unmarshal(body, into)
+	return body, err
 }
 
 // decodeCompressed decodes compressed JSON.
@@ -90,9 +87,9 @@
 	return json.NewDecoder(io.LimitReader(c.Request().Body, maxMessageBytes)).Decode(into)
 }
 
-// post sends a message and decodes the response into response unless that is
-// nil. If ctx has no deadline, messageTimeout applies.
-func (n *Node) post(ctx context.Context, m fleet.Member, path string, message, response any) error {
+// post sends a message and stores the JSON of the response in response unless that
+// is nil. If ctx has no deadline, messageTimeout applies.
+func (n *Node) post(ctx context.Context, m fleet.Member, path string, message any, response *[]byte) error {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return err
@@ -118,5 +115,6 @@
 	if response == nil {
 		return nil
 	}
-	return decodeResponse(resp, response)
+	*response, err = readResponse(resp)
+	return err
 }
--- a/test/state_test.go
+++ b/test/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -120,6 +121,30 @@
 	is.Equal(s.Nodes, len(c.nodes))
 }
 
+// Guards against a node that writes its own row again and again when another writer
+// damages it, and against one that stays out of the fleet after the damage.
+func TestDamagedRowOfANodeIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 1)
+	damaged := c.nodes[0]
+	for _, value := range []string{"{", `{"node":"` + damaged.name + `","call_address":"10.0.0.1:99999"}`, strings.Repeat("[", 20_000)} {
+		before := c.store.RequestCount("rows-tx")
+		c.store.Put(nodesTable, damaged.name, []byte(value))
+		c.await(awaitTimeout, "the row is written again", func() bool {
+			r, ok := c.store.Get(nodesTable, damaged.name)
+			return ok && string(r.Value) != value
+		})
+		c.awaitSameFleet(awaitTimeout)
+		is.Equal(c.store.RequestCount("rows-tx")-before, 1)
+	}
+	before := c.store.RequestCount("rows-tx")
+	for range 40 { // another writer that does not give up
+		c.store.Put(nodesTable, damaged.name, []byte("{"))
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(c.store.RequestCount("rows-tx")-before <= 4)
+}
+
 // Guards the start of a process while the store is unavailable: the process gets
 // the configuration and the fleet from the running nodes.
 func TestRestartWhileStoreUnavailable(t *testing.T) {
