Let the store of the soak fall silent to most nodes and check the lag of versions

The soak had a silent store among its faults, but other actions ended the silence soon, and no check asked how late a version came into force.

--- a/pkg/standin/store/endpoint.go
+++ b/pkg/standin/store/endpoint.go
@@ -46,6 +46,7 @@
 	fault    atomic.Pointer[Fault]
 	away     atomic.Bool
 	conns    sync.Map // of open connections (net.Conn)
+	silent   atomic.Bool
 	silenced sync.Map // of the remote addresses of connections that are silent for good
 	ended    chan struct{}
 }
@@ -133,7 +134,7 @@
 			return
 		case f.Reset || e.away.Load():
 			panic(http.ErrAbortHandler)
-		case f.Silent || e.isSilenced(r):
+		case e.isSilentTo(r):
 			e.waitWhileSilent(r)
 			panic(http.ErrAbortHandler)
 		}
@@ -152,10 +153,17 @@
 	})
 }
 
-// isSilenced reports whether the connection of a request is silent for good.
-func (e *Endpoint) isSilenced(r *http.Request) bool {
-	_, silenced := e.silenced.Load(r.RemoteAddr)
-	return silenced
+// SetSilent has the effect of Fault.Silent, independently of the fault.
+func (e *Endpoint) SetSilent(silent bool) {
+	if e.silent.Swap(silent) != silent {
+		wakeWatches(e)
+	}
+}
+
+// isSilentTo reports whether a request gets no response now.
+func (e *Endpoint) isSilentTo(r *http.Request) bool {
+	_, silenced := e.silenced.Load(r.RemoteAddr) // the connection is silent for good
+	return silenced || e.silent.Load() || e.fault.Load().Silent
 }
 
 // serveStale responds to a read with the state of an older copy.
@@ -175,7 +183,7 @@
 func (e *Endpoint) waitWhileSilent(r *http.Request) {
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
-	for e.fault.Load().Silent || e.isSilenced(r) {
+	for e.isSilentTo(r) {
 		select {
 		case <-r.Context().Done():
 			return
@@ -197,7 +205,7 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (g *faultCheckedWriter) WriteHeader(status int) {
-	if g.endpoint.fault.Load().Silent || g.endpoint.isSilenced(g.request) {
+	if g.endpoint.isSilentTo(g.request) {
 		g.endpoint.waitWhileSilent(g.request)
 		panic(http.ErrAbortHandler)
 	}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -38,13 +38,15 @@
 	1, 2,
 	34, 55, 60, // the stand-in's repeated responses did not state the rate limit, which ended it
 	3, 5, // the store is restored from older copies
+	8, // the store is silent to most nodes, and versions were late
 }
 
 // TestSoak runs real processes and injects faults that a seed determines, one
 // after the other and overlapping:
 //   - Processes are stopped, paused, killed and restarted.
 //   - The store is unavailable, slow, loses responses, serves only some nodes, or
-//     loses its history. In a third of the seeds it is restored from older copies.
+//     loses its history. In a third of the seeds it is restored from older copies, in
+//     half of them it falls silent to all nodes but a few again and again.
 //   - Connections to the store and to upstreams are reset, delayed, limited in
 //     bandwidth, blackholed in one direction, or cut within a stream.
 //   - Upstreams lose, truncate or repeat responses, fail, slow down, drain and
@@ -128,13 +130,15 @@
 	drainTimes   map[string]time.Time // by boot: when its drain was acknowledged
 	limits       map[string]statedLimit
 	actions      []string
+	disturbances []disturbance
+	resumed      map[string]func() // by node: records that its process runs again
 }
 
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		cluster: &cluster{t: t, dir: t.TempDir(), store: store.New()}, rnd: rand.New(rand.NewPCG(seed, seed)), version: 1,
 		generations: make(map[string]*atomic.Int64), links: make(map[string]*links), busy: make(map[string]*atomic.Bool), drainTimes: make(map[string]time.Time),
-		limits: make(map[string]statedLimit),
+		limits: make(map[string]statedLimit), resumed: make(map[string]func()),
 	}
 	s.put(baseConfiguration(1))
 	for range 3 { // a zone with relays
@@ -156,8 +160,11 @@
 	t.Cleanup(s.shutdown)
 	t.Cleanup(func() { s.saveArtifacts(seed) })
 	s.await(startTimeout, "all nodes ready", func() bool { return s.ready(len(s.nodes)) })
+	for _, n := range s.nodes {
+		s.disturbances = append(s.disturbances, disturbance{node: n.name, to: time.Now()})
+	}
 	stop := s.startCallers()
-	endRestores := s.startRestores(seed)
+	endRestores, endSilences := s.startRestores(seed), s.startSilences(seed)
 	duration := soakDuration
 	if text := os.Getenv("LENTILFLOW_SOAK_TIME"); text != "" {
 		var err error
@@ -170,6 +177,7 @@
 		time.Sleep(time.Duration(s.rnd.IntN(400)) * time.Millisecond)
 	}
 	endRestores()
+	endSilences()
 	s.tasks.Wait()
 	s.putNewestAgain()
 	s.clearFaults()
@@ -180,6 +188,7 @@
 	stop()
 	time.Sleep(500 * time.Millisecond) // requests whose callers gave up end
 	violations := checkSoak(s.observations, s.ledger.Runs(), s.drainTimes)
+	violations = append(violations, s.lagViolations()...)
 	violations = append(violations, checkLimits(s.ledger.Runs(), s.limits)...)
 	for _, violation := range append(violations, checkLeaving(s.observations, s.ledger.Runs())...) {
 		t.Error(violation)
@@ -371,6 +380,10 @@
 
 func (s *soak) stopProcess(n *node, sig syscall.Signal) {
 	s.generations[n.name].Add(1)
+	end := s.disturb(n)
+	s.mu.Lock()
+	s.resumed[n.name] = end
+	s.mu.Unlock()
 	n.signal(syscall.SIGCONT)
 	n.signal(sig)
 	if !n.process.endsWithin(8 * time.Second) {
@@ -382,9 +395,14 @@
 func (s *soak) startProcessAgain(n *node) {
 	s.generations[n.name].Add(1)
 	n.startProcess()
+	s.mu.Lock()
+	end := s.resumed[n.name]
+	s.mu.Unlock()
+	end()
 }
 
 func (s *soak) pause(n *node, d time.Duration) {
+	defer s.disturb(n)()
 	n.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	n.signal(syscall.SIGCONT)
