Describe the second way of versions, wait for log lines in two tests

TestTraceOfALostCall waits for the line of the upstream's node, which is written asynchronously (it read the log once); the server of TestLateDuplicateRefusalIsDiscarded stores its connection before the response after which the next request may arrive.

--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -133,8 +133,8 @@
 						return
 					}
 					if requests.Add(1) == 1 {
+						copies.Store(&nc) // before the response, after which the next request may arrive
 						_, _ = io.WriteString(nc, shed)
-						copies.Store(&nc)
 						continue
 					}
 					if first := copies.Load(); *first == nc {
--- a/pkg/gossip/doc.go
+++ b/pkg/gossip/doc.go
@@ -2,6 +2,10 @@
 // configuration and of the fleet that each node has, whether a node accepts
 // calls, and crash notices.
 //
+// News of a version of the configuration travel by announcements between zones and
+// by beacons within them. RunCatchUp sends the announcements, and fetches what other
+// nodes are known to have and the store has not delivered (package catchup).
+//
 // Within an availability zone the relays (package relay) send datagrams with
 // their versions to the other nodes, which fetch what they do not have
 // (Datagram). A Schedule decides when a node reads the store itself. Across
--- a/test/trace_test.go
+++ b/test/trace_test.go
@@ -124,8 +124,11 @@
 	is.Equal(refusal.Run, "unknown")
 	is.Equal(refusal.Verdict, "possible_run")
 	is.Equal(refusal.Asked, []string{target.name})
-	targetLines := target.logLines(r.id)
-	is.True(len(targetLines) > 0)
+	var targetLines []logLine
+	c.await(awaitTimeout, "the node of the upstream has a line about the call", func() bool {
+		targetLines = target.logLines(r.id) // a node writes its log asynchronously
+		return len(targetLines) > 0
+	})
 	is.Equal(targetLines[0].Reason, "upstream_lost")
 	is.True(targetLines[0].Error != "")
 }
