Notice a store that is silent to the relays of a zone

In zones of five and more nodes the relays follow the store for the others. If the store is silent to the relays, their beacons say for 27 s that it is available, and nobody sees a new version, although the store serves other nodes.

Change: the watches of relays end at different times, one a second in the whole fleet, so one of them soon is overdue. That relay says so in its beacons and warns the relays of the other zones, which verify their watches. The first eight nodes of each such zone read the store once, at once and not one after the other, and those to which it responds follow it until their relays have it again. To pay for the shorter watches, one relay of each zone follows the configuration instead of two, in fleets of three zones and more: what it misses is announced by other zones.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -35,8 +35,9 @@
 	Registry() fleet.Registry
 	// ConfigSource returns a source that offers the operator's configurations to
 	// h. The source calls onConfig with each version that comes into force and
-	// the position of its row in the store.
-	ConfigSource(h *config.Holder, onConfig func(config.Version, follow.Position)) follow.Source
+	// the position of its row in the store. watchTime returns how long a wait for a
+	// change may take, 0 for as long as the store permits.
+	ConfigSource(h *config.Holder, onConfig func(config.Version, follow.Position), watchTime func() time.Duration) follow.Source
 	// ReportEra records that another node has read from the store in an era. If it is
 	// later than the one that the store has stated to this node, the sources that
 	// wait for changes return follow.ErrHistoryLost.
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -80,7 +80,7 @@
 	a.addStop(ctx, &g, callListener)
 	configFollower := a.follower("configuration", a.platform.ConfigSource(a.configHolder, func(v config.Version, at follow.Position) {
 		a.onConfigInForce(v, zap.Inline(at))
-	}), 0, a.gossip.ConfigSchedule(a.firstStart()))
+	}, a.gossip.WatchTime), 0, a.gossip.ConfigSchedule(a.firstStart()))
 	fleetFollower := a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, Log: a.log, OnChange: a.onFleetChange}, fleetWatchInterval,
 		a.delayFirstRead(a.gossip.FleetSchedule()))
 	configFollower.OnAvailability = func(ok bool) {
@@ -91,7 +91,7 @@
 		}
 	}
 	fleetFollower.OnAvailability = func(ok bool) { a.fleetUnavailable.Store(!ok); a.updateStoreAvailability() }
-	a.gossip.OnUndelivered = configFollower.Verify
+	a.gossip.OnUndelivered, a.gossip.OnStoreSuspected = configFollower.Verify, configFollower.Verify
 	a.addLoop(&g, "follow configuration", configFollower.Run)
 	a.addLoop(&g, "follow fleet", fleetFollower.Run)
 	a.addLoop(&g, "exchange digests", a.gossip.Run)
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -40,6 +40,9 @@
 	// Announces requests a datagram with the version of the receiver, so that the
 	// sender knows that this one has arrived.
 	Announces bool `json:"announces,omitempty"`
+	// StoreSilent says that the store has ceased to respond to the sender, a relay of
+	// another zone.
+	StoreSilent bool `json:"store_silent,omitempty"`
 	// States are states of any nodes that the receiver is to apply.
 	States []State `json:"states,omitempty"`
 }
@@ -190,13 +193,19 @@
 	}
 	now := time.Now()
 	n.observeAnnouncement(d, now)
+	if d.StoreSilent {
+		n.suspectStore()
+	}
 	if !d.IsRelay {
 		return
 	}
 	n.mu.Lock()
-	n.zone.RecordBeacon(d.From, d.StoreAvailable, n.clock())
+	lostStore := n.zone.RecordBeacon(d.From, d.StoreAvailable, n.clock())
 	n.zoneVersions[d.From] = d.ConfigVersion
 	n.mu.Unlock()
+	if lostStore {
+		n.suspectStore()
+	}
 	n.announcer.End(versionPosition(d.Announced))
 	f := n.View.Current()
 	if d.FleetEra > f.Position.Era {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -76,6 +76,9 @@
 	// OnUndelivered is called when another node has a newer configuration than this
 	// node had a while ago, at since, although this node follows the store.
 	OnUndelivered func(since time.Time)
+	// OnStoreSuspected is called when the store does not respond to another node, and
+	// this node follows it; since is the time of the call.
+	OnStoreSuspected func(since time.Time)
 	// OnEra is called when another node has a fleet of a later era of the store than
 	// this node.
 	OnEra func(follow.Era)
@@ -107,7 +110,8 @@
 	fleetLag          catchup.Tracker
 	announcer         catchup.Announcer // of the version of the configuration
 	forwarder         catchup.Announcer // of a version that this node knows of and does not have
-	forwardsKnown     atomic.Bool       // the next datagram states a version that this node does not have
+	silence           silence
+	forwardsKnown     atomic.Bool // the next datagram states a version that this node does not have
 	mu                sync.Mutex
 	lastStates        map[model.NodeID]stateOrder
 	zone              *relay.Zone
@@ -158,6 +162,9 @@
 func (n *Node) SetStoreAvailable(available bool) {
 	if n.storeUnavailable.Swap(!available) != !available {
 		n.TriggerBeacon()
+		if !available {
+			n.Guard.Go("warn of silent store", n.warnOfSilentStore)
+		}
 	}
 	n.triggerCatchUp()
 	if !available {
--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -94,8 +94,11 @@
 	// store at once. If it is nil, the relays supply the first state too.
 	hasState func() bool
 	lag      *catchup.Tracker
-	// firstOnly means that only the first relay follows the store.
-	firstOnly bool
+	// firstOnly reports whether only the first relay follows the store.
+	firstOnly func() bool
+	// checksSilence means that the node reads the store when it is suspected to be
+	// silent to others, and may follow it in place of a relay.
+	checksSilence bool
 	// relayTimeout is the time without a beacon of a relay with an available store
 	// after which the node reads the store itself.
 	relayTimeout time.Duration
@@ -106,11 +109,15 @@
 	fleetUnknown bool // no fleet was loaded at the last check
 }
 
-// ConfigSchedule returns the schedule for the configuration. A node that
+// ConfigSchedule returns the schedule for the configuration. In a fleet of several
+// zones one relay of each follows it. A node that
 // restarts reads it at once, because callers wait for the node. On the first
 // start of the whole deployment (firstStart) only the relays read it.
 func (n *Node) ConfigSchedule(firstStart bool) *Schedule {
-	s := &Schedule{node: n, lag: &n.configLag, relayTimeout: relay.BeaconTimeout + rand.N(maxReadJitter)}
+	s := &Schedule{
+		node: n, lag: &n.configLag, relayTimeout: relay.BeaconTimeout + rand.N(maxReadJitter), checksSilence: true,
+		firstOnly: func() bool { return n.hasRelays() && n.zoneCount() >= minZonesForOneFollower },
+	}
 	if !firstStart {
 		s.hasState = func() bool { return n.Config.Current() != nil }
 	}
@@ -120,7 +127,7 @@
 // FleetSchedule returns the schedule for the fleet. A new VM need not be used
 // at once, so one relay per zone is enough.
 func (n *Node) FleetSchedule() *Schedule {
-	return &Schedule{node: n, lag: &n.fleetLag, hasState: n.View.Loaded, firstOnly: true, relayTimeout: fleetLagTimeout + rand.N(fleetLagTimeout)}
+	return &Schedule{node: n, lag: &n.fleetLag, hasState: n.View.Loaded, firstOnly: func() bool { return true }, relayTimeout: fleetLagTimeout + rand.N(fleetLagTimeout)}
 }
 
 // Next implements follow.Schedule.
@@ -137,7 +144,12 @@
 		case s.fleetUnknown: // beacons can be attributed from now on
 			s.fleetUnknown, s.lastRead = false, s.node.clock()
 			continue
-		case isRelay && (first || !s.firstOnly):
+		case isRelay && (first || !s.firstOnly()):
+			return true
+		case s.checksSilence && s.node.silence.readDue.Swap(false):
+			s.lastRead = s.node.clock()
+			return false
+		case s.checksSilence && s.node.standsIn():
 			return true
 		}
 		wait := validFor
--- a/pkg/relay/zone.go
+++ b/pkg/relay/zone.go
@@ -77,15 +77,34 @@
 }
 
 // RecordBeacon records a beacon of a relay that was received now.
-// storeAvailable says whether the store responds to that relay.
-func (z *Zone) RecordBeacon(id model.NodeID, storeAvailable bool, now time.Duration) {
+// storeAvailable says whether the store responds to that relay. RecordBeacon reports
+// whether the relay has lost the store since its last beacon, or says so in its first.
+func (z *Zone) RecordBeacon(id model.NodeID, storeAvailable bool, now time.Duration) (lost bool) {
+	last, known := z.beacons[id]
+	lost = !storeAvailable && (!known || last.storeAvailable)
 	z.beacons[id] = beacon{now, storeAvailable}
 	z.lastBeacon = now
 	if storeAvailable {
 		z.lastHealthy, z.anyHealthy = now, true
 	}
+	return lost
 }
 
+// AnyWithoutStore reports whether a beacon of a relay to which the store does not
+// respond was received within BeaconTimeout.
+func (z *Zone) AnyWithoutStore(now time.Duration) bool {
+	for _, b := range z.beacons {
+		if !b.storeAvailable && now-b.at < BeaconTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// HasRelays reports whether a zone of the given size has relays, so that most of its
+// nodes do not follow the store.
+func (z *Zone) HasRelays(nodes int) bool { return !z.AllFollow && nodes > allFollowLimit }
+
 // LastHealthy returns the time of the last beacon of a relay to which the store
 // responds, or the start of this node if there was none.
 func (z *Zone) LastHealthy() time.Duration { return z.lastHealthy }
--- a/test/silent_store_test.go
+++ b/test/silent_store_test.go
@@ -51,25 +51,49 @@
 			c.await(startTimeout, "all nodes ready", func() bool { return c.ready(len(c.nodes)) })
 			c.awaitVersions(2, 1)
 			time.Sleep(3 * time.Second) // after that every follower watches again
-			served := c.follower(servedZone)
+			served := c.inOrder(servedZone)[0] // follows the configuration
 			c.silence(served)
 			c.awaitVersions(3, 6)
 		})
 	}
 }
 
-// follower returns the first relay of a zone; it follows the configuration in the
-// store.
-func (c *cluster) follower(zone string) *node {
+// Guards against a version that no node sees, because the store is silent to all nodes
+// that follow it for the others, although it serves most nodes.
+func TestVersionIsInForceWhenStoreIsSilentToRelays(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3)
+	for _, zone := range zones {
+		for i := range 3 {
+			c.addRunningNode(zone, services[i%2])
+		}
+	}
+	c.await(startTimeout, "all nodes ready", func() bool { return c.ready(len(c.nodes)) })
+	c.awaitVersions(2, 1)
+	time.Sleep(3 * time.Second)
+	for _, zone := range zones {
+		for _, n := range c.inOrder(zone)[:relay.PerZone] {
+			n.endpoint.Set(store.Fault{Silent: true})
+		}
+	}
+	for v := model.Version(3); v < 6; v++ {
+		c.put(changedConfiguration(v))
+		c.await(applyTimeout+unstableStoreDelay, "version is in force on all nodes", func() bool { return c.inForce(v) })
+	}
+}
+
+// inOrder returns the nodes of a zone in the order in which they become relays.
+func (c *cluster) inOrder(zone string) (ordered []*node) {
 	var ids []model.NodeID
-	byName := make(map[model.NodeID]*node)
 	for _, n := range c.nodes {
 		if n.zone == zone {
 			ids = append(ids, model.NodeID(n.name))
-			byName[model.NodeID(n.name)] = n
 		}
 	}
-	return byName[relay.Order(ids)[0]]
+	for _, id := range relay.Order(ids) {
+		ordered = append(ordered, c.nodeByName(string(id)))
+	}
+	return ordered
 }
 
 // Guards against a connection to the store that falls silent without a reset: a node
