--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -194,7 +194,7 @@
 	now := time.Now()
 	n.observeAnnouncement(d, now)
 	if d.StoreSilent {
-		n.suspectStore()
+		n.suspectStore(d.From)
 	}
 	if !d.IsRelay {
 		return
@@ -204,7 +204,7 @@
 	n.zoneVersions[d.From] = d.ConfigVersion
 	n.mu.Unlock()
 	if lostStore {
-		n.suspectStore()
+		n.suspectStore(d.From)
 	}
 	n.announcer.End(versionPosition(d.Announced))
 	f := n.View.Current()
--- a/pkg/gossip/silence.go
+++ b/pkg/gossip/silence.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -85,9 +87,9 @@
 }
 
 // suspectStore checks whether the store responds to this node, because it does not
-// respond to another one: a node that follows it verifies its watch, another one
+// respond to the node other: a node that follows it verifies its watch, another one
 // reads the configuration once.
-func (n *Node) suspectStore() {
+func (n *Node) suspectStore(other model.NodeID) {
 	if !n.hasRelays() {
 		return
 	}
@@ -95,10 +97,14 @@
 	if last > 0 && now-time.Duration(last) < suspicionInterval || !n.silence.lastCheck.CompareAndSwap(last, int64(now)) {
 		return
 	}
-	if isRelay, _, _ := n.RelayRole(); isRelay && n.OnStoreSuspected != nil {
+	isRelay, _, _ := n.RelayRole()
+	reads := n.rank() < maxChecks
+	n.Log.Info("store does not respond to another node; it is checked", zap.String("other", string(other)),
+		zap.Bool("relay", isRelay), zap.Bool("reads", reads), zap.Duration("store_silent_for", n.storeSilence()))
+	if isRelay && n.OnStoreSuspected != nil {
 		n.OnStoreSuspected(time.Now())
 	}
-	if n.rank() < maxChecks {
+	if reads {
 		n.silence.readDue.Store(true)
 	}
 }
