Keep the nodes of a zone in one order, and one callback for a suspected store

Read again after the change: the ranked nodes of a zone were ranked a second time for announcements (zoneInOrder); they are now kept in that order, and zonePeers serves both. OnUndelivered and OnStoreSuspected were wired to the same function; one is left. The bound of names stands in package fleet only. No behaviour changes; tests of pkg/gossip, pkg/fleet and platform with the race detector and the tests of a silent store with real processes pass.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -91,7 +91,7 @@
 		}
 	}
 	fleetFollower.OnAvailability = func(ok bool) { a.fleetUnavailable.Store(!ok); a.updateStoreAvailability() }
-	a.gossip.OnUndelivered, a.gossip.OnStoreSuspected = configFollower.Verify, configFollower.Verify
+	a.gossip.OnStoreSuspected = configFollower.Verify
 	a.addLoop(&g, "follow configuration", configFollower.Run)
 	a.addLoop(&g, "follow fleet", fleetFollower.Run)
 	a.addLoop(&g, "exchange digests", a.gossip.Run)
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -24,9 +24,9 @@
 	MessageAddress string `json:"message_address"`
 }
 
-// maxNameBytes bounds the names in a Member, in bytes. The key of a row has at most as
+// MaxNameBytes bounds the names in a Member, in bytes. The key of a row has at most as
 // many.
-const maxNameBytes = 200
+const MaxNameBytes = 200
 
 // Check returns an error if a field that other nodes need is missing or cannot be
 // used. Rows and messages may come from other writers.
@@ -53,12 +53,12 @@
 }
 
 var (
-	errName    = fmt.Errorf("has more than %d bytes or a control character", maxNameBytes)
+	errName    = fmt.Errorf("has more than %d bytes or a control character", MaxNameBytes)
 	errAddress = errors.New("is not the IP address of a host with a port from 1 to 65535")
 )
 
 func checkName(name string) error {
-	if len(name) > maxNameBytes || strings.ContainsFunc(name, unicode.IsControl) || !utf8.ValidString(name) {
+	if len(name) > MaxNameBytes || strings.ContainsFunc(name, unicode.IsControl) || !utf8.ValidString(name) {
 		return errName
 	}
 	return nil
--- a/pkg/gossip/announce.go
+++ b/pkg/gossip/announce.go
@@ -15,7 +15,6 @@
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/model"
-	"github.com/lentilflow/lentilflow/pkg/relay"
 )
 
 // KnownVersion is a version of the configuration that a node knows of and does not
@@ -64,7 +63,7 @@
 		candidates := n.areas(zones)
 		if isRelay, _, _ := n.RelayRole(); !isRelay {
 			own := n.Self.Location
-			candidates = map[catchup.Area][]fleet.Member{{Region: own.Region, Zone: own.AvailabilityZone}: n.zoneInOrder()}
+			candidates = map[catchup.Area][]fleet.Member{{Region: own.Region, Zone: own.AvailabilityZone}: n.zonePeers()}
 		}
 		d := Datagram{From: n.Self.Node, Announces: true, ConfigVersion: n.Config.Version(), ConfigAge: n.configAge(now)}
 		wait = n.announce(&n.announcer, &d, candidates, n.precedingNodeHas(n.Config.Version()), now)
@@ -122,24 +121,6 @@
 	return areas
 }
 
-// zoneInOrder returns the other reachable nodes of the zone, in the order in which
-// they become relays.
-func (n *Node) zoneInOrder() []fleet.Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	byNode := make(map[model.NodeID]fleet.Member)
-	var ids []model.NodeID
-	for _, m := range n.reachableZone().members {
-		byNode[m.Node] = m
-		ids = append(ids, m.Node)
-	}
-	members := make([]fleet.Member, 0, len(ids))
-	for _, id := range relay.Order(ids) {
-		members = append(members, byNode[id])
-	}
-	return members
-}
-
 // knownVersion returns the newest version that this node knows of and does not have,
 // nil if there is none.
 func (n *Node) knownVersion(now time.Time) *KnownVersion {
--- a/pkg/gossip/entries.go
+++ b/pkg/gossip/entries.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"maps"
 
 	"go.uber.org/zap"
 
@@ -12,15 +11,12 @@
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-// maxNameBytes bounds the names of nodes and services in messages, in bytes.
-const maxNameBytes = 200
-
 var errStateName = errors.New("state names no node")
 
 func checkMember(m *fleet.Member) error { return m.Check() }
 
 func checkState(s *State) error {
-	if s.Node == "" || len(s.Node) > maxNameBytes {
+	if s.Node == "" || len(s.Node) > fleet.MaxNameBytes {
 		return errStateName
 	}
 	return nil
@@ -68,7 +64,7 @@
 	if err := json.Unmarshal(rest, d); err != nil {
 		return err
 	}
-	if d.From == "" || len(d.From) > maxNameBytes {
+	if d.From == "" || len(d.From) > fleet.MaxNameBytes {
 		return errStateName
 	}
 	d.States = states
@@ -104,7 +100,7 @@
 // joinFields returns an object with the given fields.
 func joinFields(fields map[string][]byte) ([]byte, error) {
 	raw := make(map[string]json.RawMessage, len(fields))
-	for name, value := range maps.All(fields) {
+	for name, value := range fields {
 		raw[name] = value
 	}
 	return json.Marshal(raw)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -73,11 +73,9 @@
 	// OnFleet is called when an update from another node was applied to the fleet.
 	// removed is empty if the whole fleet was replaced.
 	OnFleet func(removed []model.NodeID)
-	// OnUndelivered is called when another node has a newer configuration than this
-	// node had a while ago, at since, although this node follows the store.
-	OnUndelivered func(since time.Time)
-	// OnStoreSuspected is called when the store does not respond to another node, and
-	// this node follows it; since is the time of the call.
+	// OnStoreSuspected is called on a node that follows the store when the store may be
+	// silent: another node has had a newer configuration since a time, or the store does
+	// not respond to another node. Nil means that nothing is to be done.
 	OnStoreSuspected func(since time.Time)
 	// OnEra is called when another node has a fleet of a later era of the store than
 	// this node.
@@ -243,7 +241,7 @@
 
 func (n *Node) handleCrash(c echo.Context) error {
 	var notice CrashNotice
-	if err := readMessage(c, &notice); err != nil || notice.Fingerprint == (crashguard.Fingerprint{}) || notice.Service == "" || len(notice.Service) > maxNameBytes {
+	if err := readMessage(c, &notice); err != nil || notice.Fingerprint == (crashguard.Fingerprint{}) || notice.Service == "" || len(notice.Service) > fleet.MaxNameBytes {
 		n.Log.Warn("crash notice is invalid", zap.String("remote", c.RealIP()), zap.Error(err))
 		return c.NoContent(http.StatusBadRequest)
 	}
--- a/pkg/gossip/lag.go
+++ b/pkg/gossip/lag.go
@@ -42,8 +42,8 @@
 		}
 	})
 	time.AfterFunc(undeliveredDelay, func() {
-		if isRelay, _, _ := n.RelayRole(); isRelay && n.OnUndelivered != nil {
-			n.OnUndelivered(now)
+		if isRelay, _, _ := n.RelayRole(); isRelay && n.OnStoreSuspected != nil {
+			n.OnStoreSuspected(now)
 		}
 	})
 	return true
--- a/pkg/gossip/relays.go
+++ b/pkg/gossip/relays.go
@@ -17,7 +17,7 @@
 type rankedNodes struct {
 	snapshot *fleet.Snapshot
 	ids      []model.NodeID
-	members  []fleet.Member // without this node
+	members  []fleet.Member // the same nodes without this one
 }
 
 // reachableZone returns the ranked nodes of the zone. n.mu must be held.
@@ -33,9 +33,13 @@
 			continue
 		}
 		ids = append(ids, id)
-		r.members = append(r.members, m)
 	}
 	r.ids = relay.Order(ids)
+	for _, id := range r.ids {
+		if id != n.Self.Node {
+			r.members = append(r.members, s.Members[id])
+		}
+	}
 	n.zoneNodes = r
 	return &n.zoneNodes
 }
@@ -55,7 +59,8 @@
 	return at >= 0, at == 0 || at > 0 && len(relays) > relay.PerZone, validFor
 }
 
-// zonePeers returns the other reachable nodes of the availability zone.
+// zonePeers returns the other reachable nodes of the availability zone, in the order
+// in which they become relays.
 func (n *Node) zonePeers() []fleet.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
