Review: the start of a second answer changes the status of the next one

Cause: bytes before an answer are read as part of its status line, so that a 500 passes as 200 and a 200 as 503. Nothing is fixed.

--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,8 +28,26 @@
 
 // ledger records what backends ran.
 type ledger struct {
-	mu   sync.Mutex
-	runs []arrival
+	mu       sync.Mutex
+	runs     []arrival
+	statuses map[string]int // of the answers of the backends, by request
+}
+
+func (l *ledger) answered(id string, status int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.statuses == nil {
+		l.statuses = make(map[string]int)
+	}
+	l.statuses[id] = status
+}
+
+// status returns the status with which a backend answered a request that it ran, 0 if none
+// has run it.
+func (l *ledger) status(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.statuses[id]
 }
 
 func (l *ledger) add(a arrival) {
@@ -71,6 +91,12 @@
 	stopped  bool
 	// delay is how long the reports that are sent now take to arrive.
 	delay time.Duration
+	// shedShare of the requests are rejected without being run, and failShare of those
+	// that run fail with the backend's own 500.
+	shedShare, failShare float64
+	// After secondShare of the answers a second copy of the answer follows, where the
+	// next answer on the connection is expected, and breaks off within its first line.
+	secondShare float64
 }
 
 func (b *backend) start() error {
@@ -88,7 +114,11 @@
 	b.born, b.seq, b.queued = time.Now().UnixMilli(), 0, 0
 	b.slots = make(chan struct{}, slots)
 	boot := b.id
-	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: idleClose}
+	b.server = &http.Server{
+		Handler: http.HandlerFunc(b.serve), IdleTimeout: idleClose,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, extraKey{}, c) },
+	}
+	l = extraListener{l}
 	server := b.server
 	go func() { _ = server.Serve(l) }()
 	go b.beat(boot)
@@ -221,7 +251,8 @@
 	}
 	expired := time.NewTimer(limit)
 	defer expired.Stop()
-	if !b.enqueue() {
+	if rand.Float64() < b.shedShare || !b.enqueue() {
+		b.maybeRepeat(r, http.StatusServiceUnavailable)
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -257,9 +288,24 @@
 		panic(http.ErrAbortHandler)
 	}
 	h.Set("X-Server-Signature", boot+"."+id)
+	status, text := http.StatusOK, "ran "+id
+	if rand.Float64() < b.failShare {
+		status, text = http.StatusInternalServerError, "failed "+id
+	}
+	b.ledger.answered(id, status)
+	b.maybeRepeat(r, status)
 	h.Set("X-Ran-By", b.service)
-	w.WriteHeader(http.StatusOK)
-	_, _ = io.WriteString(w, "ran "+id)
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+}
+
+// maybeRepeat sends the start of a second copy of an answer after some answers.
+func (b *backend) maybeRepeat(r *http.Request, status int) {
+	if rand.Float64() >= b.secondShare {
+		return
+	}
+	first := fmt.Sprintf("HTTP/1.1 %d %s", status, http.StatusText(status))
+	r.Context().Value(extraKey{}).(*extraConn).sendExtra(first[:1+rand.IntN(len(first))])
 }
 
 func (b *backend) enqueue() bool {
@@ -277,3 +323,56 @@
 	defer b.mu.Unlock()
 	b.queued--
 }
+
+type extraKey struct{}
+
+// extraListener wraps each connection in an extraConn.
+type extraListener struct{ net.Listener }
+
+func (l extraListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &extraConn{Conn: c}, nil
+}
+
+// extraConn sends additional bytes after a complete answer: late, where the answer to the
+// next request is expected.
+type extraConn struct {
+	net.Conn
+	mu            sync.Mutex
+	queued, ready string
+}
+
+// sendExtra queues bytes that follow the answer which is being written.
+func (c *extraConn) sendExtra(bytes string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queued = bytes
+}
+
+func (c *extraConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 { // the next request
+		c.mu.Lock()
+		if c.queued != "" {
+			c.ready, c.queued = c.queued, ""
+		}
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+func (c *extraConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	extra := c.ready
+	c.ready = ""
+	c.mu.Unlock()
+	if extra != "" {
+		if _, err := c.Conn.Write([]byte(extra)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
--- a/review/harness/deploy.go
+++ b/review/harness/deploy.go
@@ -355,7 +355,9 @@
 	ID, Path string
 	Status   int // 0 without an answer
 	RanBy    string
-	Reason   string
+	Signed   bool   // it bears a backend's signature
+	Reason   string // of an answer that no backend made
+	Body     string
 	Err      error
 }
 
@@ -393,8 +395,9 @@
 	defer resp.Body.Close()
 	var body [2048]byte
 	n, _ := resp.Body.Read(body[:])
-	a.Status, a.RanBy = resp.StatusCode, resp.Header.Get("X-Ran-By")
-	if resp.Header.Get("X-Server-Signature") == "" {
+	a.Status, a.RanBy, a.Body = resp.StatusCode, resp.Header.Get("X-Ran-By"), string(body[:n])
+	a.Signed = resp.Header.Get("X-Server-Signature") != ""
+	if !a.Signed {
 		a.Reason = strings.TrimSpace(string(body[:n]))
 	}
 	return a
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,6 +26,7 @@
 	"crash-records": crashRecords,
 	"silent-watch":  silentWatch,
 	"late-reports":  lateReports,
+	"extra-bytes":   extraBytes,
 }
 
 func main() { os.Exit(run()) }
