Review: an order runs twice after the start of a second answer

Cause: the broken head of a second answer and the head of the next one are read as one, so that an order that has run counts as not run and is sent again.

--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -95,7 +95,7 @@
 	// that run fail with the backend's own 500.
 	shedShare, failShare float64
 	// After secondShare of the answers a second copy of the answer follows, where the
-	// next answer on the connection is expected, and breaks off within its first line.
+	// next answer on the connection is expected, and breaks off within its head.
 	secondShare float64
 }
 
@@ -221,6 +221,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	h, id := w.Header(), r.Header.Get("X-Request-Id")
+	h.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	h.Set("X-Powered-By", "restock/4.2.1 (2026-11-28)")
 	h.Set("X-Instance-Id", boot)
 	h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(idleClose.Seconds())))
 	if id != "" {
@@ -252,8 +254,8 @@
 	expired := time.NewTimer(limit)
 	defer expired.Stop()
 	if rand.Float64() < b.shedShare || !b.enqueue() {
-		b.maybeRepeat(r, http.StatusServiceUnavailable)
 		h.Set("X-Not-Executed", "1")
+		b.maybeRepeat(r, http.StatusServiceUnavailable, h)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -293,19 +295,22 @@
 		status, text = http.StatusInternalServerError, "failed "+id
 	}
 	b.ledger.answered(id, status)
-	b.maybeRepeat(r, status)
 	h.Set("X-Ran-By", b.service)
+	b.maybeRepeat(r, status, h)
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, text)
 }
 
-// maybeRepeat sends the start of a second copy of an answer after some answers.
-func (b *backend) maybeRepeat(r *http.Request, status int) {
+// maybeRepeat sends the start of a second copy of an answer after some answers. The copy
+// breaks off at a random place in its head.
+func (b *backend) maybeRepeat(r *http.Request, status int, h http.Header) {
 	if rand.Float64() >= b.secondShare {
 		return
 	}
-	first := fmt.Sprintf("HTTP/1.1 %d %s", status, http.StatusText(status))
-	r.Context().Value(extraKey{}).(*extraConn).sendExtra(first[:1+rand.IntN(len(first))])
+	var head strings.Builder
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = h.Write(&head) // in the order in which the server writes the fields
+	r.Context().Value(extraKey{}).(*extraConn).sendExtra(head.String()[:1+rand.IntN(head.Len())])
 }
 
 func (b *backend) enqueue() bool {
--- a/review/harness/deploy.go
+++ b/review/harness/deploy.go
@@ -393,12 +393,12 @@
 		return a
 	}
 	defer resp.Body.Close()
-	var body [2048]byte
-	n, _ := resp.Body.Read(body[:])
-	a.Status, a.RanBy, a.Body = resp.StatusCode, resp.Header.Get("X-Ran-By"), string(body[:n])
+	var text [2048]byte
+	n, _ := resp.Body.Read(text[:])
+	a.Status, a.RanBy, a.Body = resp.StatusCode, resp.Header.Get("X-Ran-By"), string(text[:n])
 	a.Signed = resp.Header.Get("X-Server-Signature") != ""
 	if !a.Signed {
-		a.Reason = strings.TrimSpace(string(body[:n]))
+		a.Reason = strings.TrimSpace(string(text[:n]))
 	}
 	return a
 }
