Review: long orders run after their clients have left

Cause: while a request with a body above 256 KiB is handled, its connection is not read, so that its close is not noticed. Change: a scripted case; nothing is fixed.

--- a/review/harness/deploy.go
+++ b/review/harness/deploy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -375,10 +376,14 @@
 
 // send sends one client attempt and returns what came back within the limit.
 func (c *client) send(ctx context.Context, method, path string, limit time.Duration) answer {
+	return c.sendBody(ctx, method, path, limit, nil)
+}
+
+func (c *client) sendBody(ctx context.Context, method, path string, limit time.Duration, body []byte) answer {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	a := answer{Sent: time.Now(), Machine: c.m, ID: newID(), Path: path}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.m.outbound+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.m.outbound+path, bytes.NewReader(body))
 	if err != nil {
 		a.Err = err
 		return a
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,6 +27,7 @@
 	"silent-watch":  silentWatch,
 	"late-reports":  lateReports,
 	"extra-bytes":   extraBytes,
+	"clients-leave": clientsLeave,
 }
 
 func main() { os.Exit(run()) }
