Review: record every request of a scripted case

Cause: the records listed only the requests that break a rule. Change: each record ends with a line for each request: sent, answered, run.

--- a/review/harness/deploy.go
+++ b/review/harness/deploy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -34,12 +35,20 @@
 type record struct {
 	mu    sync.Mutex
 	file  *os.File
+	out   *bufio.Writer
 	start time.Time
 }
 
 func newRecord(path string) (*record, error) {
 	f, err := os.Create(path)
-	return &record{file: f, start: time.Now()}, err
+	return &record{file: f, out: bufio.NewWriter(f), start: time.Now()}, err
+}
+
+func (r *record) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.out.Flush()
+	_ = r.file.Close()
 }
 
 func (r *record) line(format string, args ...any) {
@@ -49,7 +58,7 @@
 func (r *record) lineAt(at time.Time, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f  %s\n", at.Sub(r.start).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.out, "%8.3f  %s\n", at.Sub(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // machine is one machine: a node of the system as a process of its own, and a backend.
@@ -75,6 +84,29 @@
 	machines     []*machine
 	ctx          context.Context
 	cancel       context.CancelFunc
+
+	mu      sync.Mutex
+	answers []answer // of all requests, in the order in which they ended
+}
+
+// writeRequests writes a line for each request into the record: when and where it was sent,
+// what the client got, and which backends ran it.
+func (d *deployment) writeRequests() {
+	runs := make(map[string][]string)
+	for _, r := range d.ledger.all() {
+		runs[r.ID] = append(runs[r.ID], fmt.Sprintf("%s at %.3f", r.Backend, r.At.Sub(d.record.start).Seconds()))
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.record.line("all requests, with what the client got and which backends ran them:")
+	for i := range d.answers {
+		a := &d.answers[i]
+		ran := "not run"
+		if list := runs[a.ID]; len(list) > 0 {
+			ran = "run by " + strings.Join(list, " and ")
+		}
+		d.record.lineAt(a.Sent, "%s %s to %s: %s after %.3f s; %s", a.ID, a.Path, a.Machine.name, a.text(), a.At.Sub(a.Sent).Seconds(), ran)
+	}
 }
 
 type place struct{ zone, region string }
@@ -383,6 +415,11 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	a := answer{Sent: time.Now(), Machine: c.m, ID: newID(), Path: path}
+	defer func() {
+		c.m.d.mu.Lock()
+		defer c.m.d.mu.Unlock()
+		c.m.d.answers = append(c.m.d.answers, a)
+	}()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.m.outbound+path, bytes.NewReader(body))
 	if err != nil {
 		a.Err = err
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -42,6 +42,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	defer rec.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.line("case %s, trouble: %v", os.Args[1], trouble)
 	d, err := newDeployment(os.Args[2], rec)
@@ -70,6 +71,7 @@
 			return 2
 		}
 		rec.line("%s", r.v.summary)
+		d.writeRequests()
 		fmt.Println(r.v.summary)
 		if r.v.broken {
 			return 1
