--- a/review/harness/deploy.go
+++ b/review/harness/deploy.go
@@ -77,13 +77,14 @@
 }
 
 type deployment struct {
-	dir, program string
-	store        *store
-	record       *record
-	ledger       *ledger
-	machines     []*machine
-	ctx          context.Context
-	cancel       context.CancelFunc
+	dir, root string
+	program   string // as in the deploy file, relative to the root of the repository
+	store     *store
+	record    *record
+	ledger    *ledger
+	machines  []*machine
+	ctx       context.Context
+	cancel    context.CancelFunc
 
 	mu      sync.Mutex
 	answers []answer // of all requests, in the order in which they ended
@@ -147,8 +148,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, program: filepath.Join(root, "target", "lentilflow"), record: rec, ledger: &ledger{}}
-	if _, err := os.Stat(d.program); err != nil {
+	d := &deployment{dir: dir, root: root, program: "target/lentilflow", record: rec, ledger: &ledger{}}
+	if _, err := os.Stat(filepath.Join(root, d.program)); err != nil {
 		return nil, err
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -218,7 +219,8 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(m.d.program, "run")
+	cmd := exec.Command(filepath.Join(m.d.root, m.d.program), "run") // the deploy file: target/lentilflow run
+	cmd.Dir = m.d.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.d.dir, "LENTILFLOW_BOOT=" + m.settingsFile}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
