Keep records of requests that crash upstreams across restarts of nodes

Cause: a crash was told to the other nodes once, and only the memory of running processes held it. A process that started, or a node that missed the notice, never got it. Only the node beside the upstream checked the records.

Change: a node that starts gets all records with what it recovers from other nodes. Digests name the set of refused requests by a hash if there is one, so that a node which missed a notice gets the records with its next digest. The node of the caller refuses the request as well. Merged records are put in the order of their crashes; an earlier crash that arrived last was dropped.

A quiet digest is as long as before.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -34,8 +34,9 @@
 	Headers() gateway.HeaderNames
 	// Registry returns the registry of the nodes' rows in the store.
 	Registry() fleet.Registry
-	// RecoveryStore returns where the store keeps departures of upstreams.
-	RecoveryStore() recovery.Store
+	// RecoveryStore returns where the store keeps departures of upstreams, and records
+	// of requests that crash upstreams.
+	RecoveryStore() (recovery.Store, recovery.CrashStore)
 	// ConfigSource returns a source that offers the operator's configurations to
 	// h. The source calls onConfig with each version that comes into force and
 	// the position of its row in the store. watchTime returns how long a wait for a
@@ -91,6 +92,9 @@
 	heldDepartures *recovery.Departures
 	departures     *recovery.Saver
 	recoveryStore  recovery.Store
+	crashStore     recovery.CrashStore
+	crashesRead    atomic.Bool  // crashStore was read
+	settledNodes   atomic.Int64 // answers of settled nodes since the start
 	guard          *contain.Guard
 	self           fleet.Member
 
@@ -134,13 +138,14 @@
 		settings: s, path: c.Path, level: c.Level, log: c.Log, platform: c.Platform,
 		configHolder: config.NewHolder(), fleetView: fleet.NewView(), registry: c.Platform.Registry(),
 		budgets:      gateway.NewBudgets(float64(s.Retries.Ratio), float64(s.Retries.Extra)),
-		crashRecords: crashguard.NewMemoryRegistry(time.Now), heldDepartures: recovery.NewDepartures(), recoveryStore: c.Platform.RecoveryStore(),
+		crashRecords: crashguard.NewMemoryRegistry(time.Now), heldDepartures: recovery.NewDepartures(),
 		rowOutdated: make(chan struct{}, 1),
 		self: fleet.Member{
 			Node: model.NodeID(s.Name), Location: s.Location(), Service: s.Upstream.Service,
 			CallAddress: string(s.Listeners.Peers), MessageAddress: string(s.Listeners.Messages),
 		},
 	}
+	a.recoveryStore, a.crashStore = c.Platform.RecoveryStore()
 	a.drain.Store(&s.Drain)
 	a.guard = contain.New(c.Log, c.Metrics)
 	names := c.Platform.Headers()
@@ -272,21 +277,3 @@
 	a.fleetView.SetServing(a.self.Node, serving, time.Now())
 	a.guard.Go("announce", func() { a.gossip.Announce(context.Background()) })
 }
-
-// onCrash records a crash of the upstream for a request that was running, and
-// reports it to all other nodes.
-func (a *Agent) onCrash(f crashguard.Fingerprint, c crashguard.Crash) {
-	a.crashRecords.RecordLocal(f, a.self.Service, c)
-	a.gossip.ReportCrash(context.Background(), gossip.CrashNotice{Fingerprint: f, Service: a.self.Service, Crash: &c})
-}
-
-// onCompleted handles the completion of a request that was suspected of having
-// caused a crash: it records the completion and reports it to all other nodes.
-func (a *Agent) onCompleted(f crashguard.Fingerprint) {
-	if err := a.crashRecords.ReportCompleted(context.Background(), f); err != nil {
-		a.log.Warn("completion of a suspected request could not be recorded", zap.Stringer("fingerprint", f), zap.Error(err))
-	}
-	a.guard.Go("report completion", func() {
-		a.gossip.ReportCrash(context.Background(), gossip.CrashNotice{Fingerprint: f, Service: a.self.Service})
-	})
-}
--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -52,11 +52,16 @@
 		r.Run(ctx)
 	}
 	a.gossip.SetSettled()
+	for !a.firstStart() && a.settledNodes.Load() == 0 && !a.crashesRead.Load() && ctx.Err() == nil {
+		a.recoverCrashes(ctx)
+		sleep(ctx, crashWriteRetry)
+	}
 	<-ctx.Done()
 	return nil
 }
 
-// askOthers implements recovery.Recoverer.AskOthers.
+// askOthers implements recovery.Recoverer.AskOthers. Every settled node has all records
+// of crashes; without one they are read from the store.
 func (a *Agent) askOthers(ctx context.Context) (settled, others int, ok bool) {
 	for end := time.Now().Add(fleetWait); !a.fleetView.Loaded(); {
 		if ctx.Err() != nil || time.Now().After(end) {
@@ -65,5 +70,8 @@
 		sleep(ctx, fleetPollInterval)
 	}
 	_, settled = a.gossip.Recover(ctx)
+	if a.settledNodes.Add(int64(settled)) == 0 {
+		a.recoverCrashes(ctx)
+	}
 	return settled, max(len(a.fleetView.Current().Members)-1, 0), true
 }
--- a/pkg/crashguard/crashguard_test.go
+++ b/pkg/crashguard/crashguard_test.go
@@ -80,8 +80,8 @@
 	is.Equal(len(r.Crashes), 1) // two reports of one crash
 	is.Equal(len(r.withoutExpired(t0.Add(suspicionTime)).Crashes), 0)
 	r = r.add("agenda", Crash{Upstream: "b", At: t0.Add(time.Minute)})
-	is.True(r.Refused(t0.Add(refusalTime)))
-	is.True(!r.Refused(t0.Add(time.Minute + refusalTime)))
+	is.True(r.Refused(t0.Add(RefusalTime)))
+	is.True(!r.Refused(t0.Add(time.Minute + RefusalTime)))
 }
 
 // Guards against fingerprints that ignore a field or do not separate two fields.
@@ -120,3 +120,49 @@
 	r := Record{}.add("agenda", Crash{ID: "a/1", Upstream: "a", At: t0}).add("agenda", Crash{ID: "a/2", Upstream: "a", At: t0.Add(time.Second)})
 	is.True(r.Refused(t0.Add(time.Second)))
 }
+
+// Guards against a request that is no longer refused, or not everywhere, because the
+// records of its crashes reach a node in another order than the crashes happened, or
+// only in part.
+func TestMergedRecordsRefuseTheSameRequests(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	f := Fingerprint{1}
+	first := Crash{ID: "a", Upstream: "n1", At: now, RanFor: time.Second}
+	second := Crash{ID: "b", Upstream: "n2", At: now.Add(5 * time.Second), RanFor: time.Second}
+	clock := func() time.Time { return now.Add(10 * time.Second) }
+	whole, part := NewMemoryRegistry(clock), NewMemoryRegistry(clock)
+	whole.RecordLocal(f, "s", first)
+	whole.RecordLocal(f, "s", second)
+	part.RecordLocal(f, "s", second)
+	is.True(whole.RefusedDigest() != 0)
+	is.Equal(part.RefusedDigest(), uint64(0))
+	is.True(part.Merge(f, Record{Service: "s", Crashes: []Crash{first}})) // the earlier crash arrives last
+	is.Equal(part.RefusedDigest(), whole.RefusedDigest())
+	is.True(!part.Merge(f, whole.Records()[f])) // nothing new
+	is.Equal(len(part.Records()[f].Crashes), 2)
+
+	// Runs that overlap count as one crash, in whatever order they are merged.
+	third := NewMemoryRegistry(clock)
+	third.RecordLocal(f, "s", Crash{ID: "c", Upstream: "n3", At: now.Add(time.Second), RanFor: 3 * time.Second})
+	is.True(!third.Merge(f, Record{Service: "s", Crashes: []Crash{first}}))
+}
+
+// Guards against a refusal that never ends because of a digest that is not updated when
+// its records expire, or of a crash in the future.
+func TestRefusalsExpire(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	m := NewMemoryRegistry(func() time.Time { return now })
+	f := Fingerprint{1}
+	for i := range MaxCrashes {
+		m.RecordLocal(f, "s", Crash{ID: strconv.Itoa(i), Upstream: "n", At: now.Add(time.Duration(i) * time.Second)})
+	}
+	is.True(m.RefusedDigest() != 0)
+	now = now.Add(RefusalTime + time.Second)
+	is.Equal(m.RefusedDigest(), uint64(0))
+	r := Record{Service: "s", Crashes: []Crash{{At: now.Add(time.Hour)}}}
+	is.True(r.Check(now) != nil)
+	r.Crashes[0].At = now
+	is.NoErr(r.Check(now))
+}
--- a/pkg/crashguard/record.go
+++ b/pkg/crashguard/record.go
@@ -1,6 +1,9 @@
 package crashguard
 
 import (
+	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -13,8 +16,8 @@
 	// flight on the crashed upstream are suspected for that long, or until they
 	// complete.
 	suspicionTime = 2 * time.Minute
-	// refusalTime is how long a request is refused after its second crash.
-	refusalTime = 10 * time.Minute
+	// RefusalTime is how long a request is refused after its second crash.
+	RefusalTime = 10 * time.Minute
 	// duplicateWindow is the time within which reports without an ID count as one
 	// crash: copies of a request that were in flight together on one upstream.
 	duplicateWindow = 2 * time.Second
@@ -70,24 +73,67 @@
 	return next
 }
 
+// maxCrashesPerRecord bounds the crashes of one record from another node. No more than
+// MaxCrashes crash upstreams one after the other; copies that run at the same time add
+// some.
+const maxCrashesPerRecord = 64
+
+// maxClockOffset is how far the time of a crash may be in the future. The clocks of
+// nodes differ, and may jump by seconds.
+const maxClockOffset = time.Minute
+
+var (
+	errRecordSize = fmt.Errorf("record has no service, no crash, or more than %d crashes", maxCrashesPerRecord)
+	errRecordTime = errors.New("record has a crash in the future")
+)
+
+// Check returns an error if r cannot be used at the time now. Records come from other
+// nodes and from rows of the store.
+func (r *Record) Check(now time.Time) error {
+	if r.Service == "" || len(r.Crashes) == 0 || len(r.Crashes) > maxCrashesPerRecord {
+		return errRecordSize
+	}
+	for _, c := range r.Crashes {
+		if c.At.Sub(now) > maxClockOffset {
+			return errRecordTime
+		}
+	}
+	return nil
+}
+
+// merge returns the record of the crashes of r and o, in the order of their times.
+func (r Record) merge(o Record) Record {
+	all := slices.Concat(r.Crashes, o.Crashes)
+	slices.SortStableFunc(all, func(a, b Crash) int { return a.At.Compare(b.At) })
+	merged := Record{Service: o.Service}
+	for _, c := range all {
+		merged = merged.add(o.Service, c)
+	}
+	return merged
+}
+
 // withoutExpired returns r without its crashes if they no longer count: once the
-// newest one is older than suspicionTime, or refusalTime for a refused request.
+// newest one is older than suspicionTime, or RefusalTime for a refused request.
 func (r Record) withoutExpired(now time.Time) Record {
 	lifetime := suspicionTime
 	if len(r.Crashes) >= MaxCrashes {
-		lifetime = refusalTime
+		lifetime = RefusalTime
 	}
 	next := Record{Service: r.Service}
-	newest := time.Time{}
+	if now.Sub(r.newest()) < lifetime {
+		next.Crashes = append(next.Crashes, r.Crashes...)
+	}
+	return next
+}
+
+// newest returns the time of the last crash.
+func (r Record) newest() (newest time.Time) {
 	for _, c := range r.Crashes {
 		if c.At.After(newest) {
 			newest = c.At
 		}
 	}
-	if now.Sub(newest) < lifetime {
-		next.Crashes = append(next.Crashes, r.Crashes...)
-	}
-	return next
+	return newest
 }
 
 // completed returns r after the request has completed. Crashes with other calls in
--- a/pkg/crashguard/registry.go
+++ b/pkg/crashguard/registry.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Registry shares records of crashes between nodes. Its methods are safe for
@@ -26,6 +28,14 @@
 	// removes the crashes during which other calls were in flight, unless the
 	// request is refused.
 	ReportCompleted(ctx context.Context, f Fingerprint) error
+	// Records returns all records. The caller must not change the map.
+	Records() map[Fingerprint]Record
+	// Merge adds the crashes of a record that another node or the store has, and
+	// reports whether the request is refused because of them.
+	Merge(f Fingerprint, r Record) (refused bool)
+	// RefusedDigest identifies the set of requests that are refused, 0 if there is
+	// none.
+	RefusedDigest() uint64
 }
 
 // maxRecords bounds the memory for records. Beyond it, evictRecord removes one. One
@@ -38,6 +48,14 @@
 	mu      sync.Mutex
 	now     func() time.Time
 	records atomic.Pointer[map[Fingerprint]Record]
+	// refused is the digest of RefusedDigest, which expires with the first of its
+	// records.
+	refused atomic.Pointer[refusedDigest]
+}
+
+type refusedDigest struct {
+	digest  uint64
+	expires time.Time
 }
 
 // NewMemoryRegistry returns an empty MemoryRegistry that reads the time from now.
@@ -73,6 +91,48 @@
 	return nil
 }
 
+// Records implements Registry.
+func (m *MemoryRegistry) Records() map[Fingerprint]Record { return *m.records.Load() }
+
+// Merge implements Registry.
+func (m *MemoryRegistry) Merge(f Fingerprint, r Record) (refused bool) {
+	if old, ok := m.Lookup(f); ok && old.Refused(m.now()) {
+		return false
+	}
+	m.update(f, func(old Record) Record { return old.merge(r) })
+	merged, ok := m.Lookup(f)
+	return ok && merged.Refused(m.now())
+}
+
+// RefusedDigest implements Registry.
+func (m *MemoryRegistry) RefusedDigest() uint64 {
+	if m.Empty() {
+		return 0
+	}
+	now := m.now()
+	if d := m.refused.Load(); d != nil && now.Before(d.expires) {
+		return d.digest
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.updateDigest(now).digest
+}
+
+// updateDigest computes the digest of RefusedDigest. The caller must hold m.mu.
+func (m *MemoryRegistry) updateDigest(now time.Time) *refusedDigest {
+	d := &refusedDigest{expires: now.Add(RefusalTime)}
+	for f, r := range *m.records.Load() {
+		if r.Refused(now) {
+			d.digest ^= xxhash.Sum64(f[:])
+			if end := r.newest().Add(RefusalTime); end.Before(d.expires) {
+				d.expires = end
+			}
+		}
+	}
+	m.refused.Store(d)
+	return d
+}
+
 // update replaces one record and drops the expired ones.
 func (m *MemoryRegistry) update(f Fingerprint, apply func(Record) Record) {
 	m.mu.Lock()
@@ -91,6 +151,7 @@
 		next[f] = r
 	}
 	m.records.Store(&next)
+	m.updateDigest(now)
 }
 
 // evictRecord removes a record with the fewest crashes, and of these the one whose
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -351,6 +351,9 @@
 // runAttempt sends a call to one node and delivers the response. It returns the
 // refusal if there is no response to deliver.
 func (g *Gateway) runAttempt(c *call) *Refusal {
+	if g.Local.crashSuspected(c.attempt) {
+		return newRefusal(model.CrashSuspected) // the node of the upstream may have restarted and not know it yet
+	}
 	now := time.Since(g.startTime)
 	entries := g.View.Current().UpstreamNodes(c.attempt.Service)
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(entries) == 1 {
--- a/pkg/gossip/entries.go
+++ b/pkg/gossip/entries.go
@@ -3,15 +3,20 @@
 import (
 	"encoding/json"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/jsonlist"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
-var errStateName = errors.New("state names no node")
+var (
+	errStateName   = errors.New("state names no node")
+	errCrashRecord = errors.New("record of crashes names no request or has a long service name")
+)
 
 func checkMember(m *fleet.Member) error { return m.Check() }
 
@@ -22,13 +27,24 @@
 	return nil
 }
 
-// decodeUpdate decodes an Update. Nodes that cannot be used are left out.
+func checkCrashRecord(r *CrashRecord) error {
+	if r.Fingerprint == (crashguard.Fingerprint{}) || len(r.Service) > fleet.MaxNameBytes {
+		return errCrashRecord
+	}
+	return r.Check(time.Now())
+}
+
+// decodeUpdate decodes an Update. Nodes and records that cannot be used are left out.
 func (n *Node) decodeUpdate(text []byte, u *Update, from model.NodeID) error {
 	ignored := n.logIgnored(from)
 	rest, nodes, err := takeList(text, "nodes", checkMember, ignored)
 	if err != nil {
 		return err
 	}
+	rest, crashes, err := takeList(rest, "crash_records", checkCrashRecord, ignored)
+	if err != nil {
+		return err
+	}
 	fields, err := jsonlist.Fields(rest)
 	if err != nil {
 		return err
@@ -48,7 +64,7 @@
 	if err := u.From.Check(); err != nil {
 		return err
 	}
-	u.Nodes = nodes
+	u.Nodes, u.Crashes = nodes, crashes
 	if u.FleetChange != nil {
 		u.FleetChange.Set = set
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -199,7 +199,7 @@
 	return Digest{
 		From: n.Self, Serving: n.Serving(), NeedsUpdate: n.needsUpdate(time.Now()),
 		ConfigVersion: n.Config.Version(), ConfigAge: n.configAge(time.Now()), FleetRevision: f.Position.Revision, FleetEra: f.Position.Era, MembersDigest: f.Digest,
-		Started: n.startNanos, Sequence: n.sequence.Add(1),
+		RefusedDigest: n.Notices.RefusedDigest(), Started: n.startNanos, Sequence: n.sequence.Add(1),
 	}
 }
 
@@ -238,6 +238,9 @@
 	if d.NeedsUpdate {
 		u.FleetChange, u.Nodes = n.fleetSince(f, d.fleetPosition())
 	}
+	if d.RefusedDigest != u.RefusedDigest {
+		u.Crashes = n.crashRecords(true)
+	}
 	n.updateLag(&d)
 	if u.NeedsUpdate && (d.ConfigVersion > u.ConfigVersion || d.fleetPosition().After(u.fleetPosition())) {
 		n.Guard.Go("ask back", func() { n.syncWith(context.Background(), d.From) })
@@ -335,6 +338,7 @@
 	}
 	n.applyDigestState(u.Digest)
 	n.updateLag(&u.Digest)
+	n.mergeCrashes(u.Crashes, m.Node)
 	n.applyChange(&u, string(m.Node))
 	if len(u.Configuration) > 0 {
 		c := &config.Configuration{}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -30,6 +30,9 @@
 	ConfigAge milliseconds `json:"config_age_ms,omitempty"`
 	// MembersDigest identifies the content of the fleet.
 	MembersDigest uint64 `json:"members_digest"`
+	// RefusedDigest identifies the requests that the sender refuses because they have
+	// crashed upstreams, 0 if there is none.
+	RefusedDigest uint64 `json:"refused,omitempty"`
 	// NeedsUpdate requests the versions that the sender does not have. A node
 	// whose store is available does not set it: it is about to read the same from
 	// there, and a whole configuration has the size of 500 digests.
@@ -65,6 +68,15 @@
 	// the requesting node. One of them is set if that position is older.
 	Nodes       []fleet.Member `json:"nodes,omitempty"`
 	FleetChange *fleet.Change  `json:"changes,omitempty"`
+	// Crashes are the records of the requests that the responding node refuses. They
+	// are set if the requesting node refuses others.
+	Crashes []CrashRecord `json:"crash_records,omitempty"`
+}
+
+// CrashRecord holds the crashes of one request, as far as a node knows them.
+type CrashRecord struct {
+	Fingerprint crashguard.Fingerprint `json:"fingerprint"`
+	crashguard.Record
 }
 
 // CrashNotice reports that a request was running when an upstream crashed or,
--- a/pkg/gossip/recovery.go
+++ b/pkg/gossip/recovery.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -48,6 +50,9 @@
 	// run for so long that nothing earlier matters.
 	Settled    bool                 `json:"settled,omitempty"`
 	Departures []recovery.Departure `json:"departures,omitempty"`
+	// Crashes are the records of requests that have crashed upstreams, also of those
+	// that are not refused yet.
+	Crashes []CrashRecord `json:"crash_records,omitempty"`
 }
 
 func checkDeparture(d *recovery.Departure) error { return d.Check() }
@@ -82,7 +87,7 @@
 }
 
 // Replicate sends a departure to keepersPerDeparture other nodes and calls confirmed
-// for each that holds it. It returns when these sends have ended.
+// for each that holds it, possibly concurrently. It returns when these sends have ended.
 func (n *Node) Replicate(ctx context.Context, d recovery.Departure, confirmed func()) {
 	all := n.keepers()
 	var next atomic.Int64
@@ -133,7 +138,9 @@
 		n.Log.Warn("request to recover is invalid", zap.String("remote", c.RealIP()), zap.Error(err))
 		return c.NoContent(http.StatusBadRequest)
 	}
-	return c.JSON(http.StatusOK, recoverResponse{Settled: n.Settled(), Departures: n.Departures.All(time.Now())})
+	return c.JSON(http.StatusOK, recoverResponse{
+		Settled: n.Settled(), Departures: n.Departures.All(time.Now()), Crashes: n.crashRecords(false),
+	})
 }
 
 // Recover asks a few other nodes for what they hold and adds it to what this node
@@ -153,6 +160,7 @@
 			return
 		}
 		n.Departures.Add(r.Departures, time.Now())
+		n.mergeCrashes(r.Crashes, m.Node)
 		mu.Lock()
 		defer mu.Unlock()
 		answered++
@@ -167,9 +175,46 @@
 // left out.
 func (n *Node) decodeRecoverResponse(text []byte, from model.NodeID) (r recoverResponse, err error) {
 	rest, departures, err := takeList(text, "departures", checkDeparture, n.logIgnored(from))
+	var crashes []CrashRecord
+	if err == nil {
+		rest, crashes, err = takeList(rest, "crash_records", checkCrashRecord, n.logIgnored(from))
+	}
 	if err == nil {
 		err = json.Unmarshal(rest, &r)
 	}
-	r.Departures = departures
+	r.Departures, r.Crashes = departures, crashes
 	return r, err
 }
+
+// maxSharedRecords bounds the records of crashes in one message. One has about 300
+// bytes. Those with the most crashes are sent first.
+const maxSharedRecords = 512
+
+// crashRecords returns the records of requests that have crashed upstreams, or only of
+// those that are refused.
+func (n *Node) crashRecords(refusedOnly bool) []CrashRecord {
+	if n.Notices.Empty() {
+		return nil
+	}
+	now := time.Now()
+	var all []CrashRecord
+	for f, r := range n.Notices.Records() {
+		if !refusedOnly || r.Refused(now) {
+			all = append(all, CrashRecord{f, r})
+		}
+	}
+	slices.SortFunc(all, func(a, b CrashRecord) int {
+		return cmp.Or(len(b.Crashes)-len(a.Crashes), bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+	})
+	return all[:min(len(all), maxSharedRecords)]
+}
+
+// mergeCrashes adds what another node knows of crashes.
+func (n *Node) mergeCrashes(records []CrashRecord, from model.NodeID) {
+	for _, r := range records {
+		if n.Notices.Merge(r.Fingerprint, r.Record) {
+			n.Log.Info("request is refused because of crashes that another node knows of", zap.Stringer("fingerprint", r.Fingerprint),
+				zap.String("service", r.Service), zap.Int("crashes", len(r.Crashes)), zap.String("from", string(from)))
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gossip/recovery_test.go
@@ -0,0 +1,146 @@
+package gossip
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
+	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/recovery"
+	"github.com/lentilflow/lentilflow/pkg/upstream"
+)
+
+// knowEachOther gives all peers the same fleet.
+func knowEachOther(peers ...*peer) {
+	var members []fleet.Member
+	for _, p := range peers {
+		members = append(members, p.Self)
+	}
+	for _, p := range peers {
+		p.View.Replace(members, follow.At(1), time.Now())
+	}
+}
+
+// crashTwice records a request that has crashed two upstreams at p only.
+func crashTwice(p *peer, f crashguard.Fingerprint) {
+	for i := range crashguard.MaxCrashes {
+		at := time.Now().Add(time.Duration(i-10) * time.Second)
+		p.Notices.RecordLocal(f, "s", crashguard.Crash{ID: fmt.Sprint(i), Upstream: "n", At: at})
+	}
+}
+
+// Guards against a node that starts and does not get back the departures of its own
+// upstream, or does not pass on those of others when their holders restart in turn.
+func TestDeparturesReturnAfterRestartsInTurn(t *testing.T) {
+	is := is.New(t)
+	peers := []*peer{newPeer(t, "a"), newPeer(t, "b"), newPeer(t, "c"), newPeer(t, "d")}
+	knowEachOther(peers...)
+	d := recovery.Departure{Node: "a", Departure: upstream.Departure{ID: "boot", StartedAt: 7}}
+	var confirmed atomic.Int64
+	peers[0].Replicate(t.Context(), d, func() { confirmed.Add(1) })
+	is.Equal(confirmed.Load(), int64(keepersPerDeparture))
+	for _, p := range peers[1:] {
+		p.SetSettled()
+	}
+	for round := range 2 {
+		for i := range peers {
+			p := newPeer(t, string(peers[i].Self.Node)) // another process, which knows nothing
+			peers[i] = p
+			knowEachOther(peers...)
+			answered, settled := p.Recover(t.Context())
+			is.Equal(answered, len(peers)-1)
+			is.True(settled >= len(peers)-2) // the first one was never settled before its restart
+			is.Equal(p.Departures.Of("a"), []upstream.Departure{d.Departure})
+			p.SetSettled()
+		}
+		t.Logf("round %d of restarts", round)
+	}
+}
+
+// Guards against a request that crashes upstreams again because a node that has
+// restarted, or has missed a notice, does not know its crashes.
+func TestCrashRecordsReachNodesThatMissedThem(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	knowEachOther(a, b)
+	f := crashguard.Fingerprint{1}
+	crashTwice(a, f)
+	refused := func(p *peer) bool {
+		r, ok := p.Notices.Lookup(f)
+		return ok && r.Refused(time.Now())
+	}
+	_, _ = b.Recover(t.Context())
+	is.True(refused(b))
+
+	c := newPeer(t, "c") // was cut off when the notices were sent
+	knowEachOther(a, b, c)
+	c.syncWith(t.Context(), a.Self)
+	is.True(refused(c))
+
+	quiet, other := newPeer(t, "quiet"), newPeer(t, "other")
+	before := other.bytesSent.Load()
+	quiet.syncWith(t.Context(), other.Self)
+	is.True(other.bytesSent.Load()-before < 600) // no records, no further fields
+}
+
+// Guards against departures that are all kept in one zone although there are others.
+func TestKeepersAreInSeveralZones(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, "self")
+	members := []fleet.Member{p.Self}
+	for i := range 12 {
+		zone := fmt.Sprint("z", i%3)
+		members = append(members, fleet.Member{
+			Node: model.NodeID(fmt.Sprint("n", i)), Service: "s", CallAddress: "127.0.0.1:1", MessageAddress: "127.0.0.1:1",
+			Location: model.Location{Region: "r", AvailabilityZone: model.AvailabilityZone(zone)},
+		})
+	}
+	p.Self.Location.AvailabilityZone = "z0"
+	members[0] = p.Self
+	p.View.Replace(members, follow.At(1), time.Now())
+	zones := make(map[model.AvailabilityZone]bool)
+	for _, m := range p.keepers()[:keepersPerDeparture] {
+		is.True(m.Node != p.Self.Node)
+		zones[m.Location.AvailabilityZone] = true
+	}
+	is.True(len(zones) >= 2)
+	is.Equal(len(p.keepers()), maxKeepers)
+}
+
+// Guards against malformed messages with departures, requests to recover and records of
+// crashes that end more than themselves.
+func TestOddRecoveryMessagesCostOnlyThemselves(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, "a")
+	e := echo.New()
+	p.RegisterHandlers(e)
+	post := func(path, body string) int {
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+		return w.Code
+	}
+	for _, odd := range []string{"", "{", "[]", `[{"node":""}]`, `[{"node":"n","boot":7}]`, strings.Repeat("[", 50_000)} {
+		is.Equal(post(pathDepartures, odd), http.StatusBadRequest)
+	}
+	for _, odd := range []string{"", "[", `{"node":7}`, `{}`} {
+		is.Equal(post(pathRecover, odd), http.StatusBadRequest)
+	}
+	is.Equal(post(pathDepartures, `[{"node":"n","boot":"b","started_ms":7},{"node":9},{"node":"m","boot":"b\u0000"}]`), http.StatusNoContent)
+	is.Equal(p.Departures.All(time.Now()), []recovery.Departure{{Node: "n", Departure: upstream.Departure{ID: "b", StartedAt: 7}}})
+	r, err := p.decodeRecoverResponse([]byte(`{"settled":true,"departures":[{"node":"x"},{"node":"x","boot":"y"}],"crash_records":[7,{"fingerprint":"00"},
+		{"fingerprint":"01000000000000000000000000000000","service":"s","crashes":[{"at":"2999-01-01T00:00:00Z"}]}]}`), "b")
+	is.NoErr(err)
+	is.True(r.Settled)
+	is.Equal(len(r.Departures), 1)
+	is.Equal(len(r.Crashes), 0)
+}
--- a/pkg/recovery/saver.go
+++ b/pkg/recovery/saver.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/contain"
+	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
@@ -39,6 +40,16 @@
 	Departures(ctx context.Context, id model.NodeID) ([]upstream.Departure, error)
 }
 
+// CrashStore holds the records of refused requests in the platform's store. Its
+// methods return an error if the store does not respond. It must be safe for
+// concurrent use.
+type CrashStore interface {
+	SaveCrashes(ctx context.Context, f crashguard.Fingerprint, r crashguard.Record) error
+	RemoveCrashes(ctx context.Context, fingerprints []crashguard.Fingerprint) error
+	// Crashes returns all records, at most as many as one response of the store has.
+	Crashes(ctx context.Context) (map[crashguard.Fingerprint]crashguard.Record, error)
+}
+
 // Saver hands departures of the upstream of this node to the store and to other nodes.
 // Its exported fields are set before the first use. It is safe for concurrent use.
 type Saver struct {
@@ -46,7 +57,8 @@
 	Held  *Departures
 	Store Store
 	// Replicate sends a departure to a few other nodes and calls confirmed for each
-	// that has stored it. It returns when all sends have succeeded or failed.
+	// that has stored it, possibly concurrently. It returns when all sends have
+	// succeeded or failed.
 	Replicate func(ctx context.Context, d Departure, confirmed func())
 	Guard     *contain.Guard
 	Log       *zap.Logger
