Accept a response that states the largest length without a panic

What callers saw: their connection was closed without a response when a faulty upstream stated a Content-Length of 2^63-1. The panic was contained, so the process and other calls went on.

Cause: the buffer for the start of a response had the stated length plus one, which is negative then.

The operators' report of memory that runs out because of such bytes could not be reproduced: heads, interim and unmatched responses are bounded in bytes (pkg/h1), bodies are passed on as fast as the caller reads.

--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -81,9 +81,9 @@
 	if res.Length == 0 {
 		return nil, true, readEmptyBody(res)
 	}
-	size := res.Length + 1
-	if res.Length == h1.Chunked || size > responseBufferSize {
-		size = responseBufferSize
+	size := int64(responseBufferSize)
+	if res.Length != h1.Chunked && res.Length < size {
+		size = res.Length + 1 // to read its end
 	}
 	buf := make([]byte, 0, min(size, initialBufferSize))
 	for int64(len(buf)) < size {
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -47,6 +47,8 @@
 }
 
 // signal sends s. It has no effect on a process that has ended.
+func (p *process) pid() int { return p.cmd.Process.Pid }
+
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // kill ends the process with SIGKILL and waits until it has ended.
