Count what was sent on the link instead of stated lengths

What callers saw: after one response of a faulty upstream that states a length of 1 TB and sends less, the node counted the link as full for hours and refused all downloads of its VM.

Cause: an ordinary response was recorded on the link with its stated length before it was sent, and a download counted in the backlog with it until its deadline. Change: what is read of a body is recorded; a download counts for no more than the link can send until its deadline.

--- a/pkg/gateway/download.go
+++ b/pkg/gateway/download.go
@@ -174,7 +174,7 @@
 	}
 	r.Body = nil
 	if r.Length >= 0 {
-		t.SetSize(r.Length)
+		t.SetSize(r.Length, att.Deadline)
 	}
 	r.Rest = &pacedReader{body: r.Rest, ctx: ctx, transfer: t}
 	return t.Done
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -285,6 +285,29 @@
 	return resp.StatusCode, string(body), err
 }
 
+// Guards against responses that state more bytes than they have: a panic at the largest
+// length, and downloads that are refused afterwards because the link counts as full.
+func TestStatedLengthIsNotTrusted(t *testing.T) {
+	for _, stated := range []string{"1099511627776", "9223372036854775807"} {
+		is := is.New(t)
+		holder := config.NewHolder()
+		_, err := holder.Offer(testConfiguration(injectedFault{}))
+		is.NoErr(err)
+		s, m := newTestNode("n0", holder, &runCounter{runs: make(map[string]int)}, injectedFault{})
+		defer s.close()
+		s.gateway.View.Replace([]fleet.Member{m}, follow.At(1), time.Now())
+		address, _ := rawUpstream(t, fmt.Sprintf("HTTP/1.1 200 X\r\n%s: b\r\n%s: 1\r\nContent-Length: %s\r\n\r\n%s",
+			testNames.RequestID, testNames.Signature, stated, strings.Repeat("x", 100<<10)), true)
+		link := shaping.NewLink(20)
+		s.gateway.Local = newTestLocal(t, address, link, 2)
+		status, body, err := sendOnce(s.address)
+		is.True(err != nil) // it breaks off visibly
+		is.Equal(status, http.StatusOK)
+		is.True(len(body) > 0)
+		is.True(link.TimeToSend("files") < time.Second)
+	}
+}
+
 // Guards the start of a node next to an upstream: the upstream itself has to
 // confirm the first report. A late report of a boot that has left must not be
 // accepted, and a running boot has to serve at once. A second report is sufficient only
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -275,7 +275,8 @@
 	if res.transfer != nil && isSuccess(res.Status) {
 		paceReply(x.Context(), g.Local.Link, att, res.transfer, reply)
 	} else {
-		g.Local.Link.RecordSent(max(res.Length, 0))
+		g.Local.Link.RecordSent(0)
+		reply.Rest = g.Local.Link.SentBody(res)
 	}
 	err := x.Reply(reply)
 	res.Finish(err == nil)
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -116,7 +116,10 @@
 func (g *Gateway) deliver(c *call, res *Response, start []byte, rest io.Reader) error {
 	reply := &h1.Reply{Status: res.Status, Header: res.Header, Body: start, Rest: rest, Length: res.Length}
 	if !c.attempt.Download || !isSuccess(res.Status) {
-		g.Local.Link.RecordSent(max(res.Length, 0))
+		g.Local.Link.RecordSent(int64(len(start)))
+		if rest != nil {
+			reply.Rest = g.Local.Link.SentBody(rest)
+		}
 		return g.sendResponse(c, reply)
 	}
 	done := paceReply(c.x.Context(), g.Local.Link, c.attempt, res.transfer, reply)
--- a/pkg/shaping/core.go
+++ b/pkg/shaping/core.go
@@ -128,3 +128,6 @@
 	bytes := float64(c.backlog+n) - c.credit
 	return time.Duration(max(bytes, 0) / c.rate * float64(time.Second))
 }
+
+// capacity returns the bytes that can be sent within d.
+func (c *Core) capacity(d time.Duration) int64 { return int64(c.rate*max(d, 0).Seconds()) + burst }
--- a/pkg/shaping/link.go
+++ b/pkg/shaping/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 )
@@ -71,16 +72,37 @@
 	l.core = nil
 }
 
-// RecordSent records a response with a body of n bytes that did not wait for the
-// link, so that large responses leave bandwidth for further ones of this kind.
-func (l *Link) RecordSent(n int64) {
+// RecordSent records a response that did not wait for the link, with the n bytes of
+// its body that are sent at once, so that large responses leave bandwidth for further
+// ones of this kind. The rest of its body is recorded by a reader of SentBody.
+func (l *Link) RecordSent(n int64) { l.consume(n + headerBytes) }
+
+func (l *Link) consume(n int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.core != nil {
-		l.core.Consume(time.Since(l.start), n+headerBytes)
+		l.core.Consume(time.Since(l.start), n)
 	}
 }
 
+// SentBody returns a reader of body that records what is read of it as sent. The
+// stated length of a body is not recorded, because a faulty upstream may state any.
+func (l *Link) SentBody(body io.Reader) io.Reader { return &sentReader{body, l} }
+
+type sentReader struct {
+	body io.Reader
+	link *Link
+}
+
+// Read implements io.Reader.
+func (r *sentReader) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if n > 0 {
+		r.link.consume(int64(n))
+	}
+	return n, err
+}
+
 // Transfer is the sending of one large response. Its methods are safe for
 // concurrent use with those of other transfers.
 type Transfer struct {
@@ -112,12 +134,16 @@
 	}
 }
 
-// SetSize sets the size of the response, in bytes. It replaces the mean size of
-// the route in the backlog.
-func (t *Transfer) SetSize(n int64) {
+// SetSize sets the stated size of the response, in bytes. It replaces the mean size
+// of the route in the backlog. deadline is when the response is cut off: it counts for
+// no more than the link can send until then.
+func (t *Transfer) SetSize(n int64, deadline time.Time) {
 	l := t.link
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.core != nil {
+		n = min(n, l.core.capacity(time.Until(deadline)))
+	}
 	l.addBacklog(n - t.remaining)
 	t.remaining = n
 }
