Do not spend the reserve of retries again after a restart

What callers saw: nothing yet; the review suspected it from the code. All nodes together could make more retries than the operator permits after restarts, which is what the retry budget is to prevent.

Cause: a process began with a full reserve, whatever the process before had spent in the same window. A budget that was created before the fleet was known had the reserve of a fleet of one node, and kept it when the fleet became known.

Change: after a restart a budget begins empty and is filled by calls; while the fleet is not known the reserve is the least one; a lower reserve takes tokens away.

Result: TestRestartsDoNotRefillBudgets failed before, with 7560 retries of 540 calls (168 permitted) and 42.0 tokens of a node that did not know the fleet; it passes now.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -137,7 +137,7 @@
 	a := &Agent{
 		settings: s, path: c.Path, level: c.Level, log: c.Log, platform: c.Platform,
 		configHolder: config.NewHolder(), fleetView: fleet.NewView(), registry: c.Platform.Registry(),
-		budgets:      gateway.NewBudgets(float64(s.Retries.Ratio), float64(s.Retries.Extra)),
+		budgets:      gateway.NewBudgets(float64(s.Retries.Ratio), float64(s.Retries.Extra), s.FirstStart != "yes"),
 		crashRecords: crashguard.NewMemoryRegistry(time.Now), heldDepartures: recovery.NewDepartures(),
 		rowOutdated: make(chan struct{}, 1),
 		self: fleet.Member{
--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -32,15 +32,17 @@
 	mu        sync.Mutex
 	ratio     float64
 	extra     float64
-	nodes     int
+	nodes     int  // 0 while the fleet is not known
+	restarted bool // an earlier process of this node may have spent its reserve
 	byService atomic.Pointer[map[string]*retry.Budget]
 }
 
 // NewBudgets returns budgets for one node. ratio is the permitted ratio of
 // retries to calls, extra the number of retries that all nodes together may
-// make beyond it.
-func NewBudgets(ratio, extra float64) *Budgets {
-	b := &Budgets{ratio: ratio, extra: extra, nodes: 1}
+// make beyond it. restarted says that an earlier process of the node may have spent
+// its share of them. Until SetNodeCount is called, that share is the least one.
+func NewBudgets(ratio, extra float64, restarted bool) *Budgets {
+	b := &Budgets{ratio: ratio, extra: extra, restarted: restarted}
 	b.byService.Store(&map[string]*retry.Budget{})
 	return b
 }
@@ -61,7 +63,11 @@
 		next[k] = r
 	}
 	share, reserve := b.nodeShare()
-	next[service] = retry.NewBudget(share, reserve)
+	if b.restarted {
+		next[service] = retry.NewEmptyBudget(share, reserve)
+	} else {
+		next[service] = retry.NewBudget(share, reserve)
+	}
 	b.byService.Store(&next)
 	return next[service]
 }
@@ -94,5 +100,9 @@
 // nodeShare returns the share of its calls and the reserve that this node may
 // spend on retries.
 func (b *Budgets) nodeShare() (share, reserve float64) {
-	return b.ratio * budgetShare, max(b.extra*reserveShare/float64(b.nodes), minReserve)
+	reserve = minReserve
+	if b.nodes > 0 {
+		reserve = max(reserve, b.extra*reserveShare/float64(b.nodes))
+	}
+	return b.ratio * budgetShare, reserve
 }
--- a/pkg/gateway/budget_test.go
+++ b/pkg/gateway/budget_test.go
@@ -20,6 +20,46 @@
 	budgetSeconds = 40
 )
 
+// newFullBudgets returns the budgets of the only node of a fleet.
+func newFullBudgets(ratio, extra float64) *Budgets {
+	b := NewBudgets(ratio, extra, false)
+	b.SetNodeCount(1)
+	return b
+}
+
+// Guards against more retries in a window than are permitted, because every node that
+// is restarted spends its share of the reserve again, or spends that of a whole fleet
+// before it knows the other nodes.
+func TestRestartsDoNotRefillBudgets(t *testing.T) {
+	const restarts, callsPerStart = 10, 3
+	spent, calls := 0, 0
+	for range budgetNodes {
+		for range restarts {
+			b := NewBudgets(budgetRatio, budgetExtra, true)
+			_ = b.Of("ordering") // a call before the fleet is known
+			b.SetNodeCount(budgetNodes)
+			for range callsPerStart {
+				calls++
+				b.Of("ordering").Earn()
+				for b.Of("ordering").Spend(false) {
+					spent++
+				}
+			}
+		}
+	}
+	if permitted := int(budgetRatio*float64(calls)) + budgetExtra; spent > permitted {
+		t.Errorf("%d retries of %d calls, want at most %d", spent, calls, permitted)
+	}
+	b := NewBudgets(budgetRatio, budgetExtra, false)
+	of := b.Of("ordering")
+	for range 1000 {
+		of.Earn()
+	}
+	if b.SetNodeCount(budgetNodes); of.Tokens() > budgetExtra*reserveShare/budgetNodes {
+		t.Errorf("%.1f tokens of a node that did not know the fleet", of.Tokens())
+	}
+}
+
 // simulateBudgets simulates upstreams that shed the given share of their
 // requests and lose the responses of another share. It returns the largest
 // number of extra arrivals in a window, and the number of requests in a window.
@@ -27,7 +67,7 @@
 	rnd := rand.New(rand.NewPCG(1, 2))
 	budgets := make([]*Budgets, budgetNodes)
 	for i := range budgets {
-		budgets[i] = NewBudgets(budgetRatio, budgetExtra)
+		budgets[i] = NewBudgets(budgetRatio, budgetExtra, false)
 		budgets[i].SetNodeCount(budgetNodes)
 	}
 	extraAt := make([]int, budgetSeconds)
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -151,7 +151,7 @@
 	local.Restore(nil, true)
 	g := New(&Gateway{
 		Names: names, Self: m, Config: holder, View: fleet.NewView(), Local: local, Remote: NewRemote(m.Node, names, holder),
-		Picker: balance.NewPicker(), Budgets: NewBudgets(1, 1000), Metrics: metrics, Log: zap.NewNop(), OnNewerConfig: func(config.Version, model.NodeID) {},
+		Picker: balance.NewPicker(), Budgets: newFullBudgets(1, 1000), Metrics: metrics, Log: zap.NewNop(), OnNewerConfig: func(config.Version, model.NodeID) {},
 	})
 	s := &testNode{
 		gateway: g, upstream: u, member: m, calls: g.CallServer(), peers: g.PeerServer(), address: callListener.Addr().String(), slots: testSlots,
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -34,8 +34,15 @@
 	return b
 }
 
-// Set changes share and reserve. Tokens above a lower reserve stay until they are
-// spent. The reserve of reruns is at least one token; with less, no rerun would
+// NewEmptyBudget returns a budget without tokens: an earlier process may have spent
+// those of a full one moments ago.
+func NewEmptyBudget(share, reserve float64) *Budget {
+	b := &Budget{}
+	b.Set(share, reserve)
+	return b
+}
+
+// Set changes share and reserve. Tokens above a lower reserve are lost. The reserve of reruns is at least one token; with less, no rerun would
 // ever be allowed.
 func (b *Budget) Set(share, reserve float64) {
 	b.all.set(share, reserve)
@@ -69,7 +76,10 @@
 
 func (b *bucket) set(share, reserve float64) {
 	b.perCall.Store(int64(share * tokenUnit))
-	b.reserve.Store(int64(reserve * tokenUnit))
+	limit := int64(reserve * tokenUnit)
+	b.reserve.Store(limit)
+	for l := b.level.Load(); l > limit && !b.level.CompareAndSwap(l, limit); l = b.level.Load() {
+	}
 }
 
 func (b *bucket) earn() {
--- a/pkg/shaping/shaping_test.go
+++ b/pkg/shaping/shaping_test.go
@@ -1,9 +1,9 @@
 package shaping
 
 import (
-	"math"
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
