--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -295,6 +295,7 @@
 		{"limited", func() { s.limitUpstream(n, float64(increment)*4) }},
 		{"states leaving", func() { s.retireUpstream(n, soakDrainLimit+pause) }},
 		{"replace", func() { s.replaceUpstream(n, pause/3) }},
+		{"leaves, reports late", func() { s.leaveWithLateReports(n, pause) }},
 		{"crash", func() {
 			n.upstream.Crash()
 			n.startUpstream()
@@ -437,6 +438,26 @@
 	n.startUpstream()
 }
 
+// leaveWithLateReports lets the upstream of a node leave, kills the node, and sends it
+// reports as of before the departure. The upstream serves on for a while, and another
+// boot starts at its address.
+func (s *soak) leaveWithLateReports(n *node, pause time.Duration) {
+	if n.upstream.Leave() {
+		s.mu.Lock()
+		s.drainTimes[n.upstream.ID] = time.Now()
+		s.mu.Unlock()
+	}
+	s.restart(n, syscall.SIGKILL)
+	const reports = 6
+	for range reports {
+		time.Sleep(pause / reports)
+		n.upstream.Report()
+	}
+	time.Sleep(soakDrainLimit + pause)
+	n.upstream.Crash()
+	n.startUpstream()
+}
+
 // statedLimit is the rate limit that a boot states from a time on.
 type statedLimit struct {
 	rate  float64
