--- a/pkg/recovery/evidence.go
+++ b/pkg/recovery/evidence.go
@@ -1,14 +1,8 @@
 package recovery
 
-const (
-	// enoughHolders is the number of holders of a departure beside this process at
-	// which it is acknowledged at once. The store counts as one.
-	enoughHolders = 2
-	// enoughPeers is the number of settled peers whose answers are sufficient
-	// without the store: as many as hold a departure that was acknowledged without
-	// the store, unless all but one have ended since.
-	enoughPeers = 2
-)
+// enoughNodes is the number of settled nodes whose answers are sufficient without the
+// store: as many as hold a departure that was acknowledged at once without the store.
+const enoughNodes = enoughHolders
 
 // Evidence is what a process that has started has received of the departures that
 // earlier processes of its node have acknowledged.
@@ -31,23 +25,10 @@
 // can tell whether it is leaving.
 func (e *Evidence) Complete() bool {
 	switch {
-	case e.Settled >= enoughPeers:
+	case e.Settled >= enoughNodes:
 		return true
 	case !e.StoreRead:
 		return false
 	}
 	return e.Settled > 0 || e.OthersKnown && e.Others == 0 || !e.HealthPath
 }
-
-// holders counts who holds a departure beside this process.
-type holders struct {
-	store bool
-	peers int
-}
-
-func (h *holders) count() int {
-	if h.store {
-		return h.peers + 1
-	}
-	return h.peers
-}
--- a/pkg/recovery/saver.go
+++ b/pkg/recovery/saver.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// enoughHolders is the number of holders of a departure beside this process at
+	// which it is acknowledged at once. The store counts as one.
+	enoughHolders = 2
 	// saveTimeout bounds the wait for holders of a departure. Its acknowledgement
 	// must arrive within a second.
 	saveTimeout = 700 * time.Millisecond
@@ -79,6 +82,19 @@
 	ended   bool          // pending is 0
 }
 
+// holders counts who holds a departure beside this process.
+type holders struct {
+	store bool
+	nodes int
+}
+
+func (h *holders) count() int {
+	if h.store {
+		return h.nodes + 1
+	}
+	return h.nodes
+}
+
 // update changes s and wakes those who wait for a change.
 func (s *save) update(change func()) {
 	s.mu.Lock()
@@ -130,7 +146,7 @@
 	}
 	held, _, _ := current.state()
 	fields := []zap.Field{
-		zap.String("boot", d.ID), zap.Int64("born_ms", d.StartedAt), zap.Bool("store", held.store), zap.Int("nodes", held.peers), zap.Duration("took", time.Since(begun)),
+		zap.String("boot", d.ID), zap.Int64("born_ms", d.StartedAt), zap.Bool("store", held.store), zap.Int("nodes", held.nodes), zap.Duration("took", time.Since(begun)),
 	}
 	if held.count() == 0 {
 		s.Log.Warn("departure of the upstream is held by no other process; it is not acknowledged", fields...)
@@ -181,7 +197,7 @@
 func (s *Saver) replicate(d upstream.Departure, current *save) {
 	s.Guard.Go("replicate departure", func() {
 		defer current.update(current.attemptEnded)
-		s.Replicate(context.Background(), Departure{s.Node, d}, func() { current.update(func() { current.holders.peers++ }) })
+		s.Replicate(context.Background(), Departure{s.Node, d}, func() { current.update(func() { current.holders.nodes++ }) })
 	})
 }
 
