Start upstreams of the tests while no process is being started

Until a new process executes its program, it has a copy of the closed listener. isFree already takes the lock against that; startUpstream did not.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -190,8 +190,12 @@
 	return true
 }
 
+// startUpstream starts an upstream at the address of the last one. No process is
+// started meanwhile, for the reason given at isFree.
 func (n *node) startUpstream() {
 	n.c.t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	u, err := upstream.Start(upstream.Config{
 		Service: n.service, Zone: n.zone, Slots: slots, ReportAddress: n.reports, CallAddress: n.calls, AdvertisedAddress: n.upstreamAddress, ServiceTime: 10 * time.Millisecond,
 	}, n.upstreamListen, &n.c.ledger)
