--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -88,9 +88,9 @@
 	budgets      *gateway.Budgets
 	crashRecords *crashguard.MemoryRegistry
 	// heldDepartures holds the departures of this node's upstream and of others;
-	// departures hands those of this node's upstream to others.
+	// departureSaver hands those of this node's upstream to others.
 	heldDepartures *recovery.Departures
-	departures     *recovery.Saver
+	departureSaver *recovery.Saver
 	recoveryStore  recovery.Store
 	crashStore     recovery.CrashStore
 	crashesRead    atomic.Bool  // crashStore was read
@@ -162,7 +162,7 @@
 		Guard: a.guard,
 	}
 	a.gossip.Init(time.Now())
-	a.departures = &recovery.Saver{
+	a.departureSaver = &recovery.Saver{
 		Node: a.self.Node, Held: a.heldDepartures, Store: a.recoveryStore, Replicate: a.gossip.Replicate, Guard: a.guard, Log: c.Log,
 	}
 	a.local = gateway.NewLocal(&gateway.Local{
--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -26,28 +26,28 @@
 	if !report.Draining {
 		return v, nil
 	}
-	return v, r.a.departures.Save(upstream.Departure{ID: report.ID, StartedAt: report.StartedAt})
+	return v, r.a.departureSaver.Save(upstream.Departure{ID: report.ID, StartedAt: report.StartedAt})
 }
 
 // Leave implements ReportReceiver.
 func (r reportReceiver) Leave(id string, startedAt int64) (upstream.Verdict, error) {
 	v, d := r.a.local.Leave(id, startedAt)
-	return v, r.a.departures.Save(d)
+	return v, r.a.departureSaver.Save(d)
 }
 
 // onDeparture hands on a departure that the upstream has stated in a response.
 func (a *Agent) onDeparture(d upstream.Departure) {
-	a.guard.Go("save stated departure", func() { _ = a.departures.Save(d) }) // an error is logged there
+	a.guard.Go("save stated departure", func() { _ = a.departureSaver.Save(d) }) // an error is logged there
 }
 
 // recoverRecords gets back what earlier processes of this node have acknowledged.
 func (a *Agent) recoverRecords(ctx context.Context) error {
 	if a.firstStart() {
-		a.local.Restore(nil, true)
+		a.local.RecoverDepartures(nil, true)
 	} else {
 		r := recovery.Recoverer{
 			Node: a.self.Node, Held: a.heldDepartures, Store: a.recoveryStore, AskOthers: a.askOthers, HasHealthPath: a.local.HasHealthPath,
-			Apply: a.local.Restore, OnStoreRead: a.departures.Restored, Guard: a.guard, Log: a.log,
+			Apply: a.local.RecoverDepartures, OnStoreRead: a.departureSaver.RecordStored, Guard: a.guard, Log: a.log,
 		}
 		r.Run(ctx)
 	}
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -148,7 +148,7 @@
 		OnCrash: func(crashguard.Fingerprint, crashguard.Crash) {}, OnSuspectCompleted: func(crashguard.Fingerprint) {},
 		OnDeparture: func(upstream.Departure) {},
 	}, u.listener.Addr().String())
-	local.Restore(nil, true)
+	local.RecoverDepartures(nil, true)
 	g := New(&Gateway{
 		Names: names, Self: m, Config: holder, View: fleet.NewView(), Local: local, Remote: NewRemote(m.Node, names, holder),
 		Picker: balance.NewPicker(), Budgets: newFullBudgets(1, 1000), Metrics: metrics, Log: zap.NewNop(), OnNewerConfig: func(config.Version, model.NodeID) {},
--- a/pkg/gateway/download_test.go
+++ b/pkg/gateway/download_test.go
@@ -82,7 +82,7 @@
 		OnCrash: func(crashguard.Fingerprint, crashguard.Crash) {}, OnSuspectCompleted: func(crashguard.Fingerprint) {},
 		OnDeparture: func(upstream.Departure) {},
 	}, address)
-	l.Restore(nil, departuresKnown)
+	l.RecoverDepartures(nil, departuresKnown)
 	return l
 }
 
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -79,17 +79,17 @@
 	stopping atomic.Bool
 	// requestsSent counts the requests that were sent to the upstream, without
 	// health checks.
-	requestsSent atomic.Int64
-	stated       statedLimit
-	statementLog lineLimiter
-	startTime    time.Time
-	running      inFlightAttempts
-	buffered     bufferedBytes
-	waiting      waitingAttempts
-	restored     chan struct{} // closed by the first Restore
-	restoredOnce sync.Once
-	// restoreDeadline is until when health checks wait for the first Restore.
-	restoreDeadline atomic.Pointer[time.Time]
+	requestsSent  atomic.Int64
+	stated        statedLimit
+	statementLog  lineLimiter
+	startTime     time.Time
+	running       inFlightAttempts
+	buffered      bufferedBytes
+	waiting       waitingAttempts
+	recovered     chan struct{} // closed by the first RecoverDepartures
+	recoveredOnce sync.Once
+	// recoveryDeadline is until when health checks wait for the first RecoverDepartures.
+	recoveryDeadline atomic.Pointer[time.Time]
 
 	mu          sync.Mutex
 	tracker     upstream.Tracker
@@ -106,7 +106,7 @@
 	l.gate.Guard = l.Guard
 	l.tracker.VerifyFirstBoot = true
 	l.startTime = time.Now()
-	l.restored = make(chan struct{})
+	l.recovered = make(chan struct{})
 	l.statementLog.limiter = rate.NewLimiter(statementLinesPerSecond, statementLinesPerSecond)
 	return l
 }
--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -42,33 +42,33 @@
 // wait at the upstream itself.
 const assumedSlots = 8
 
-// maxRestoreWait bounds the wait of the first health checks for the departures that
+// maxRecoveryWait bounds the wait of the first health checks for the departures that
 // earlier processes have acknowledged: a boot that leaves may still respond. A node
 // without the store knows other nodes as soon as it has a configuration, and has their
 // answers a round trip later.
-const maxRestoreWait = time.Second
+const maxRecoveryWait = time.Second
 
-// Restore applies departures that earlier processes of this node have acknowledged.
+// RecoverDepartures applies departures that earlier processes of this node have acknowledged.
 // complete says that none is missing.
-func (l *Local) Restore(departures []upstream.Departure, complete bool) {
+func (l *Local) RecoverDepartures(departures []upstream.Departure, complete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if complete {
 		l.tracker.TrustReports()
 	}
-	if l.tracker.Restore(departures) == upstream.Changed {
+	if l.tracker.Recover(departures) == upstream.Changed {
 		l.updateBoot("had left before the restart of the node")
 	}
-	l.restoredOnce.Do(func() { close(l.restored) })
+	l.recoveredOnce.Do(func() { close(l.recovered) })
 }
 
-// awaitRestore waits for the first Restore, until maxRestoreWait after its first call.
-func (l *Local) awaitRestore() {
-	l.restoreDeadline.CompareAndSwap(nil, new(time.Now().Add(maxRestoreWait)))
-	t := time.NewTimer(time.Until(*l.restoreDeadline.Load()))
+// awaitRecovery waits for the first RecoverDepartures, until maxRecoveryWait after its first call.
+func (l *Local) awaitRecovery() {
+	l.recoveryDeadline.CompareAndSwap(nil, new(time.Now().Add(maxRecoveryWait)))
+	t := time.NewTimer(time.Until(*l.recoveryDeadline.Load()))
 	defer t.Stop()
 	select {
-	case <-l.restored:
+	case <-l.recovered:
 	case <-t.C:
 	}
 }
@@ -86,7 +86,7 @@
 
 // DetectBoot asks the upstream for its boot, so that a node that restarts next
 // to a running upstream does not have to wait for the next report, which may be
-// 1.5 s away. The request is limited to 500 ms, after maxRestoreWait.
+// 1.5 s away. The request is limited to 500 ms, after maxRecoveryWait.
 func (l *Local) DetectBoot() {
 	id, ok := l.queryBoot()
 	if !ok {
@@ -111,7 +111,7 @@
 	if !ok || service.HealthPath == "" {
 		return "", false
 	}
-	l.awaitRestore()
+	l.awaitRecovery()
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
 	sentAt := time.Now()
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -172,7 +172,7 @@
 		l := NewLocal(&Local{
 			Service: testService, Names: testNames, Log: zap.NewNop(), Config: config.NewHolder(), OnServingChange: func(bool) {},
 		}, address)
-		l.Restore(nil, true)
+		l.RecoverDepartures(nil, true)
 		l.DetectBoot()
 		is.True(!l.Serving()) // the health path is not known
 		c := testConfiguration(injectedFault{})
--- a/pkg/recovery/model_test.go
+++ b/pkg/recovery/model_test.go
@@ -81,15 +81,15 @@
 }
 
 type modelProcess struct {
-	vm       *modelVM
-	tracker  upstream.Tracker
-	held     *Departures
-	saver    *Saver
-	settled  bool
-	started  time.Time
-	restored bool
-	alive    bool
-	end      context.CancelFunc
+	vm        *modelVM
+	tracker   upstream.Tracker
+	held      *Departures
+	saver     *Saver
+	settled   bool
+	started   time.Time
+	recovered bool
+	alive     bool
+	end       context.CancelFunc
 }
 
 // oneIn returns true once in n calls on average.
@@ -186,20 +186,20 @@
 	p.saver = &Saver{Node: vm.id, Held: p.held, Store: p, Replicate: p.replicate, Log: zap.NewNop()}
 	vm.process = p
 	if first || w.variant.trusting {
-		p.settled, p.restored = true, true
+		p.settled, p.recovered = true, true
 		p.tracker.TrustReports()
 		return
 	}
 	r := Recoverer{
-		Node: vm.id, Held: p.held, Store: p, AskOthers: p.askOthers, HasHealthPath: func() bool { return true }, OnStoreRead: p.saver.Restored, Log: zap.NewNop(),
+		Node: vm.id, Held: p.held, Store: p, AskOthers: p.askOthers, HasHealthPath: func() bool { return true }, OnStoreRead: p.saver.RecordStored, Log: zap.NewNop(),
 		Apply: func(departures []upstream.Departure, complete bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if complete {
 				p.tracker.TrustReports()
 			}
-			p.tracker.Restore(departures)
-			p.restored = true
+			p.tracker.Recover(departures)
+			p.recovered = true
 		},
 	}
 	go func() {
@@ -213,7 +213,7 @@
 // health returns the boot that a health check finds, if the process may make one.
 func (p *modelProcess) health() (id string, ok bool) {
 	b := p.vm.boot
-	if b == nil || !p.restored && time.Since(p.started) < time.Second || b.leaving && !p.vm.w.falseHealth {
+	if b == nil || !p.recovered && time.Since(p.started) < time.Second || b.leaving && !p.vm.w.falseHealth {
 		return "", false
 	}
 	return b.ID, true
@@ -348,16 +348,16 @@
 
 // disturb makes one random disturbance.
 func (w *world) disturb() {
-	any := func() *modelVM { return w.vms[w.rand.IntN(modelVMs)] }
+	random := func() *modelVM { return w.vms[w.rand.IntN(modelVMs)] }
 	switch w.rand.IntN(7) {
 	case 0, 1:
-		w.leave(any())
+		w.leave(random())
 	case 2:
-		vm := any()
+		vm := random()
 		vm.late = !vm.late
 	case 3, 4:
 		if time.Since(w.lastKill) > 2*time.Second {
-			w.kill(any(), any())
+			w.kill(random(), random())
 		}
 	case 5:
 		w.away = !w.away
--- a/pkg/recovery/saver.go
+++ b/pkg/recovery/saver.go
@@ -114,8 +114,8 @@
 	return s.holders, s.ended, s.changed
 }
 
-// Restored records departures that the store holds.
-func (s *Saver) Restored(departures []upstream.Departure) {
+// RecordStored records departures that the store holds.
+func (s *Saver) RecordStored(departures []upstream.Departure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range departures {
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -284,10 +284,10 @@
 	return t.accept(t.unverified[i], false)
 }
 
-// Restore records departures that earlier processes of this node have acknowledged.
+// Recover records departures that earlier processes of this node have acknowledged.
 // It returns Changed if the boot that was getting requests is one of them, and
 // otherwise Stale.
-func (t *Tracker) Restore(departures []Departure) Verdict {
+func (t *Tracker) Recover(departures []Departure) Verdict {
 	verdict := Stale
 	for _, d := range departures {
 		if t.MarkLeaving(d.ID, d.StartedAt) == Changed {
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -210,12 +210,12 @@
 // reports arrive late together at a process that was started after its departure was
 // acknowledged. Found by the review of 2026-12-05 (review/3).
 func TestSeriesOfLateReportsAfterRestartIsNotAccepted(t *testing.T) {
-	for name, restored := range map[string]bool{"departure known": true, "departure not known": false} {
+	for name, known := range map[string]bool{"departure known": true, "departure not known": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			tr := Tracker{VerifyFirstBoot: true}
-			if restored {
-				tr.Restore([]Departure{{ID: "gone", StartedAt: 100}})
+			if known {
+				tr.Recover([]Departure{{ID: "gone", StartedAt: 100}})
 				tr.TrustReports()
 			}
 			start := time.Now()
@@ -223,7 +223,7 @@
 				late := readyReport("gone", 100, 5+sequence)
 				late.ReceivedAt = start.Add(time.Duration(sequence) * 900 * ms)
 				v := tr.Report(late)
-				is.Equal(v == Stale, restored)
+				is.Equal(v == Stale, known)
 				_, ok := tr.Current()
 				is.True(!ok)
 			}
@@ -249,10 +249,10 @@
 // Guards against a boot that is used after a restart because a health check
 // succeeds, although a departure of it is known. A later boot with the same id must
 // not be left out.
-func TestRestoredDepartureIsFinal(t *testing.T) {
+func TestRecoveredDepartureIsFinal(t *testing.T) {
 	is := is.New(t)
 	tr := Tracker{VerifyFirstBoot: true}
-	tr.Restore([]Departure{{ID: "a", StartedAt: 100}})
+	tr.Recover([]Departure{{ID: "a", StartedAt: 100}})
 	is.Equal(tr.Discover("a", 8), Stale)
 	is.Equal(tr.Report(readyReport("a", 100, 9)), Stale)
 	is.Equal(tr.Verify("a", 100), Stale)
@@ -261,14 +261,14 @@
 
 	tr = Tracker{VerifyFirstBoot: true}
 	tr.Discover("a", 8)
-	is.Equal(tr.Restore([]Departure{{ID: "a", StartedAt: 100}}), Changed) // known later than the health check
+	is.Equal(tr.Recover([]Departure{{ID: "a", StartedAt: 100}}), Changed) // known later than the health check
 	_, ok := tr.Current()
 	is.True(!ok)
 
 	tr = Tracker{VerifyFirstBoot: true}
 	tr.Report(readyReport("a", 100, 9))
 	is.Equal(tr.Verify("a", 100), Changed)
-	is.Equal(tr.Restore([]Departure{{ID: "a", StartedAt: 100}}), Changed)
+	is.Equal(tr.Recover([]Departure{{ID: "a", StartedAt: 100}}), Changed)
 	_, ok = tr.Current()
 	is.True(!ok)
 }
