Complete departures, health paths and budgets in one place each

The start of a leaving boot was looked up in three places; Tracker.Departure does it. The health path was read from the configuration twice, and NewBudget repeated NewEmptyBudget. No behaviour changes; the tests of pkg/upstream, retry, recovery, gateway, gossip and platform passed.

--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -76,12 +76,22 @@
 // HasHealthPath reports whether the upstream can be asked for its boot, as far as the
 // configuration in force says.
 func (l *Local) HasHealthPath() bool {
+	path, known := l.healthPath()
+	return !known || path != ""
+}
+
+// healthPath returns the path of the upstream's health check, "" if it has none. known
+// is false if no configuration says so.
+func (l *Local) healthPath() (path string, known bool) {
 	s := l.Config.Current()
 	if s == nil {
-		return true
+		return "", false
 	}
 	service, ok := s.Service(l.Service)
-	return !ok || service.HealthPath != ""
+	if !ok {
+		return "", false
+	}
+	return service.HealthPath, true
 }
 
 // DetectBoot asks the upstream for its boot, so that a node that restarts next
@@ -103,19 +113,15 @@
 // address. ok is false if the upstream is leaving or does not respond, or if
 // its health path is not known.
 func (l *Local) queryBoot() (boot string, ok bool) {
-	s := l.Config.Current()
-	if s == nil {
-		return "", false
-	}
-	service, ok := s.Service(l.Service)
-	if !ok || service.HealthPath == "" {
+	path, _ := l.healthPath()
+	if path == "" {
 		return "", false
 	}
 	l.awaitRecovery()
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	a, err := l.pool.Do(ctx, &h1.Request{Method: http.MethodGet, Target: service.HealthPath, Host: l.pool.Address})
+	a, err := l.pool.Do(ctx, &h1.Request{Method: http.MethodGet, Target: path, Host: l.pool.Address})
 	if err != nil {
 		l.Log.Info("upstream did not respond to the health check for its boot; its next report decides", zap.Error(err))
 		return "", false
@@ -157,10 +163,7 @@
 func (l *Local) Leave(id string, startedAt int64) (upstream.Verdict, upstream.Departure) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := upstream.Departure{ID: id, StartedAt: startedAt}
-	if startedAt == 0 {
-		d.StartedAt = l.tracker.StartOf(id)
-	}
+	d := l.tracker.Departure(id, startedAt)
 	v := l.tracker.Leave(id, startedAt)
 	if v == upstream.Changed {
 		l.updateBoot("left")
--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -126,10 +126,7 @@
 func (l *Local) markLeaving(requestID string, boot *upstream.Boot, source string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := upstream.Departure{ID: boot.ID, StartedAt: boot.StartedAt}
-	if d.StartedAt == 0 {
-		d.StartedAt = l.tracker.StartOf(boot.ID)
-	}
+	d := l.tracker.Departure(boot.ID, boot.StartedAt)
 	if l.tracker.MarkLeaving(boot.ID, boot.StartedAt) != upstream.Changed {
 		return
 	}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -27,8 +27,7 @@
 // adds to the budget, for example 0.1. reserve is the number of retries that a full
 // budget holds.
 func NewBudget(share, reserve float64) *Budget {
-	b := &Budget{}
-	b.Set(share, reserve)
+	b := NewEmptyBudget(share, reserve)
 	b.all.level.Store(b.all.reserve.Load())
 	b.reruns.level.Store(b.reruns.reserve.Load())
 	return b
@@ -42,8 +41,8 @@
 	return b
 }
 
-// Set changes share and reserve. Tokens above a lower reserve are lost. The reserve of reruns is at least one token; with less, no rerun would
-// ever be allowed.
+// Set changes share and reserve. Tokens above a lower reserve are lost. The
+// reserve of reruns is at least one token; with less, no rerun would ever be allowed.
 func (b *Budget) Set(share, reserve float64) {
 	b.all.set(share, reserve)
 	b.reruns.set(rerunShare*share, max(rerunShare*reserve, 1))
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -305,13 +305,13 @@
 // are known. A second, newer report then verifies the first boot.
 func (t *Tracker) TrustReports() { t.trustsReports = true }
 
-// StartOf returns the start of the newest boot in Unix milliseconds if it has this
-// id, and otherwise 0.
-func (t *Tracker) StartOf(id string) int64 {
-	if t.hasBoot && t.boot.ID == id {
-		return t.boot.StartedAt
+// Departure returns the departure of the boot with this id and start (Unix
+// milliseconds). A start of 0 is replaced by that of the newest boot if it has the id.
+func (t *Tracker) Departure(id string, startedAt int64) Departure {
+	if startedAt == 0 && t.hasBoot && t.boot.ID == id {
+		startedAt = t.boot.StartedAt
 	}
-	return 0
+	return Departure{id, startedAt}
 }
 
 // Leave records that the boot with this id and start (Unix milliseconds) is
@@ -321,9 +321,7 @@
 func (t *Tracker) Leave(id string, startedAt int64) Verdict {
 	t.reported = true
 	current := t.hasBoot && t.boot.ID == id
-	if startedAt == 0 {
-		startedAt = t.StartOf(id)
-	}
+	startedAt = t.Departure(id, startedAt).StartedAt
 	if startedAt != 0 {
 		t.recordDeparture(id, startedAt)
 	} else {
