Remove the oldest departures from the store, not arbitrary ones

What callers could see: requests to an upstream that has left, after its node was restarted twice while the other holders of the departure were gone as well.

Cause: the store keeps 8 departures for each node, and a node that writes a further one removes the first of those that it has read. It read them in the order of their keys, which are hashes, and in reverse, so that it could remove the newest one.

--- a/pkg/recovery/saver.go
+++ b/pkg/recovery/saver.go
@@ -39,7 +39,8 @@
 type Store interface {
 	// SaveDeparture adds a departure of a node, and removes older ones of that node.
 	SaveDeparture(ctx context.Context, d Departure, older []upstream.Departure) error
-	// Departures returns the departures of a node, in any order.
+	// Departures returns the departures of a node, in the order in which they were
+	// written.
 	Departures(ctx context.Context, id model.NodeID) ([]upstream.Departure, error)
 }
 
@@ -114,15 +115,12 @@
 	return s.holders, s.ended, s.changed
 }
 
-// RecordStored records departures that the store holds.
+// RecordStored records departures that the store holds, the oldest first.
 func (s *Saver) RecordStored(departures []upstream.Departure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, d := range departures {
-		if !slices.Contains(s.inStore, d) {
-			s.inStore = slices.Insert(s.inStore, 0, d)
-		}
-	}
+	earlier := slices.DeleteFunc(slices.Clone(departures), func(d upstream.Departure) bool { return slices.Contains(s.inStore, d) })
+	s.inStore = append(earlier, s.inStore...)
 }
 
 // Save returns once a departure has enough holders, at the latest after saveTimeout.
