Keep the newest departures of an upstream whichever holder answers last

What callers could see: requests to an upstream that has left, after its node was restarted, if the store was away when the departure was acknowledged and holds 8 older ones. Rows of departures stay in the store, so every node that has had 8 upstreams is affected.

Cause: a node that starts kept the 8 departures of its upstream that it received last. The 8 rows of the store displaced the departure that only other nodes had, and the answer of a node that was behind displaced the newest one of another. A departure that a node passed on counted as new again, so departures did not expire in a fleet whose nodes restart now and then, and were displaced in an arbitrary order.

Change: departures carry their age in messages between nodes and are ordered by it. Memory holds 64 for each node, as many as a tracker does; the store still holds 8.

Evidence: TestStoredDeparturesDoNotDisplaceNewerOnes, TestNewestDepartureIsKeptWhicheverNodeAnswersLast and TestDeparturesExpireAlthoughNodesRestart failed before and pass now.

--- a/pkg/recovery/departures.go
+++ b/pkg/recovery/departures.go
@@ -16,9 +16,13 @@
 )
 
 const (
-	// MaxPerNode is the number of departures that are kept for one node, the newest
-	// ones.
-	MaxPerNode = 8
+	// maxStored is the number of departures that the store keeps for one node, the
+	// newest ones.
+	maxStored = 8
+	// maxHeld is the number of departures that are kept in memory for one node, the
+	// newest ones: those that the store returns and those that only other nodes have.
+	// It is the number that an upstream.Tracker keeps.
+	maxHeld = 64
 	// maxDepartures bounds the departures of all nodes together. One has about 150
 	// bytes in memory.
 	maxDepartures = 4096
@@ -33,9 +37,16 @@
 type Departure struct {
 	Node model.NodeID `json:"node"`
 	upstream.Departure
+	// AgeMillis is how long the sender has held the departure, or those from which
+	// it got it, in milliseconds. A node that passes a departure on does not make it
+	// younger. It is 0 in the store, where the age is not known.
+	AgeMillis int64 `json:"age_ms,omitempty"`
 }
 
-var errDepartureName = errors.New("is missing, has more than 200 bytes or a control character")
+var (
+	errDepartureName = errors.New("is missing, has more than 200 bytes or a control character")
+	errDepartureAge  = errors.New("age is negative")
+)
 
 // Check returns an error if d cannot be used. Departures come from other nodes and
 // from rows of the store.
@@ -45,6 +56,9 @@
 			return fmt.Errorf("%s %w", field, errDepartureName)
 		}
 	}
+	if d.AgeMillis < 0 {
+		return errDepartureAge
+	}
 	return nil
 }
 
@@ -64,19 +78,15 @@
 // NewDepartures returns an empty Departures.
 func NewDepartures() *Departures { return &Departures{byNode: make(map[model.NodeID][]heldDeparture)} }
 
-// Add adds departures, which were received now. Those that are held already are kept
-// for as long as new ones.
+// Add adds departures, which were received now. One that is held already keeps the
+// lower of its two ages.
 func (h *Departures) Add(departures []Departure, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, d := range departures {
-		held := h.byNode[d.Node]
-		h.count -= len(held)
-		held = slices.DeleteFunc(held, func(o heldDeparture) bool { return o.Departure == d.Departure })
-		held = append(held, heldDeparture{d.Departure, now})
-		held = held[max(len(held)-MaxPerNode, 0):]
-		h.byNode[d.Node] = held
-		h.count += len(held)
+		if d.AgeMillis < keepTime.Milliseconds() {
+			h.add(d.Node, heldDeparture{d.Departure, now.Add(-time.Duration(d.AgeMillis) * time.Millisecond)})
+		}
 	}
 	if h.count > maxDepartures {
 		h.removeExpired(now)
@@ -86,6 +96,27 @@
 	}
 }
 
+// add adds a departure of a node. The departures of each node are in the order of
+// their ages, the oldest first. The caller must hold h.mu.
+func (h *Departures) add(id model.NodeID, d heldDeparture) {
+	held := h.byNode[id]
+	h.count -= len(held)
+	if i := slices.IndexFunc(held, func(o heldDeparture) bool { return o.Departure == d.Departure }); i >= 0 {
+		if held[i].since.After(d.since) {
+			d.since = held[i].since
+		}
+		held = slices.Delete(held, i, i+1)
+	}
+	at := len(held)
+	for at > 0 && held[at-1].since.After(d.since) {
+		at--
+	}
+	held = slices.Insert(held, at, d)
+	held = held[max(len(held)-maxHeld, 0):]
+	h.byNode[id] = held
+	h.count += len(held)
+}
+
 // Of returns the departures of a node's upstream, the oldest first.
 func (h *Departures) Of(id model.NodeID) []upstream.Departure {
 	h.mu.Lock()
@@ -105,7 +136,7 @@
 	all := make([]Departure, 0, h.count)
 	for id, held := range h.byNode {
 		for _, d := range held {
-			all = append(all, Departure{id, d.Departure})
+			all = append(all, Departure{id, d.Departure, now.Sub(d.since).Milliseconds()})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Departure) int { return cmp.Compare(a.Node, b.Node) })
--- a/pkg/recovery/recoverer.go
+++ b/pkg/recovery/recoverer.go
@@ -96,7 +96,7 @@
 	}
 	held := make([]Departure, 0, len(departures))
 	for _, d := range departures {
-		held = append(held, Departure{r.Node, d})
+		held = append(held, Departure{Node: r.Node, Departure: d})
 	}
 	r.Held.Add(held, time.Now())
 	r.OnStoreRead(departures)
--- a/pkg/recovery/saver.go
+++ b/pkg/recovery/saver.go
@@ -159,7 +159,7 @@
 // begin returns the save of a departure. It starts it if there is none, and sends the
 // departure to other nodes again if it has no holder.
 func (s *Saver) begin(d upstream.Departure) (current *save, first bool) {
-	s.Held.Add([]Departure{{s.Node, d}}, time.Now())
+	s.Held.Add([]Departure{{Node: s.Node, Departure: d}}, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, known := s.saves[d]
@@ -169,13 +169,13 @@
 		}
 		return current, false
 	}
-	if s.saves == nil || len(s.saves) >= 2*MaxPerNode {
+	if s.saves == nil || len(s.saves) >= 2*maxStored {
 		s.saves = make(map[upstream.Departure]*save) // saving an old departure again does no harm
 	}
 	current = &save{changed: make(chan struct{}), pending: 2}
 	s.saves[d] = current
 	older := s.makeRoom(d)
-	s.Guard.Go("save departure", func() { s.writeToStore(Departure{s.Node, d}, older, current) })
+	s.Guard.Go("save departure", func() { s.writeToStore(Departure{Node: s.Node, Departure: d}, older, current) })
 	s.replicate(d, current)
 	return current, true
 }
@@ -195,7 +195,7 @@
 func (s *Saver) replicate(d upstream.Departure, current *save) {
 	s.Guard.Go("replicate departure", func() {
 		defer current.update(current.attemptEnded)
-		s.Replicate(context.Background(), Departure{s.Node, d}, func() { current.update(func() { current.holders.nodes++ }) })
+		s.Replicate(context.Background(), Departure{Node: s.Node, Departure: d}, func() { current.update(func() { current.holders.nodes++ }) })
 	})
 }
 
@@ -206,7 +206,7 @@
 		return nil
 	}
 	s.inStore = append(s.inStore, d)
-	excess := max(len(s.inStore)-MaxPerNode, 0)
+	excess := max(len(s.inStore)-maxStored, 0)
 	older = slices.Clone(s.inStore[:excess])
 	s.inStore = s.inStore[excess:]
 	return older
