Read departures from the store once it is back after a start without it

What callers could see: requests to an upstream that has left, after its node was restarted while the store was away, if only the store held the departure and the health check succeeded.

--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -50,6 +50,7 @@
 			Apply: a.local.RecoverDepartures, OnStoreRead: a.departureSaver.RecordStored, Guard: a.guard, Log: a.log,
 		}
 		r.Run(ctx)
+		a.guard.Go("await store", func() { r.AwaitStore(ctx) })
 	}
 	a.gossip.SetSettled()
 	for !a.firstStart() && a.settledNodes.Load() == 0 && !a.crashesRead.Load() && ctx.Err() == nil {
--- a/pkg/recovery/model_test.go
+++ b/pkg/recovery/model_test.go
@@ -231,8 +231,9 @@
 	go func() {
 		r.Run(ctx)
 		w.mu.Lock()
-		defer w.mu.Unlock()
 		p.settled = true
+		w.mu.Unlock()
+		r.AwaitStore(ctx)
 	}()
 }
 
--- a/pkg/recovery/recoverer.go
+++ b/pkg/recovery/recoverer.go
@@ -17,6 +17,8 @@
 	retryPause = 200 * time.Millisecond
 	// readTimeout bounds one attempt to read the store.
 	readTimeout = time.Second
+	// awaitPause is the time between two attempts of AwaitStore.
+	awaitPause = 2 * time.Second
 )
 
 // Recoverer gets back the departures that earlier processes of this node have
@@ -63,6 +65,15 @@
 	}
 }
 
+// AwaitStore reads the store until it responds, for keepTime at most. It is called after
+// Run: what other nodes hold may be enough to go on, but the store may hold more.
+func (r *Recoverer) AwaitStore(ctx context.Context) {
+	for end := time.Now().Add(keepTime); !r.state().StoreRead && ctx.Err() == nil && time.Now().Before(end); {
+		pause(ctx, awaitPause)
+		r.Guard.Do("recover from the store", func() { r.readStore(ctx) })
+	}
+}
+
 // pause waits for d, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
