Read the store every second after a start without it

With a second for the read itself, 2 s could have been as long as stable-window, which bounds the time until the store's departures must be known. TestStoreIsReadOnceItIsBack passes with its bound of reads unchanged.

--- a/pkg/recovery/recoverer.go
+++ b/pkg/recovery/recoverer.go
@@ -18,7 +18,7 @@
 	// readTimeout bounds one attempt to read the store.
 	readTimeout = time.Second
 	// awaitPause is the time between two attempts of AwaitStore.
-	awaitPause = 2 * time.Second
+	awaitPause = time.Second
 )
 
 // Recoverer gets back the departures that earlier processes of this node have
