Order the crashes of a request by their ages, not by the clocks of their nodes

What callers could see: a request that crashes upstreams is not refused for as long as the clock of the node of its first crash is ahead. A notice that arrived after that of a later crash was lost as well.

Cause: a crash counts if its run began after the earlier crashes, and the times that were compared came from the clocks of different nodes. RecordLocal leaves out a crash that is older than a recorded one; records were merged in order, notices were not.

Change: messages state the age of a crash and the receiver converts it to its own clock, which its monotonic part keeps steady. Notices are merged like records. A node of an earlier version sends no age; its times are used as before.

Evidence: TestCrashesCountWhateverTheClockOfTheirNodeSays, TestCrashesAreSentWithTheirAges and TestLateCrashNoticeCounts failed before and pass now.

--- a/pkg/crashguard/record.go
+++ b/pkg/crashguard/record.go
@@ -30,6 +30,9 @@
 	ID       string       `json:"id,omitempty"`
 	Upstream model.NodeID `json:"upstream"` // node of the upstream
 	At       time.Time    `json:"at"`       // time of the crash
+	// Age is how long ago the crash was when a message about it was sent, 0
+	// otherwise. The receiver uses it instead of At, because clocks differ.
+	Age time.Duration `json:"age_ns,omitempty"`
 	// RanFor is how long the request had run at the time of the crash.
 	RanFor time.Duration `json:"ran_ns,omitempty"`
 	// Alone says that no other call was in flight on the upstream.
@@ -78,8 +81,8 @@
 // some.
 const maxCrashesPerRecord = 64
 
-// maxClockOffset is how far the time of a crash may be in the future. The clocks of
-// nodes differ, and may jump by seconds.
+// maxClockOffset is how far the time of a crash without an age may be in the future.
+// The clocks of nodes differ, and may jump by seconds.
 const maxClockOffset = time.Minute
 
 var (
@@ -87,6 +90,39 @@
 	errRecordTime = errors.New("record has a crash in the future")
 )
 
+// WithAge returns c as it is sent at the time now.
+func (c Crash) WithAge(now time.Time) Crash {
+	c.Age = max(now.Sub(c.At), 1)
+	return c
+}
+
+// ReceivedAt returns c as it is recorded by a node that has received it at the time now.
+// The time that the message took is added to the time of the crash.
+func (c Crash) ReceivedAt(now time.Time) Crash {
+	if c.Age > 0 {
+		c.At, c.Age = now.Add(-c.Age), 0
+	}
+	return c
+}
+
+// WithAges returns r as it is sent at the time now.
+func (r Record) WithAges(now time.Time) Record {
+	return r.mapCrashes(func(c Crash) Crash { return c.WithAge(now) })
+}
+
+// ReceivedAt returns r as it is recorded by a node that has received it at the time now.
+func (r Record) ReceivedAt(now time.Time) Record {
+	return r.mapCrashes(func(c Crash) Crash { return c.ReceivedAt(now) })
+}
+
+func (r Record) mapCrashes(f func(Crash) Crash) Record {
+	next := Record{Service: r.Service}
+	for _, c := range r.Crashes {
+		next.Crashes = append(next.Crashes, f(c))
+	}
+	return next
+}
+
 // Check returns an error if r cannot be used at the time now. Records come from other
 // nodes and from rows of the store.
 func (r *Record) Check(now time.Time) error {
@@ -94,7 +130,7 @@
 		return errRecordSize
 	}
 	for _, c := range r.Crashes {
-		if c.At.Sub(now) > maxClockOffset {
+		if c.Age < 0 || c.Age == 0 && c.At.Sub(now) > maxClockOffset {
 			return errRecordTime
 		}
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -260,7 +260,8 @@
 		}
 		return c.NoContent(http.StatusNoContent)
 	}
-	n.Notices.RecordLocal(notice.Fingerprint, notice.Service, *notice.Crash)
+	r := crashguard.Record{Service: notice.Service, Crashes: []crashguard.Crash{notice.Crash.ReceivedAt(time.Now())}}
+	n.Notices.Merge(notice.Fingerprint, r)
 	n.Log.Info("crash of an upstream was reported by another node", zap.Stringer("fingerprint", notice.Fingerprint),
 		zap.String("service", notice.Service), zap.String("at", string(notice.Crash.Upstream)))
 	return c.NoContent(http.StatusNoContent)
@@ -395,6 +396,11 @@
 // logged and not repeated.
 func (n *Node) ReportCrash(ctx context.Context, notice CrashNotice) {
 	n.sendToAll(ctx, func(ctx context.Context, m fleet.Member) {
+		notice := notice
+		if notice.Crash != nil {
+			crash := notice.Crash.WithAge(time.Now())
+			notice.Crash = &crash
+		}
 		if err := n.post(ctx, m, pathCrash, notice, nil); err != nil {
 			n.Log.Warn("crash notice was not delivered", zap.String("to", string(m.Node)),
 				zap.Stringer("fingerprint", notice.Fingerprint), zap.Error(err))
--- a/pkg/gossip/recovery.go
+++ b/pkg/gossip/recovery.go
@@ -209,7 +209,7 @@
 	var all []CrashRecord
 	for f, r := range n.Notices.Records() {
 		if !refusedOnly || r.Refused(now) {
-			all = append(all, CrashRecord{f, r})
+			all = append(all, CrashRecord{f, r.WithAges(now)})
 		}
 	}
 	slices.SortFunc(all, func(a, b CrashRecord) int {
@@ -220,8 +220,9 @@
 
 // mergeCrashes adds what another node knows of crashes.
 func (n *Node) mergeCrashes(records []CrashRecord, from model.NodeID) {
+	now := time.Now()
 	for _, r := range records {
-		if n.Notices.Merge(r.Fingerprint, r.Record) {
+		if n.Notices.Merge(r.Fingerprint, r.Record.ReceivedAt(now)) {
 			n.Log.Info("request is refused because of crashes that another node knows of", zap.Stringer("fingerprint", r.Fingerprint),
 				zap.String("service", r.Service), zap.Int("crashes", len(r.Crashes)), zap.String("from", string(from)))
 		}
--- a/pkg/gossip/recovery_test.go
+++ b/pkg/gossip/recovery_test.go
@@ -146,3 +146,61 @@
 	is.Equal(len(r.Departures), 1)
 	is.Equal(len(r.Crashes), 0)
 }
+
+// Guards against a request that crashes one upstream after the other because the clock
+// of a node is ahead or behind: crashes elsewhere then seem to have happened before its
+// own, or long ago, and are left out.
+func TestCrashesCountWhateverTheClockOfTheirNodeSays(t *testing.T) {
+	for _, offset := range []time.Duration{2400 * time.Millisecond, time.Minute, 15 * time.Minute, -15 * time.Minute} {
+		is := is.New(t)
+		p := newPeer(t, "a")
+		e := echo.New()
+		p.RegisterHandlers(e)
+		f := crashguard.Fingerprint{1}
+		at := time.Now().Add(offset).Format(time.RFC3339Nano)
+		notice := `{"fingerprint":"01000000000000000000000000000000","service":"s","crash":{"id":"1","upstream":"x","at":"` + at + `","age_ns":20000000}}`
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest(http.MethodPost, pathCrash, strings.NewReader(notice)))
+		is.Equal(w.Code, http.StatusNoContent)
+		p.Notices.RecordLocal(f, "s", crashguard.Crash{ID: "2", Upstream: "y", At: time.Now(), RanFor: time.Millisecond})
+		r, _ := p.Notices.Lookup(f)
+		is.True(r.Refused(time.Now()))
+
+		record := strings.Replace(notice, `"crash":{`, `"crashes":[{`, 1)
+		record = strings.TrimSuffix(record, "}}") + "}]}"
+		answer, err := p.decodeRecoverResponse([]byte(`{"crash_records":[`+record+`]}`), "b")
+		is.NoErr(err)
+		is.Equal(len(answer.Crashes), 1)
+	}
+}
+
+// Guards against crashes that are sent without their ages, which nodes with other clocks
+// need.
+func TestCrashesAreSentWithTheirAges(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	knowEachOther(a, b)
+	crashTwice(a, crashguard.Fingerprint{1})
+	for _, r := range a.crashRecords(false) {
+		for _, c := range r.Crashes {
+			is.True(c.Age >= time.Second)
+		}
+	}
+	b.Recover(t.Context())
+	r, _ := b.Notices.Lookup(crashguard.Fingerprint{1})
+	is.Equal(len(r.Crashes), crashguard.MaxCrashes)
+	is.True(time.Since(r.Crashes[0].At) > 5*time.Second) // crashTwice: 10 s ago
+}
+
+// Guards against the loss of a crash whose notice arrives after that of a later one.
+func TestLateCrashNoticeCounts(t *testing.T) {
+	is := is.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	knowEachOther(a, b)
+	f := crashguard.Fingerprint{1}
+	b.Notices.RecordLocal(f, "s", crashguard.Crash{ID: "2", Upstream: "y", At: time.Now(), RanFor: time.Millisecond})
+	earlier := crashguard.Crash{ID: "1", Upstream: "x", At: time.Now().Add(-time.Second)}
+	a.ReportCrash(t.Context(), CrashNotice{Fingerprint: f, Service: "s", Crash: &earlier})
+	r, _ := b.Notices.Lookup(f)
+	is.True(r.Refused(time.Now()))
+}
