Notice that the caller of a request with a long body has left

Cause: a body of more than 256 KiB is read by the handler of its request. While the handler waited for a slot nobody read the connection, on both nodes of the path. The close of the other side may not arrive at all, because it waits behind bytes for which the socket has no room.

Change: until its handler begins to read, the rest of the body is read ahead, up to 8 MiB for all requests of a server, and the end of the connection is detected with POLLRDHUP. A client that cancels a request whose body it has not sent resets the connection. The connection of such a request is closed after its response instead of by the garbage collector. golang.org/x/sys was an indirect dependency.

--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -204,7 +204,11 @@
 	resp, sent, err := c.exchange(ctx, req)
 	if err != nil {
 		stop()
-		_ = c.nc.Close()
+		if req.Rest != nil {
+			closeAborted(c.nc)
+		} else {
+			_ = c.nc.Close()
+		}
 		if ctx.Err() != nil {
 			err = fmt.Errorf("%w: %w", ctx.Err(), err)
 		}
--- a/pkg/h1/conn.go
+++ b/pkg/h1/conn.go
@@ -118,9 +118,9 @@
 	}
 	c.pipelined <- struct{}{}
 	go c.handle(x)
-	if x.Rest != nil {
-		<-x.done // the body is read by the handler
-		return !c.closing.Load()
+	if x.rest != nil {
+		c.watchDisconnect(x) // the body is read by the handler
+		return !c.closing.Load() || c.lingeringClose()
 	}
 	return true
 }
--- a/pkg/h1/exchange.go
+++ b/pkg/h1/exchange.go
@@ -32,6 +32,7 @@
 	CloseAfter bool
 
 	conn         *conn
+	rest         *restReader   // Rest
 	previousDone chan struct{} // closed when the response may be sent
 	done         chan struct{}
 	ended        atomic.Bool
@@ -70,13 +71,14 @@
 			return io.ErrUnexpectedEOF
 		}
 		body.deadline = time.Time{}
-		x.Rest, x.Length = body, r.ContentLength
+		x.setRest(body, r.ContentLength)
 	case r.ContentLength < 0:
 		var next [1]byte
 		n, err := io.ReadFull(body, next[:])
 		if n == 1 {
 			body.deadline = time.Time{}
-			x.Body, x.Rest, x.Length = append(buffered, next[0]), body, Chunked
+			x.Body = append(buffered, next[0])
+			x.setRest(body, Chunked)
 			return nil
 		}
 		if !errors.Is(err, io.EOF) {
@@ -86,6 +88,11 @@
 	return nil
 }
 
+func (x *Exchange) setRest(body *bodyReader, length int64) {
+	x.rest = &restReader{body: body}
+	x.Rest, x.Length = x.rest, length
+}
+
 func (c *conn) sendContinue(x *Exchange) {
 	if x.waitForTurn() {
 		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
--- a/pkg/h1/server.go
+++ b/pkg/h1/server.go
@@ -109,6 +109,7 @@
 	mu               sync.Mutex
 	conns            map[*conn]struct{}
 	active           atomic.Int64
+	readAhead        atomic.Int64 // bytes of request bodies, at most maxReadAhead
 }
 
 // Active returns the number of accepted requests without a complete response.
