Kill holders of a departure together with its node in the soak, and split its file

Half of the departures with late reports in the soak now end up to three other nodes together with the node of the upstream. Proxies and upstreams have files of their own.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -14,7 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/lentilflow/lentilflow/pkg/faultproxy"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/standin/store"
 	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
@@ -295,7 +294,7 @@
 		{"limited", func() { s.limitUpstream(n, float64(increment)*4) }},
 		{"states leaving", func() { s.retireUpstream(n, soakDrainLimit+pause) }},
 		{"replace", func() { s.replaceUpstream(n, pause/3) }},
-		{"leaves, reports late", func() { s.leaveWithLateReports(n, pause) }},
+		{"leaves, reports late", func() { s.leaveWithLateReports(n, pause, forward) }},
 		{"crash", func() {
 			n.upstream.Crash()
 			n.startUpstream()
@@ -318,59 +317,6 @@
 	s.actions = append(s.actions, time.Now().Format(time.RFC3339Nano)+" "+text)
 }
 
-// link is a proxy between a node and its store or upstream.
-type link struct{ *faultproxy.Proxy }
-
-// links are the proxies of one node.
-type links struct{ store, upstream link }
-
-// newLinks puts proxies between a node that has not started yet and its store
-// and upstream. The upstream then reports the address of its proxy.
-func newLinks(t *testing.T, n *node) *links {
-	t.Helper()
-	proxy := func(target string) link {
-		p, err := faultproxy.New(faultproxy.Config{Target: target})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(p.Close)
-		return link{p}
-	}
-	l := &links{store: proxy(n.storeAddress), upstream: proxy(n.upstreamListen)}
-	n.storeAddress, n.upstreamAddress = l.store.Addr(), l.upstream.Addr()
-	return l
-}
-
-// setConditions changes the conditions of one direction of a link.
-func (l link) setConditions(c faultproxy.Conditions, forward bool) {
-	if forward {
-		l.Forward.Set(c)
-	} else {
-		l.Backward.Set(c)
-	}
-}
-
-func (l *links) reset() {
-	l.store.Reset()
-	l.upstream.Reset()
-}
-
-func (l *links) clearFaults() {
-	for _, one := range []link{l.store, l.upstream} {
-		one.Forward.Set(faultproxy.Conditions{})
-		one.Backward.Set(faultproxy.Conditions{})
-	}
-}
-
-// randomConditions returns conditions that delay, blackhole, cut or limit one
-// direction of a link.
-func (s *soak) randomConditions() faultproxy.Conditions {
-	all := []faultproxy.Conditions{
-		{Latency: 40 * time.Millisecond}, {Blackhole: true}, {CutAfter: int64(1 + s.rnd.IntN(4000))}, {Bandwidth: 20_000},
-	}
-	return all[s.rnd.IntN(len(all))]
-}
-
 // restart ends a node process with a signal and starts it again. A process that
 // has not ended 8 s after the signal, when its grace period is over, is reported
 // as an error and killed.
@@ -402,6 +348,27 @@
 	end()
 }
 
+// restartTogether kills a node and, at the same time, up to count others on which no
+// action is running, and starts them again.
+func (s *soak) restartTogether(n *node, count int) {
+	var killed sync.WaitGroup
+	for _, o := range s.nodes {
+		if count == 0 {
+			break
+		}
+		if s.busy[o.name].Swap(true) {
+			continue
+		}
+		count--
+		killed.Go(func() {
+			defer s.busy[o.name].Store(false)
+			s.restart(o, syscall.SIGKILL)
+		})
+	}
+	s.restart(n, syscall.SIGKILL)
+	killed.Wait()
+}
+
 func (s *soak) pause(n *node, d time.Duration) {
 	defer s.disturb(n)()
 	n.signal(syscall.SIGSTOP)
@@ -417,82 +384,6 @@
 	return faults[s.rnd.IntN(len(faults))]
 }
 
-func (s *soak) randomBehaviour() upstream.Behaviour {
-	all := []upstream.Behaviour{
-		{LoseResponses: true}, {Truncate: true}, {Fail: true}, {Duplicate: true}, {ServiceTime: 200 * time.Millisecond}, {ServiceTime: 5 * time.Second},
-	}
-	return all[s.rnd.IntN(len(all))]
-}
-
-// replaceUpstream drains the upstream of a node and starts another boot at its
-// address. The upstream serves on for drainTime after the drain.
-func (s *soak) replaceUpstream(n *node, drainTime time.Duration) {
-	if n.upstream.Drain() {
-		s.mu.Lock()
-		s.drainTimes[n.upstream.ID] = time.Now()
-		s.mu.Unlock()
-	}
-	time.Sleep(drainTime)
-	n.upstream.Leave()
-	n.upstream.Crash()
-	n.startUpstream()
-}
-
-// leaveWithLateReports lets the upstream of a node leave, kills the node, and sends it
-// reports as of before the departure. The upstream serves on for a while, and another
-// boot starts at its address.
-func (s *soak) leaveWithLateReports(n *node, pause time.Duration) {
-	if n.upstream.Leave() {
-		s.mu.Lock()
-		s.drainTimes[n.upstream.ID] = time.Now()
-		s.mu.Unlock()
-	}
-	s.restart(n, syscall.SIGKILL)
-	const reports = 6
-	for range reports {
-		time.Sleep(pause / reports)
-		n.upstream.Report()
-	}
-	time.Sleep(soakDrainLimit + pause)
-	n.upstream.Crash()
-	n.startUpstream()
-}
-
-// statedLimit is the rate limit that a boot states from a time on.
-type statedLimit struct {
-	rate  float64
-	since time.Time
-}
-
-// limitUpstream makes the upstream of a node state a rate limit until its end. It
-// keeps its first limit.
-func (s *soak) limitUpstream(n *node, rate float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, limited := s.limits[n.upstream.ID]; !limited {
-		s.limits[n.upstream.ID] = statedLimit{rate, time.Now()}
-		n.upstream.Set(upstream.Behaviour{RateLimit: rate})
-	}
-}
-
-// setBehaviour changes the behaviour of the upstream of a node, which still states
-// its rate limit.
-func (s *soak) setBehaviour(n *node, b upstream.Behaviour) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b.RateLimit = s.limits[n.upstream.ID].rate
-	n.upstream.Set(b)
-}
-
-// retireUpstream lets the upstream of a node state in its responses, but not in
-// its reports, that it leaves, and starts another boot after drainTime.
-func (s *soak) retireUpstream(n *node, drainTime time.Duration) {
-	s.setBehaviour(n, upstream.Behaviour{Leaving: true})
-	time.Sleep(drainTime)
-	n.upstream.Crash()
-	n.startUpstream()
-}
-
 // clearFaults ends all faults and puts a new version.
 func (s *soak) clearFaults() {
 	for _, n := range s.nodes {
