--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/recovery"
+	"github.com/lentilflow/lentilflow/pkg/sleep"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
@@ -55,7 +56,7 @@
 	a.gossip.SetSettled()
 	for !a.firstStart() && a.settledNodes.Load() == 0 && !a.crashesRead.Load() && ctx.Err() == nil {
 		a.recoverCrashes(ctx)
-		sleep(ctx, crashWriteRetry)
+		sleep.For(ctx, crashWriteRetry)
 	}
 	<-ctx.Done()
 	return nil
@@ -68,7 +69,7 @@
 		if ctx.Err() != nil || time.Now().After(end) {
 			return recovery.Answers{}, false
 		}
-		sleep(ctx, fleetPollInterval)
+		sleep.For(ctx, fleetPollInterval)
 	}
 	answers = a.gossip.Recover(ctx)
 	if a.settledNodes.Add(int64(answers.Settled)) == 0 {
--- a/pkg/agent/rows.go
+++ b/pkg/agent/rows.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/sleep"
 )
 
 const (
@@ -44,10 +45,10 @@
 		}
 		if pause := pacer.Pause(time.Now()); pause > 0 {
 			a.log.Warn("row of this node was changed by another writer soon after it was written", zap.Duration("written_again_in", pause))
-			sleep(ctx, pause)
+			sleep.For(ctx, pause)
 		}
 		if missing := a.fleetView.Current().Unconfirmed(); missing > 0 {
-			sleep(ctx, fleet.RegistrationDelay(missing, rand.Float64()))
+			sleep.For(ctx, fleet.RegistrationDelay(missing, rand.Float64()))
 		}
 		for !a.stopping.Load() && ctx.Err() == nil {
 			writeCtx, cancel := context.WithTimeout(ctx, rowWriteTimeout)
@@ -64,7 +65,7 @@
 				a.log.Warn("row of this node cannot be written", zap.Error(err))
 			}
 			failing = true
-			sleep(ctx, rowRetryDelay/2+rand.N(rowRetryDelay)+fleet.RegistrationDelay(a.fleetView.Current().Unconfirmed(), rand.Float64()))
+			sleep.For(ctx, rowRetryDelay/2+rand.N(rowRetryDelay)+fleet.RegistrationDelay(a.fleetView.Current().Unconfirmed(), rand.Float64()))
 		}
 	}
 }
@@ -96,7 +97,7 @@
 		case <-a.fleetView.RestoreNoticed():
 		}
 		for ctx.Err() == nil && a.fleetView.Reconciling() {
-			sleep(ctx, reconcilePeriod)
+			sleep.For(ctx, reconcilePeriod)
 			if dropped := a.fleetView.DropUnconfirmed(time.Now()); len(dropped) > 0 {
 				a.log.Warn("nodes have not written their rows again after a restore of the store", zap.Any("others", dropped))
 				a.onFleetChange(dropped)
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -18,6 +18,7 @@
 	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/sleep"
 )
 
 const (
@@ -150,7 +151,7 @@
 
 // Next implements follow.Schedule.
 func (d *delayedSchedule) Next(ctx context.Context) bool {
-	sleep(ctx, time.Until(d.until))
+	sleep.For(ctx, time.Until(d.until))
 	return d.Schedule.Next(ctx)
 }
 
@@ -295,7 +296,7 @@
 // and the rows of lost nodes.
 func (a *Agent) cleanUp(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, cleanUpInterval)
+		sleep.For(ctx, cleanUpInterval)
 		used := make(map[string]bool)
 		for _, m := range a.fleetView.Current().Members {
 			used[m.CallAddress] = true
@@ -305,12 +306,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -8,6 +8,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
+
+	"github.com/lentilflow/lentilflow/pkg/sleep"
 )
 
 // ErrHistoryLost means that the store does not have the changes after the
@@ -124,7 +126,7 @@
 				delays.Reset()
 			}
 			at, lastRead, loaded, failing, reported = next, time.Now(), true, false, true
-			sleep(ctx, f.Pause)
+			sleep.For(ctx, f.Pause)
 		case ctx.Err() != nil:
 		case errors.Is(err, errUndelivered):
 			f.Log.Info("store has not delivered a change that another node has; the whole state is read", zap.String("follows", f.Name),
@@ -134,7 +136,7 @@
 			f.Log.Warn("store no longer has the changes; the whole state is loaded again",
 				zap.String("follows", f.Name), zap.Inline(at))
 			if lostBefore {
-				sleep(ctx, delays.NextBackOff())
+				sleep.For(ctx, delays.NextBackOff())
 			}
 			loaded, reported, lostBefore = false, false, true
 		default:
@@ -143,7 +145,7 @@
 				f.OnAvailability(false)
 			}
 			failing = true
-			sleep(ctx, delays.NextBackOff())
+			sleep.For(ctx, delays.NextBackOff())
 		}
 	}
 	return nil
@@ -169,15 +171,3 @@
 	}
 	return next, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/recovery/recoverer.go
+++ b/pkg/recovery/recoverer.go
@@ -9,6 +9,7 @@
 
 	"github.com/lentilflow/lentilflow/pkg/contain"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/sleep"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
@@ -61,7 +62,7 @@
 				zap.Int("settled_nodes", e.Settled), zap.Int("holders", e.Holders), zap.Int("complete_holders", e.CompleteHolders), zap.Int("departures", len(r.Held.Of(r.Node))), zap.Duration("took", time.Since(begun)))
 			return
 		}
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 	}
 }
 
@@ -69,21 +70,11 @@
 // Run: what other nodes hold may be enough to go on, but the store may hold more.
 func (r *Recoverer) AwaitStore(ctx context.Context) {
 	for end := time.Now().Add(keepTime); !r.state().StoreRead && ctx.Err() == nil && time.Now().Before(end); {
-		pause(ctx, awaitPause)
+		sleep.For(ctx, awaitPause)
 		r.Guard.Do("recover from the store", func() { r.readStore(ctx) })
 	}
 }
 
-// pause waits for d, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (r *Recoverer) state() Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
