--- a/test/silent_store_test.go
+++ b/test/silent_store_test.go
@@ -12,6 +12,10 @@
 	"github.com/lentilflow/lentilflow/pkg/standin/store"
 )
 
+// stableWindow is how long after the end of an impairment a change must be in force in
+// time again.
+const stableWindow = 3 * time.Second
+
 // awaitVersions puts versions one after the other and fails the test if one of them
 // is not in force on all nodes within applyTimeout.
 func (c *cluster) awaitVersions(from, count model.Version) {
@@ -111,6 +115,21 @@
 	c.awaitVersions(3, 1)
 }
 
+// Guards against a version that no node sees, because all open connections to the store
+// have fallen silent and every node follows the store: nobody can announce the version.
+// Found by the review of 2026-12-05 (review/4).
+func TestSilenceOfAllConnectionsIsNoticed(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3)
+	c.awaitVersions(2, 1)
+	time.Sleep(3 * time.Second) // after that every node watches again
+	for _, n := range c.nodes {
+		n.endpoint.Set(store.Fault{SilentConnections: true})
+	}
+	time.Sleep(stableWindow)
+	c.awaitVersions(3, 1)
+}
+
 // Guards against a process that starts with an older configuration, because the store
 // returns an old state to it, and serves with that although its neighbours have a
 // newer one.
