Apply departures only once somebody has answered after a start

Since a node counted other nodes that were asked as an answer, so that health checks no longer waited for the first departures. TestNothingIsAppliedBeforeAnybodyHasAnswered failed before.

--- a/pkg/gossip/silence.go
+++ b/pkg/gossip/silence.go
@@ -14,7 +14,9 @@
 )
 
 // Where every node follows the store, their watches end in turn, so that the next one
-// that ends shows a silence to all of them. In zones with relays, a node does not notice a version if the store is silent to
+// that ends shows a silence to all of them.
+//
+// In zones with relays, a node does not notice a version if the store is silent to
 // its relays, although it may respond to the node itself. The watches of the relays
 // therefore end at different times, so that one of them soon shows the silence, and
 // that relay warns the others. Then the nodes of its zone read the store once, and
--- a/pkg/recovery/recoverer.go
+++ b/pkg/recovery/recoverer.go
@@ -87,7 +87,7 @@
 	defer r.mu.Unlock()
 	change(&r.evidence)
 	r.evidence.HealthPath = r.HasHealthPath()
-	if r.evidence.StoreRead || r.evidence.Asked {
+	if r.evidence.StoreRead || r.evidence.Settled > 0 {
 		r.Apply(r.Held.Of(r.Node), r.evidence.Complete())
 	}
 }
--- a/pkg/recovery/recoverer_test.go
+++ b/pkg/recovery/recoverer_test.go
@@ -81,3 +81,22 @@
 	e := Evidence{StoreRead: true}
 	is.True(!e.Complete())
 }
+
+// Guards against health checks that do not wait for departures, because other nodes were
+// asked and none of them could know any.
+func TestNothingIsAppliedBeforeAnybodyHasAnswered(t *testing.T) {
+	is := is.New(t)
+	applied := false
+	answers := Answers{Others: 5, Holders: 3} // all have just started
+	r := Recoverer{
+		Node: "n", Held: NewDepartures(time.Now()), Log: zap.NewNop(),
+		AskOthers:     func(context.Context) (Answers, bool) { return answers, true },
+		HasHealthPath: func() bool { return true },
+		Apply:         func([]upstream.Departure, bool) { applied = true },
+	}
+	r.askOthers(t.Context())
+	is.True(!applied)
+	answers.Settled = 1
+	r.askOthers(t.Context())
+	is.True(applied)
+}
