--- a/pkg/crashguard/model_test.go
+++ b/pkg/crashguard/model_test.go
@@ -59,17 +59,16 @@
 }
 
 type crashNode struct {
-	w         *crashWorld
-	id        model.NodeID
-	offset    time.Duration // of its clock at the start of its process
-	jumped    time.Duration // offset of the next process; within one, times are monotonic
-	registry  *MemoryRegistry
-	started   time.Duration // of its process
-	alive     bool
-	settled   bool
-	cut       bool // notices do not reach it
-	crashedAt time.Duration
-	down      bool // its upstream has crashed
+	w        *crashWorld
+	id       model.NodeID
+	offset   time.Duration // of its clock at the start of its process
+	jumped   time.Duration // offset of the next process; within one, times are monotonic
+	registry *MemoryRegistry
+	started  time.Duration // of its process
+	alive    bool
+	settled  bool
+	cut      bool // notices do not reach it
+	down     bool // its upstream has crashed
 }
 
 // crashWorld is one history of the model.
