Hand departures to their holders once a node has recovered them

What callers saw: nothing yet.

Cause: since a holder answers for a node if it has run for 10 s or has got that node's departures since its own start. In a younger fleet nobody can, and the log says "complete_holders":0 although all holders run.

Change: a node that has recovered sends its departures, also an empty list, to its three holders, checks once a second whether they have changed, and is recovered in the sense of its state once they have them.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -101,6 +101,7 @@
 	a.addLoop(&g, "send beacons", a.gossip.RunBeacons)
 	a.addLoop(&g, "read datagrams", a.gossip.ReadDatagrams)
 	a.addLoop(&g, "recover records", a.recoverRecords)
+	a.addLoop(&g, "hand over departures", a.gossip.RunHandOver)
 	a.addLoop(&g, "keep row", a.maintainRow)
 	a.addLoop(&g, "reconcile rows", a.reconcileRows)
 	a.addLoop(&g, "watch settings", a.watchSettings)
--- a/pkg/agent/state.go
+++ b/pkg/agent/state.go
@@ -18,7 +18,7 @@
 	s := model.NodeState{
 		Node: a.self.Node, Service: a.self.Service, Location: a.self.Location, Version: a.configHolder.Version(),
 		FleetRevision: uint64(fleet.Position.Revision), FleetEra: uint64(fleet.Position.Era), Nodes: len(fleet.Members), MembersDigest: fleet.DigestText(),
-		StoreAvailable: !a.configUnavailable.Load() && !a.fleetUnavailable.Load(), Recovered: a.gossip.Settled(), Ready: a.ready(), Serving: a.local.Serving(),
+		StoreAvailable: !a.configUnavailable.Load() && !a.fleetUnavailable.Load(), Recovered: a.gossip.Recovered(), Ready: a.ready(), Serving: a.local.Serving(),
 	}
 	lag := a.gossip.ConfigLag()
 	s.BehindMillis, s.NewestKnown, s.NewestKnownFrom = lag.Total.Milliseconds(), model.Version(lag.Newest.Revision), lag.From
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -105,6 +105,7 @@
 	sequence          atomic.Uint64
 	storeUnavailable  atomic.Bool
 	settled           atomic.Bool
+	handedOver        sync.Map // of fleet.Member: the nodes to which the departures were handed over
 	syncTrigger       chan struct{}
 	catchUpTrigger    chan struct{}
 	configLag         catchup.Tracker
@@ -190,6 +191,7 @@
 	e.POST(pathStates, n.handleStates)
 	e.POST(pathDepartures, n.handleDepartures)
 	e.POST(pathRecover, n.handleRecover)
+	e.POST(pathHoldings, n.handleHoldings)
 }
 
 func (n *Node) digest() Digest { return n.digestWith(n.View.Current()) }
--- a/pkg/gossip/recovery.go
+++ b/pkg/gossip/recovery.go
@@ -20,6 +20,7 @@
 	"github.com/lentilflow/lentilflow/pkg/jsonlist"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/recovery"
+	"github.com/lentilflow/lentilflow/pkg/sleep"
 )
 
 const (
@@ -27,6 +28,10 @@
 	// is to hold, and pathRecover that of requests for what a node holds.
 	pathDepartures = "/v1/departures"
 	pathRecover    = "/v1/recover"
+	// handOverPeriod is the time between two checks whether the holders have changed.
+	handOverPeriod = time.Second
+	// pathHoldings is the path of messages with all departures of a node's upstream.
+	pathHoldings = "/v1/holdings"
 	// keepersPerDeparture is the number of nodes that hold a departure beside its own
 	// node. If one does not respond, the next one is asked, up to maxKeepers.
 	keepersPerDeparture = 3
@@ -58,6 +63,12 @@
 	Crashes []CrashRecord `json:"crash_records,omitempty"`
 }
 
+// holdings are all departures of the upstream of a node that has recovered them.
+type holdings struct {
+	Node       model.NodeID         `json:"node"`
+	Departures []recovery.Departure `json:"departures,omitempty"`
+}
+
 func checkDeparture(d *recovery.Departure) error { return d.Check() }
 
 // keepers returns the nodes that hold departures of this node, in the order in which
@@ -128,6 +139,71 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
+// holders returns the nodes to which departures of this node's upstream are sent first.
+func (n *Node) holders() []fleet.Member {
+	all := n.keepers()
+	return all[:min(len(all), keepersPerDeparture)]
+}
+
+// RunHandOver sends all departures of this node's upstream to its holders, once this node
+// has recovered them, and to each node that becomes a holder later. These may have lost
+// what they held, and can answer for it again. It returns nil when ctx ends.
+func (n *Node) RunHandOver(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if n.Settled() {
+			n.handOver(ctx)
+		}
+		sleep.For(ctx, handOverPeriod)
+	}
+	return nil
+}
+
+// handOver sends the departures to the holders that do not have them yet. A failed send
+// is repeated handOverPeriod later, unless another node is the holder by then.
+func (n *Node) handOver(ctx context.Context) {
+	h := holdings{Node: n.Self.Node, Departures: n.Departures.Held(n.Self.Node, time.Now())}
+	forEach(n.holders(), func(m fleet.Member) {
+		if _, done := n.handedOver.Load(m); done {
+			return
+		}
+		if err := n.post(ctx, m, pathHoldings, h, nil); err != nil {
+			n.handleSendError(m, err)
+			n.Log.Warn("departures were not handed over", zap.String("to", string(m.Node)), zap.Error(err))
+			return
+		}
+		n.handedOver.Store(m, nil)
+	})
+}
+
+// Recovered reports whether this node has recovered what other nodes hold, and whether
+// its holders can answer for it.
+func (n *Node) Recovered() bool {
+	return n.Settled() && !slices.ContainsFunc(n.holders(), func(m fleet.Member) bool {
+		_, done := n.handedOver.Load(m)
+		return !done
+	})
+}
+
+func (n *Node) handleHoldings(c echo.Context) error {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxStatesBytes))
+	if err != nil {
+		return err
+	}
+	var h holdings
+	rest, departures, err := takeList(body, "departures", checkDeparture, n.logIgnored(""))
+	if err == nil {
+		err = json.Unmarshal(rest, &h)
+	}
+	if err != nil || h.Node == "" || len(h.Node) > fleet.MaxNameBytes {
+		n.Log.Warn("departures that are handed over are invalid", zap.String("remote", c.RealIP()), zap.Error(err))
+		return c.NoContent(http.StatusBadRequest)
+	}
+	n.Departures.Add(departures, time.Now())
+	n.Departures.RecordComplete(h.Node)
+	n.Log.Info("departures of an upstream are held again for another node", zap.String("other", string(h.Node)), zap.Int("departures", len(departures)))
+	return c.NoContent(http.StatusNoContent)
+}
+
 // Settled reports whether this node has recovered what other nodes hold.
 func (n *Node) Settled() bool { return n.settled.Load() }
 
@@ -151,7 +227,7 @@
 // holds.
 func (n *Node) Recover(ctx context.Context) recovery.Answers {
 	all := n.keepers()
-	holders := all[:min(len(all), keepersPerDeparture)]
+	holders := n.holders()
 	answers := recovery.Answers{Others: max(len(n.View.Current().Members)-1, 0), Holders: len(holders)}
 	var mu sync.Mutex
 	forEach(all[:min(len(all), recoverFrom)], func(m fleet.Member) {
--- a/pkg/gossip/recovery_test.go
+++ b/pkg/gossip/recovery_test.go
@@ -134,6 +134,9 @@
 	for _, odd := range []string{"", "{", "[]", `[{"node":""}]`, `[{"node":"n","boot":7}]`, strings.Repeat("[", 50_000)} {
 		is.Equal(post(pathDepartures, odd), http.StatusBadRequest)
 	}
+	for _, odd := range []string{"", "[", `{"node":7}`, `{}`, `{"node":"n","departures":7}`} {
+		is.Equal(post(pathHoldings, odd), http.StatusBadRequest)
+	}
 	for _, odd := range []string{"", "[", `{"node":7}`, `{}`} {
 		is.Equal(post(pathRecover, odd), http.StatusBadRequest)
 	}
@@ -204,3 +207,28 @@
 	r, _ := b.Notices.Lookup(f)
 	is.True(r.Refused(time.Now()))
 }
+
+// Guards against an upstream that stays out of use after its node was restarted twice,
+// because the holders of its departures had been started shortly before and could not say
+// that they have lost none.
+func TestHoldersAnswerForNodeThatHasHandedOver(t *testing.T) {
+	is := is.New(t)
+	peers := []*peer{newPeer(t, "a"), newPeer(t, "b"), newPeer(t, "c"), newPeer(t, "d")}
+	for _, p := range peers {
+		p.Departures = recovery.NewDepartures(time.Now())
+	}
+	knowEachOther(peers...)
+	a := peers[0]
+	is.Equal(a.Recover(t.Context()).CompleteHolders, 0)
+	d := recovery.Departure{Node: "a", Departure: upstream.Departure{ID: "boot", StartedAt: 7}}
+	a.Departures.Add([]recovery.Departure{d}, time.Now()) // from the store
+	a.SetSettled()
+	is.True(!a.Recovered())
+	a.handOver(t.Context())
+	is.True(a.Recovered())
+	next := newPeer(t, "a")
+	next.Departures = recovery.NewDepartures(time.Now())
+	knowEachOther(append(peers[1:], next)...)
+	is.Equal(next.Recover(t.Context()).CompleteHolders, keepersPerDeparture)
+	is.Equal(next.Departures.Of("a"), []upstream.Departure{d.Departure})
+}
--- a/pkg/model/version.go
+++ b/pkg/model/version.go
@@ -45,10 +45,11 @@
 	// StoreAvailable says whether the store responds to the node.
 	StoreAvailable bool `json:"store_available"`
 	// StoreSilentMillis is how long ago the store has last responded to the node, in
-	// milliseconds. A store in which nothing changes responds every 25 s.
+	// milliseconds. A store in which nothing changes responds every 29 s.
 	StoreSilentMillis int64 `json:"store_silent_ms"`
 	// Recovered says whether the node has got back what its earlier processes had
-	// acknowledged, or has run for so long that this no longer matters.
+	// acknowledged, or has run for so long that this no longer matters, and whether the
+	// nodes that hold its departures can answer for it.
 	Recovered bool `json:"recovered"`
 	// Ready says whether the node accepts new callers, Serving whether its
 	// upstream is serving.
--- a/pkg/recovery/departures.go
+++ b/pkg/recovery/departures.go
@@ -88,9 +88,15 @@
 func (h *Departures) RecordComplete(id model.NodeID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.complete[id] = true
+	if len(h.complete) < maxComplete {
+		h.complete[id] = true
+	}
 }
 
+// maxComplete bounds the nodes for which RecordComplete is remembered. A node is a holder
+// for a few others.
+const maxComplete = 4096
+
 // CompleteFor reports whether no departure of a node's upstream is missing that was sent
 // to this process or to earlier ones of its node, as far as late reports may still
 // follow it.
@@ -150,16 +156,31 @@
 	return all
 }
 
+// Held returns the departures of a node's upstream that are held now.
+func (h *Departures) Held(id model.NodeID, now time.Time) (all []Departure) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.removeExpired(now)
+	return h.sent(id, now)
+}
+
+// sent returns the departures of a node's upstream as they are sent. The caller must hold
+// h.mu.
+func (h *Departures) sent(id model.NodeID, now time.Time) (all []Departure) {
+	for _, d := range h.byNode[id] {
+		all = append(all, Departure{id, d.Departure, now.Sub(d.since).Milliseconds()})
+	}
+	return all
+}
+
 // All returns the departures that are held now, in the order of their nodes.
 func (h *Departures) All(now time.Time) []Departure {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.removeExpired(now)
 	all := make([]Departure, 0, h.count)
-	for id, held := range h.byNode {
-		for _, d := range held {
-			all = append(all, Departure{id, d.Departure, now.Sub(d.since).Milliseconds()})
-		}
+	for id := range h.byNode {
+		all = append(all, h.sent(id, now)...)
 	}
 	slices.SortStableFunc(all, func(a, b Departure) int { return cmp.Compare(a.Node, b.Node) })
 	return all
--- a/pkg/recovery/model_test.go
+++ b/pkg/recovery/model_test.go
@@ -181,6 +181,22 @@
 	}
 }
 
+// handOver sends all departures to the holders once they are recovered.
+func (p *modelProcess) handOver() {
+	p.vm.w.mu.Lock()
+	all := p.held.Held(p.vm.id, time.Now())
+	p.vm.w.mu.Unlock()
+	time.Sleep(modelLatency)
+	p.vm.w.mu.Lock()
+	defer p.vm.w.mu.Unlock()
+	for _, o := range p.vm.others()[:keepers] {
+		if to := o.process; to != nil && to.alive && p.alive {
+			to.held.Add(all, time.Now())
+			to.held.RecordComplete(p.vm.id)
+		}
+	}
+}
+
 func (p *modelProcess) askOthers(context.Context) (a Answers, ok bool) {
 	time.Sleep(modelLatency)
 	p.vm.w.mu.Lock()
@@ -233,6 +249,7 @@
 		w.mu.Lock()
 		p.settled = true
 		w.mu.Unlock()
+		p.handOver()
 		r.AwaitStore(ctx)
 	}()
 }
