--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -70,11 +70,6 @@
 // other requests, up to maxUnmatchedResponses or maxUnmatchedBytes.
 var errUnmatchedResponses = errors.New("connection returned only responses to other requests")
 
-// errSplicedResponse means that the head of a response has a second status line. A
-// server has broken off a response within its head and has sent another one after it,
-// so that fields of both are in one head.
-var errSplicedResponse = errors.New("head of the response has a second status line")
-
 // errProtocolSwitch means that a server switched protocols although the
 // request did not ask for it.
 var errProtocolSwitch = errors.New("server switched protocols without being asked to")
@@ -433,47 +428,6 @@
 	return nil, errUnmatchedResponses
 }
 
-// spliced reports whether the head of a response has a second status line. It can only be
-// in the reason or in a value: a line of its own has no colon and is malformed.
-func spliced(resp *http.Response) bool {
-	if containsStatusLine(resp.Status) {
-		return true
-	}
-	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, containsStatusLine) {
-			return true
-		}
-	}
-	return false
-}
-
-// containsStatusLine reports whether text contains the version and the status code of a
-// status line. A value with a version only, as in a Via field, does not.
-func containsStatusLine(text string) bool {
-	const version = "HTTP/1."
-	for {
-		_, rest, found := strings.Cut(text, version)
-		if !found {
-			return false
-		}
-		if isStatusCode(rest) {
-			return true
-		}
-		text = rest
-	}
-}
-
-// isStatusCode reports whether text begins with a minor version, a space and a status
-// code, and ends there or goes on with a space.
-func isStatusCode(text string) bool {
-	const length = len("1 200")
-	if len(text) < length || text[1] != ' ' {
-		return false
-	}
-	digits := strings.Trim(text[:1]+text[2:length], "0123456789") == ""
-	return digits && (len(text) == length || text[length] == ' ')
-}
-
 // setReadDeadline bounds the next reads. With the zero time only the end of ctx
 // bounds them.
 func (c *clientConn) setReadDeadline(ctx context.Context, deadline time.Time) {
