Compute the holders of departures once, and hand over only when one lacks them

Recover listed the keepers twice, which could have differed, and the check once a second built a message although no holder lacked it; Recovered repeated its condition. The read-ahead of a request body is counted by one goroutine. No behaviour changes; the tests of h1, gossip, crashguard and recovery passed with -race.

--- a/pkg/crashguard/registry.go
+++ b/pkg/crashguard/registry.go
@@ -18,8 +18,8 @@
 	Empty() bool
 	// Lookup returns the record of f as far as this node knows it.
 	Lookup(f Fingerprint) (Record, bool)
-	// RecordLocal records a crash in this process only. It is for crashes that
-	// another node has reported or that this node will report.
+	// RecordLocal records a crash in this process only. It is for crashes that this
+	// node will report; those that another node has reported are merged.
 	RecordLocal(f Fingerprint, service string, c Crash)
 	// Report records a crash and returns once other nodes can obtain it. If it
 	// returns an error, the crash still counts in this node.
--- a/pkg/gossip/recovery.go
+++ b/pkg/gossip/recovery.go
@@ -28,10 +28,10 @@
 	// is to hold, and pathRecover that of requests for what a node holds.
 	pathDepartures = "/v1/departures"
 	pathRecover    = "/v1/recover"
-	// handOverPeriod is the time between two checks whether the holders have changed.
-	handOverPeriod = time.Second
 	// pathHoldings is the path of messages with all departures of a node's upstream.
 	pathHoldings = "/v1/holdings"
+	// handOverPeriod is the time between two checks whether the holders have changed.
+	handOverPeriod = time.Second
 	// keepersPerDeparture is the number of nodes that hold a departure beside its own
 	// node. If one does not respond, the next one is asked, up to maxKeepers.
 	keepersPerDeparture = 3
@@ -105,7 +105,7 @@
 func (n *Node) Replicate(ctx context.Context, d recovery.Departure, confirmed func()) {
 	all := n.keepers()
 	var next atomic.Int64
-	forEach(all[:min(len(all), keepersPerDeparture)], func(fleet.Member) {
+	forEach(holders(all), func(fleet.Member) {
 		for {
 			i := int(next.Add(1)) - 1
 			if i >= len(all) {
@@ -139,10 +139,17 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-// holders returns the nodes to which departures of this node's upstream are sent first.
-func (n *Node) holders() []fleet.Member {
-	all := n.keepers()
-	return all[:min(len(all), keepersPerDeparture)]
+// holders returns the keepers to which departures are sent first.
+func holders(keepers []fleet.Member) []fleet.Member {
+	return keepers[:min(len(keepers), keepersPerDeparture)]
+}
+
+// pendingHolders returns the holders to which the departures were not handed over.
+func (n *Node) pendingHolders() []fleet.Member {
+	return slices.DeleteFunc(holders(n.keepers()), func(m fleet.Member) bool {
+		_, done := n.handedOver.Load(m)
+		return done
+	})
 }
 
 // RunHandOver sends all departures of this node's upstream to its holders, once this node
@@ -161,11 +168,12 @@
 // handOver sends the departures to the holders that do not have them yet. A failed send
 // is repeated handOverPeriod later, unless another node is the holder by then.
 func (n *Node) handOver(ctx context.Context) {
+	pending := n.pendingHolders()
+	if len(pending) == 0 {
+		return
+	}
 	h := holdings{Node: n.Self.Node, Departures: n.Departures.Held(n.Self.Node, time.Now())}
-	forEach(n.holders(), func(m fleet.Member) {
-		if _, done := n.handedOver.Load(m); done {
-			return
-		}
+	forEach(pending, func(m fleet.Member) {
 		if err := n.post(ctx, m, pathHoldings, h, nil); err != nil {
 			n.handleSendError(m, err)
 			n.Log.Warn("departures were not handed over", zap.String("to", string(m.Node)), zap.Error(err))
@@ -177,12 +185,7 @@
 
 // Recovered reports whether this node has recovered what other nodes hold, and whether
 // its holders can answer for it.
-func (n *Node) Recovered() bool {
-	return n.Settled() && !slices.ContainsFunc(n.holders(), func(m fleet.Member) bool {
-		_, done := n.handedOver.Load(m)
-		return !done
-	})
-}
+func (n *Node) Recovered() bool { return n.Settled() && len(n.pendingHolders()) == 0 }
 
 func (n *Node) handleHoldings(c echo.Context) error {
 	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxStatesBytes))
@@ -227,8 +230,8 @@
 // holds.
 func (n *Node) Recover(ctx context.Context) recovery.Answers {
 	all := n.keepers()
-	holders := n.holders()
-	answers := recovery.Answers{Others: max(len(n.View.Current().Members)-1, 0), Holders: len(holders)}
+	first := holders(all)
+	answers := recovery.Answers{Others: max(len(n.View.Current().Members)-1, 0), Holders: len(first)}
 	var mu sync.Mutex
 	forEach(all[:min(len(all), recoverFrom)], func(m fleet.Member) {
 		var text []byte
@@ -249,7 +252,7 @@
 			n.Departures.RecordComplete(m.Node)
 			answers.Settled++
 		}
-		if r.Complete && slices.Contains(holders, m) {
+		if r.Complete && slices.Contains(first, m) {
 			answers.CompleteHolders++
 		}
 	})
--- a/pkg/h1/rest.go
+++ b/pkg/h1/rest.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"sync"
-	"sync/atomic"
 )
 
 const (
@@ -27,7 +26,7 @@
 	err     error  // of readAhead, also io.EOF
 	started bool   // the handler has begun to read
 	// reserved are the bytes that readAhead has taken of the limit of the server.
-	reserved atomic.Int64
+	reserved int64
 }
 
 // Read implements io.Reader.
@@ -91,9 +90,10 @@
 		used.Add(-readAheadStep)
 		return false
 	}
-	r.reserved.Add(readAheadStep)
+	r.reserved += readAheadStep
 	return true
 }
 
-// release returns what reserve has taken. It is called when the exchange has ended.
-func (r *restReader) release() { r.body.conn.server.readAhead.Add(-r.reserved.Swap(0)) }
+// release returns what reserve has taken. It is called once, when the exchange has ended,
+// by the goroutine that has called readAhead.
+func (r *restReader) release() { r.body.conn.server.readAhead.Add(-r.reserved) }
