Reject responses whose field names are no tokens

Seen by callers: a response of a faulty upstream whose field name holds a blank, a tab or a line feed arrives as a success, with that line passed on ("X Odd: 1") or with a body that is not the upstream's, because "Content-Length : 10", a folded "\tContent-Length: 10" or "\nContent-Length: 10" is not seen as the length. "X-Not-Run : 1" in a 503 told the caller that the request had not run; a claim beside such a name let an order run twice.

Cause: heads and trailers were read by http.ReadResponse, which accepts blanks in names, folded lines and a bare LF as the end of a line, and passes the names on.

Change: readResponseHead reads heads and trailers by the grammar of RFC 9110 (5.1, 5.5) and RFC 9112 (2.2, 5); sizedBody and chunkedBody read the body. It is the only reader of responses in pkg/h1: upstreams, other nodes, interim responses, responses to other requests, trailers and health checks pass through it. A malformed response gives the outcome "unknown", its connection is closed and nothing that it states is applied. The status line and the framing are as before.

Names with control bytes other than tab and LF were rejected before; their tests stay. net/http also changed two proper responses (TestUnusualResponsesAreAccepted): "Pragma: no-cache" gained a Cache-Control, and fields that Connection lists beside "close" were passed on.

--- a/pkg/gateway/download.go
+++ b/pkg/gateway/download.go
@@ -116,7 +116,7 @@
 	}
 	if n > size { // of unknown length, and longer than the buffer
 		retained = size
-		res.Body = &multiReadCloser{Reader: io.MultiReader(&body, res.Body), Closer: res.Body}
+		res.Body = io.MultiReader(&body, res.Body)
 		end := res.finish
 		res.finish = func(complete bool) {
 			defer l.buffered.bytes.Add(-size)
@@ -126,18 +126,11 @@
 	}
 	res.Finish(true)
 	retained = n
-	res.Response = &h1.Response{Status: res.Status, Header: res.Header, Length: n, Body: io.NopCloser(&body)}
+	res.Response = &h1.Response{Status: res.Status, Header: res.Header, Length: n, Body: &body}
 	res.finish = func(bool) { l.buffered.bytes.Add(-n) }
 	return nil
 }
 
-// multiReadCloser reads the buffered start of a body and then its rest, and
-// closes the body.
-type multiReadCloser struct {
-	io.Reader
-	io.Closer
-}
-
 // pacedReader reads the body of a download as fast as the link can send it.
 type pacedReader struct {
 	body     io.Reader
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -224,28 +224,37 @@
 	}
 }
 
-func checkTruncated(t *testing.T, whole, body string, endsAtClose, reset bool, nodes int) {
-	is := is.New(t)
+// nodesBefore starts a node, or two in a row, before the upstream at an address, and returns the
+// address for calls. A request that is not idempotent gets one attempt.
+func nodesBefore(t *testing.T, upstreamAddress string, nodes int) (callAddress string) {
+	t.Helper()
 	holder := config.NewHolder()
 	c := testConfiguration(injectedFault{})
 	c.Routes[1].MaxAttempts = 1
-	_, err := holder.Offer(c)
-	is.NoErr(err)
+	if _, err := holder.Offer(c); err != nil {
+		t.Fatal(err)
+	}
 	l := &runCounter{runs: make(map[string]int)}
 	first, m := newTestNode("n0", holder, l, injectedFault{})
 	second, other := newTestNode("n1", holder, l, injectedFault{})
-	defer first.close()
-	defer second.close()
-	address, set := truncatingUpstream(t, reset)
+	t.Cleanup(first.close)
+	t.Cleanup(second.close)
 	upstreamNode, member := first, m
 	if nodes == 2 {
 		upstreamNode, member = second, other
 	}
-	upstreamNode.gateway.Local.pool.Address = address
+	upstreamNode.gateway.Local.pool.Address = upstreamAddress
 	first.gateway.View.Replace([]fleet.Member{member}, follow.At(1), time.Now())
+	return first.address
+}
+
+func checkTruncated(t *testing.T, whole, body string, endsAtClose, reset bool, nodes int) {
+	is := is.New(t)
+	address, set := truncatingUpstream(t, reset)
+	callAddress := nodesBefore(t, address, nodes)
 	for n := 0; n < len(whole); n++ {
 		set(whole[:n])
-		status, got, err := sendOnce(first.address)
+		status, got, err := sendOnce(callAddress)
 		if err != nil || status != http.StatusOK {
 			continue
 		}
@@ -258,7 +267,7 @@
 	}
 	if !reset {
 		set(whole)
-		status, got, err := sendOnce(first.address)
+		status, got, err := sendOnce(callAddress)
 		is.NoErr(err)
 		is.Equal(status, http.StatusOK)
 		is.Equal(got, body)
--- a/pkg/gateway/scripted_test.go
+++ b/pkg/gateway/scripted_test.go
@@ -28,6 +28,10 @@
 	closesBeforeRead  action = "closes without reading"
 	sheds             action = "says that it did not run the request"
 	misdirected       action = "is another boot"
+	// answersMalformed and claimsNotRunMalformed violate the HTTP grammar: a field name of the
+	// response has a blank. The second response also says that the request was not run.
+	answersMalformed      action = "answers with a malformed field name"
+	claimsNotRunMalformed action = "runs and says with a malformed field name that it did not"
 	// answersTwiceWithoutID violates the users' protocol: the response has no
 	// request ID, and a duplicate of it follows late.
 	answersTwiceWithoutID action = "answers twice without the id of the request"
@@ -39,7 +43,7 @@
 // permittedActions are the actions that the users' protocol permits.
 var permittedActions = []action{
 	answers, answers, answersAndCloses, answersTwice, answersOtherFirst, runsLate, runsAndCloses, truncates, answers500, hangs, closesBeforeRun, closesBeforeRead,
-	sheds, misdirected,
+	sheds, misdirected, answersMalformed, claimsNotRunMalformed,
 }
 
 // runCounter counts the runs of each request at all upstreams.
@@ -233,6 +237,12 @@
 	case answers500:
 		write(http.StatusInternalServerError, id, signed, "", 0)
 		return true
+	case answersMalformed:
+		write(http.StatusOK, id, signed+"Transfer-Encoding : chunked\r\n", body, len(body))
+		return true
+	case claimsNotRunMalformed:
+		write(http.StatusServiceUnavailable, id, notRun+"X Odd: 1\r\n", "", 0)
+		return true
 	case truncates:
 		write(http.StatusOK, id, signed, body, len(body)+10)
 		return false
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -112,7 +112,7 @@
 	Status int
 	Header http.Header
 	Length int64 // in bytes, Chunked when the length is not stated
-	Body   io.ReadCloser
+	Body   io.Reader
 
 	pool     *Pool
 	conn     *clientConn
@@ -159,7 +159,6 @@
 // clientConn is the client side of one connection.
 type clientConn struct {
 	nc          net.Conn
-	limiter     *limitReader
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	idleSince   time.Time
@@ -238,9 +237,8 @@
 	if err != nil {
 		return nil, err
 	}
-	limiter := &limitReader{Reader: nc}
 	return &clientConn{
-		nc: nc, limiter: limiter, br: bufio.NewReaderSize(limiter, connBufferSize), bw: bufio.NewWriterSize(nc, connBufferSize), idleTimeout: p.IdleTimeout,
+		nc: nc, br: bufio.NewReaderSize(nc, connBufferSize), bw: bufio.NewWriterSize(nc, connBufferSize), idleTimeout: p.IdleTimeout,
 	}, nil
 }
 
@@ -392,30 +390,29 @@
 func (c *clientConn) readResponse(ctx context.Context, req *Request) (*Response, error) {
 	bytesLeft := int64(maxUnmatchedBytes)
 	for range maxUnmatchedResponses {
-		c.limiter.setLimit(maxResponseHeaderBytes)
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, err
 		}
 		c.setReadDeadline(ctx, time.Now().Add(responseHeaderTimeout))
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
+		head, err := readResponseHead(c.br)
 		if err != nil {
 			return nil, err
 		}
-		if spliced(resp) {
-			return nil, errSplicedResponse
+		f, err := head.framing(req.Method)
+		if err != nil {
+			return nil, err
 		}
-		c.limiter.clearLimit()
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		if head.status == http.StatusSwitchingProtocols {
 			return nil, errProtocolSwitch
 		}
-		if resp.StatusCode < http.StatusOK {
+		if head.status < http.StatusOK {
 			continue
 		}
-		if req.Matches == nil || req.Matches(resp.StatusCode, resp.Header, c.exchanges > 0) {
+		if req.Matches == nil || req.Matches(head.status, head.header, c.exchanges > 0) {
 			c.setReadDeadline(ctx, time.Time{})
-			return c.newResponse(resp), nil
+			return c.newResponse(head, f), nil
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, bytesLeft))
+		n, err := io.Copy(io.Discard, io.LimitReader(f.body(c.br), bytesLeft))
 		if err != nil {
 			return nil, err
 		}
@@ -437,17 +434,13 @@
 	}
 }
 
-func (c *clientConn) newResponse(resp *http.Response) *Response {
-	if s := keepAlive(resp.Header.Get("Keep-Alive")); s > 0 {
+func (c *clientConn) newResponse(head *responseHead, f framing) *Response {
+	if s := keepAlive(head.header.Get("Keep-Alive")); s > 0 {
 		c.idleTimeout = min(c.idleTimeout, time.Duration(float64(s)*keepAliveFraction))
 	}
-	// A body without a stated length ends when the server closes the connection.
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	reusable := !resp.Close && framed
-	RemoveHopByHopFields(resp.Header)
-	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: max(resp.ContentLength, Chunked), Body: resp.Body, reusable: reusable,
-	}
+	reusable := head.keepsConnection() && f.delimited()
+	RemoveHopByHopFields(head.header)
+	return &Response{Status: head.status, Header: head.header, Length: f.length, Body: f.body(c.br), reusable: reusable}
 }
 
 // keepAlive returns the idle timeout that a Keep-Alive field states, or 0.
--- /dev/null
+++ b/pkg/h1/malformed_test.go
@@ -0,0 +1,198 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// rawServer responds to each request with the same text and then waits until the client
+// closes the connection, or closes it itself if closes is set. It returns its address and
+// the number of connections that it has accepted.
+func rawServer(t *testing.T, response string, closes bool) (address string, conns *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns = &atomic.Int64{}
+	serve := func(nc net.Conn) {
+		defer func() { _ = nc.Close() }()
+		r := bufio.NewReader(nc)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if _, err := io.WriteString(nc, response); err != nil || closes {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go serve(nc)
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+// exchangeOnce sends a request and returns the response and its body. An error of the body
+// is returned like one of the head.
+func exchangeOnce(t *testing.T, p *Pool) (resp *Response, body string, err error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	resp, err = p.Do(ctx, newRequest("7"))
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Close()
+	text, err := io.ReadAll(resp)
+	return resp, string(text), err
+}
+
+// checkMalformed checks that neither of two exchanges with a server that sends response
+// has a complete response, that the server may have received the requests, and that the
+// connection of the first one is not used again.
+func checkMalformed(t *testing.T, response string) {
+	t.Helper()
+	t.Parallel()
+	is := is.New(t)
+	for _, closes := range []bool{false, true} {
+		address, conns := rawServer(t, response, closes)
+		p := newPool(address)
+		began := time.Now()
+		for range 2 {
+			resp, body, err := exchangeOnce(t, p)
+			if err == nil {
+				t.Fatalf("taken for a response: status %d, fields %q, body %q", resp.Status, resp.Header, body)
+			}
+			var exchangeErr *ExchangeError
+			is.True(!errors.As(err, &exchangeErr) || exchangeErr.Sent)
+		}
+		is.Equal(conns.Load(), int64(2))
+		is.True(time.Since(began) < testTimeout) // the exchange does not wait for its deadline
+	}
+}
+
+// Guards against a head whose field names are no tokens (RFC 9110, section 5.1) and that
+// is taken for that of a response: the line is passed on, or a length that it states is
+// not seen, so that the body is another one than the server's.
+func TestMalformedFieldNamesAreRejected(t *testing.T) {
+	const id, body = "Id: 7\r\n", "body"
+	for name, fields := range map[string]string{
+		"blank before colon":          id + "Content-Length: 4\r\nX-Receipt : r\r\n",
+		"blank before colon of id":    "Id: 7\r\nId : 8\r\nContent-Length: 4\r\n",
+		"blank before colon, length":  id + "Content-Length : 4\r\nConnection: close\r\n",
+		"blank before colon, coding":  id + "Transfer-Encoding : chunked\r\nContent-Length: 4\r\n",
+		"blank within":                id + "X Receipt: r\r\nContent-Length: 4\r\n",
+		"blank within length":         id + "Content- Length: 4\r\n",
+		"blank first":                 " X-Receipt: r\r\n" + id + "Content-Length: 4\r\n",
+		"blank at start of length":    id + "X-A: a\r\n Content-Length: 4\r\n",
+		"blank at start of last line": id + "Content-Length: 4\r\nX-A: a\r\n X-Receipt: r\r\n",
+		"tab at start of length":      id + "X-A: a\r\n\tContent-Length: 4\r\n",
+		"tab before colon":            id + "Content-Length\t: 4\r\n",
+		"line feed at start":          id + "\nContent-Length: 4\r\n",
+		"line feed within":            id + "Content-\nLength: 4\r\n",
+		"line feed before colon":      id + "Content-Length\n: 4\r\n",
+		"line feed ends a field":      "Id: 7\nContent-Length: 4\r\n",
+		"carriage return at start":    id + "\rContent-Length: 4\r\n",
+		"carriage return within":      id + "Content-\rLength: 4\r\n",
+		"null":                        id + "X-\x00Receipt: r\r\nContent-Length: 4\r\n",
+		"bell":                        id + "X-Receipt\a: r\r\nContent-Length: 4\r\n",
+		"escape at start":             id + "\x1bX-Receipt: r\r\nContent-Length: 4\r\n",
+		"delete":                      id + "X-\x7fReceipt: r\r\nContent-Length: 4\r\n",
+		"byte above 0x7f":             id + "X-Re\xe7u: r\r\nContent-Length: 4\r\n",
+		"separator":                   id + "X-Receipt(1): r\r\nContent-Length: 4\r\n",
+		"empty":                       id + ": r\r\nContent-Length: 4\r\n",
+		"no colon":                    id + "X-Receipt\r\nContent-Length: 4\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+body) })
+	}
+}
+
+// Guards against an interim response, a response to another request or a trailer with a
+// field name that is no token. What follows it may be anything, also a response.
+func TestMalformedFieldNamesAroundTheResponseAreRejected(t *testing.T) {
+	const due = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 4\r\n\r\nbody"
+	for name, response := range map[string]string{
+		"interim":            "HTTP/1.1 103 Early Hints\r\nLink : a\r\n\r\n" + due,
+		"interim, line feed": "HTTP/1.1 103 Early Hints\r\n\nLink: a\r\n\r\n" + due,
+		"other request":      "HTTP/1.1 200 OK\r\nId: 6\r\nX Receipt: r\r\nContent-Length: 4\r\n\r\nlate" + due,
+		"trailer":            "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Sum: 1\r\n\r\n",
+		"trailer, line feed": "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\nX-Sum: 1\r\n\r\n",
+		"trailer, fold":      "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\n 2\r\n\r\n",
+		"skipped trailer":    "HTTP/1.1 200 OK\r\nId: 6\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\nX Sum: 1\r\n\r\n" + due,
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, response) })
+	}
+}
+
+// Guards against the rejection or the change of responses that are unusual and proper.
+func TestUnusualResponsesAreAccepted(t *testing.T) {
+	const length, id = "Content-Length: 4\r\n", "Id: 7\r\n"
+	for name, c := range map[string]struct {
+		response string
+		status   int
+		field    string // one that the response has
+		value    string
+		length   int64
+		closes   bool // the server closes the connection after the response
+		reused   bool
+	}{
+		"token characters":  {"HTTP/1.1 200 OK\r\n" + id + "!#$%&'*+-.^_`|~09azAZ: v\r\n" + length + "\r\nbody", 200, "!#$%&'*+-.^_`|~09azaz", "v", 4, false, true},
+		"lower case":        {"HTTP/1.1 200 OK\r\nid: 7\r\ncontent-length: 4\r\n\r\nbody", 200, "Id", "7", 4, false, true},
+		"above 0x7f":        {"HTTP/1.1 200 OK\r\n" + id + "X-A: \xe7\xff\x80\r\n" + length + "\r\nbody", 200, "X-A", "\xe7\xff\x80", 4, false, true},
+		"tab in value":      {"HTTP/1.1 200 OK\r\n" + id + "X-A:\t a\tb \t\r\n" + length + "\r\nbody", 200, "X-A", "a\tb", 4, false, true},
+		"empty value":       {"HTTP/1.1 200 OK\r\n" + id + "X-A:\r\n" + length + "\r\nbody", 200, "X-A", "", 4, false, true},
+		"no blank":          {"HTTP/1.1 200 OK\r\nId:7\r\nX-A:a:b\r\n" + length + "\r\nbody", 200, "X-A", "a:b", 4, false, true},
+		"pragma":            {"HTTP/1.1 200 OK\r\n" + id + "Pragma: no-cache\r\n" + length + "\r\nbody", 200, "Cache-Control", "", 4, false, true},
+		"empty reason":      {"HTTP/1.1 200 \r\n" + id + length + "\r\nbody", 200, "Id", "7", 4, false, true},
+		"no reason":         {"HTTP/1.1 200\r\n" + id + length + "\r\nbody", 200, "Id", "7", 4, false, true},
+		"odd reason":        {"HTTP/1.1 200 \tTr\xe8s bien: \"a\"  b\r\n" + id + length + "\r\nbody", 200, "Id", "7", 4, false, true},
+		"first status":      {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + id + length + "\r\nbody", 200, "Link", "", 4, false, true},
+		"last status":       {"HTTP/1.1 599 X\r\n" + id + length + "\r\nbody", 599, "Id", "7", 4, false, true},
+		"same length twice": {"HTTP/1.1 200 OK\r\n" + id + length + length + "\r\nbody", 200, "Id", "7", 4, false, true},
+		"close":             {"HTTP/1.1 200 OK\r\n" + id + length + "Connection: X-A, Close\r\nX-A: hop\r\n\r\nbody", 200, "X-A", "", 4, false, false},
+		"chunks":            {"HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: Chunked\r\n\r\n3;a=b\r\nbod\r\n001\r\ny\r\n0\r\n\r\n", 200, "Id", "7", Chunked, false, true},
+		"trailer": {"HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\nX-More: \xe7\r\n\r\n",
+			200, "X-Sum", "", Chunked, false, true},
+		"end of connection":           {"HTTP/1.1 200 OK\r\n" + id + "\r\nbody", 200, "Id", "7", Chunked, true, false},
+		"HTTP/1.0":                    {"HTTP/1.0 200 OK\r\n" + id + length + "\r\nbody", 200, "Id", "7", 4, false, false},
+		"HTTP/1.0, kept":              {"HTTP/1.0 200 OK\r\n" + id + length + "Connection: keep-alive\r\n\r\nbody", 200, "Id", "7", 4, false, true},
+		"HTTP/1.0, end of connection": {"HTTP/1.0 200 OK\r\n" + id + "\r\nbody", 200, "Id", "7", Chunked, true, false},
+		"later minor version":         {"HTTP/1.2 200 OK\r\n" + id + length + "\r\nbody", 200, "Id", "7", 4, false, true},
+		"large head":                  {"HTTP/1.1 200 OK\r\n" + id + "X-A: " + strings.Repeat("a", 100<<10) + "\r\n" + length + "\r\nbody", 200, "X-A", strings.Repeat("a", 100<<10), 4, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			address, conns := rawServer(t, c.response, c.closes)
+			p := newPool(address)
+			for range 2 {
+				resp, body, err := exchangeOnce(t, p)
+				is.NoErr(err)
+				is.Equal(resp.Status, c.status)
+				is.Equal(strings.Join(resp.Header[c.field], ","), c.value)
+				is.Equal(resp.Length, c.length)
+				is.Equal(body, "body")
+			}
+			is.Equal(conns.Load() == 1, c.reused)
+		})
+	}
+}
--- a/pkg/h1/splice.go
+++ b/pkg/h1/splice.go
@@ -1,30 +1,12 @@
 package h1
 
-import (
-	"errors"
-	"net/http"
-	"slices"
-	"strings"
-)
+import "strings"
 
 // errSplicedResponse means that the head of a response has a second status line. A
 // server has broken off a response within its head and has sent another one after it,
-// so that fields of both are in one head.
-var errSplicedResponse = errors.New("head of the response has a second status line")
-
-// spliced reports whether the head of a response has a second status line. It can only be
-// in the reason or in a value: a line of its own has no colon and is malformed.
-func spliced(resp *http.Response) bool {
-	if containsStatusLine(resp.Status) {
-		return true
-	}
-	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, containsStatusLine) {
-			return true
-		}
-	}
-	return false
-}
+// so that fields of both are in one head. The second status line can only be in the
+// reason or in a value: a line of its own has no colon and is malformed.
+var errSplicedResponse = malformed("second status line in the head")
 
 // containsStatusLine reports whether text contains the version and the status code of a
 // status line. A value with a version only, as in a Via field, does not.
