Reject responses whose status line is malformed or whose status is out of range

Seen by callers: a response with status 000 does not reach them as such, because a status below 200 counts as that of an interim response, but then its body is read as the next response: "HTTP/1.1 000" before a body that begins like a response reaches the caller as 200. Status 999 was passed on as it is. Status lines with two blanks, a control byte in the reason, a version other than HTTP/1 or a bare LF were accepted.

Cause: http.ReadResponse accepts any three characters that are a number of 0 or more, and splits the line at blanks. No code checked the range 100 to 599 of RFC 9110, section 15.

Change: readResponseHead parses the status line by RFC 9112, section 4, and rejects other statuses. The outcome is "unknown", and the connection is closed. RFC 9110 lets a client take a status out of range for a 5xx; the node reports 502 instead of a status that the next reader may not know. A missing blank before an empty reason is still accepted.

--- a/pkg/h1/malformed_test.go
+++ b/pkg/h1/malformed_test.go
@@ -196,3 +196,50 @@
 		})
 	}
 }
+
+// Guards against a status line that is none (RFC 9112, section 4) or whose status is none
+// (RFC 9110, section 15). A status below 200 counts as that of an interim response, so
+// what follows the head, also its body, would be read as the response.
+func TestMalformedStatusLinesAreRejected(t *testing.T) {
+	const fields, body = "Id: 7\r\nContent-Length: 4\r\n", "body"
+	for name, line := range map[string]string{
+		"000":                    "HTTP/1.1 000 OK\r\n",
+		"000, no reason":         "HTTP/1.1 000\r\n",
+		"001":                    "HTTP/1.1 001 OK\r\n",
+		"099":                    "HTTP/1.1 099 OK\r\n",
+		"600":                    "HTTP/1.1 600 OK\r\n",
+		"999":                    "HTTP/1.1 999 OK\r\n",
+		"sign":                   "HTTP/1.1 +20 OK\r\n",
+		"negative zero":          "HTTP/1.1 -00 OK\r\n",
+		"two digits":             "HTTP/1.1 20 OK\r\n",
+		"four digits":            "HTTP/1.1 2000 OK\r\n",
+		"letter":                 "HTTP/1.1 2O0 OK\r\n",
+		"empty":                  "HTTP/1.1  OK\r\n",
+		"reason follows at once": "HTTP/1.1 200OK\r\n",
+		"two blanks":             "HTTP/1.1  200 OK\r\n",
+		"tab":                    "HTTP/1.1\t200 OK\r\n",
+		"blank first":            " HTTP/1.1 200 OK\r\n",
+		"empty line first":       "\r\nHTTP/1.1 200 OK\r\n",
+		"second digit":           "HTTP/1.10 200 OK\r\n",
+		"HTTP/0.9":               "HTTP/0.9 200 OK\r\n",
+		"HTTP/2.0":               "HTTP/2.0 200 OK\r\n",
+		"lower case":             "http/1.1 200 OK\r\n",
+		"other protocol":         "ICY 200 OK\r\n",
+		"null in reason":         "HTTP/1.1 200 O\x00K\r\n",
+		"return in reason":       "HTTP/1.1 200 O\rK\r\n",
+		"line feed ends it":      "HTTP/1.1 200 OK\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, line+fields+"\r\n"+body) })
+	}
+}
+
+// Guards against a response with status 000 that counts as an interim one: its body is taken
+// for the response, or the request waits for another one.
+func TestStatus000IsNotInterim(t *testing.T) {
+	for name, response := range map[string]string{
+		"its body is a response": "HTTP/1.1 000 X\r\nId: 7\r\n\r\n" + responseText("7", "body"),
+		"without a body":         "HTTP/1.1 000 X\r\nId: 7\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, response) })
+	}
+}
--- a/pkg/h1/response_head.go
+++ b/pkg/h1/response_head.go
@@ -37,8 +37,8 @@
 }
 
 // readResponseHead reads the head of a response. Unlike http.ReadResponse, it accepts only
-// what RFC 9112, sections 2.2 and 5, and RFC 9110, sections 5.1 and 5.5, permit a server to
-// send: what one reader skips or repairs, the next one may understand
+// what RFC 9112, sections 2.2, 4 and 5, and RFC 9110, sections 5.1, 5.5 and 15, permit a
+// server to send: what one reader skips or repairs, the next one may understand
 // otherwise. It returns ErrMalformedResponse, errSplicedResponse, errTooLarge if the head
 // exceeds maxResponseHeaderBytes, or the error of br.
 func readResponseHead(br *bufio.Reader) (*responseHead, error) {
@@ -55,25 +55,37 @@
 	return head, err
 }
 
-// parseStatusLine parses a status line without its end.
+// maxStatus is the largest valid status code (RFC 9110, section 15).
+const maxStatus = 599
+
+// parseStatusLine parses a status line without its end (RFC 9112, section 4). The blank
+// before an empty reason may be missing: old servers leave it out.
 func (h *responseHead) parseStatusLine(line string) error {
-	version, rest, ok := strings.Cut(line, " ")
-	_, minor, known := http.ParseHTTPVersion(version)
-	if !ok || !known {
+	version, rest, _ := strings.Cut(line, " ")
+	status, reason, _ := strings.Cut(rest, " ")
+	minor, ok := strings.CutPrefix(version, "HTTP/1.")
+	if !ok || !isNumber(minor, 1) || !isNumber(status, 3) {
 		return malformed("status line %q", quotable(line))
 	}
-	status, reason, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	n, err := strconv.Atoi(status)
-	if err != nil || len(status) != len("200") || n < 0 {
-		return malformed("status line %q", quotable(line))
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return malformed("reason %q has a control byte", quotable(reason))
 	}
 	if containsStatusLine(reason) {
 		return errSplicedResponse
 	}
-	h.minor, h.status = minor, n
+	h.minor, _ = strconv.Atoi(minor)
+	h.status, _ = strconv.Atoi(status)
+	if h.status < http.StatusContinue || h.status > maxStatus {
+		return malformed("status %s", status)
+	}
 	return nil
 }
 
+// isNumber reports whether text is a decimal number of so many digits.
+func isNumber(text string, digits int) bool {
+	return len(text) == digits && strings.Trim(text, "0123456789") == ""
+}
+
 // lineReader reads the lines of a head or of a trailer section.
 type lineReader struct {
 	br        *bufio.Reader
