Reject responses that state their end in two ways

Seen by callers: a response with Content-Length and Transfer-Encoding is passed on with the body that the chunks hold, whatever the length says; a response in HTTP/1.0 with Transfer-Encoding is passed on with the chunk sizes in its body, once the connection ends.

RFC 9112, section 6.3, asks to handle the first as an error, and section 6.1 to treat the second as faulty framing.

Change: framing returns ErrMalformedResponse for both, so that the outcome is "unknown" and the connection is closed.

Evidence: on 3 of 11 cases of TestContradictoryFramingIsRejected failed: both orders of length and coding, and the coding in HTTP/1.0. All pass now, with -race; the other eight were rejected before and stay as tests.

--- a/pkg/h1/malformed_test.go
+++ b/pkg/h1/malformed_test.go
@@ -243,3 +243,24 @@
 		t.Run(name, func(t *testing.T) { checkMalformed(t, response) })
 	}
 }
+
+// Guards against a response whose end is stated in two ways, or in one that its version does
+// not have (RFC 9112, sections 6.1 to 6.3): the next reader may find another end.
+func TestContradictoryFramingIsRejected(t *testing.T) {
+	const chunks = "\r\n4\r\nbody\r\n0\r\n\r\n"
+	for name, response := range map[string]string{
+		"length and coding":   "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"coding and length":   "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n" + chunks,
+		"coding in HTTP/1.0":  "HTTP/1.0 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"two codings":         "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"list of codings":     "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: gzip, chunked\r\n" + chunks,
+		"other coding":        "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: identity\r\n" + chunks,
+		"two lengths":         "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+		"list of lengths":     "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 4, 5\r\n\r\nbody",
+		"length with a sign":  "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: +4\r\n\r\nbody",
+		"empty length":        "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length:\r\n\r\nbody",
+		"length beyond range": "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9223372036854775808\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, response) })
+	}
+}
--- a/pkg/h1/response_body.go
+++ b/pkg/h1/response_body.go
@@ -22,7 +22,9 @@
 	noBody  bool // by the status or the method of the request
 }
 
-// framing returns the framing of a response to a request with a method.
+// framing returns the framing of a response to a request with a method. A length beside a
+// coding, and a coding in HTTP/1.0, are ErrMalformedResponse: readers differ in which one they
+// follow.
 func (h *responseHead) framing(method string) (framing, error) {
 	f := framing{length: Chunked}
 	lengths, codings := h.header["Content-Length"], h.header["Transfer-Encoding"]
@@ -34,11 +36,13 @@
 		f.length = int64(n)
 	}
 	switch {
-	case len(codings) == 0 || h.minor == 0:
-	case len(codings) > 1 || !strings.EqualFold(codings[0], "chunked"):
-		return f, malformed("Transfer-Encoding %q", quotable(strings.Join(codings, ", ")))
+	case len(codings) == 0:
+	case len(codings) > 1 || !strings.EqualFold(codings[0], "chunked") || h.minor == 0:
+		return f, malformed("Transfer-Encoding %q in HTTP/1.%d", quotable(strings.Join(codings, ", ")), h.minor)
+	case len(lengths) > 0:
+		return f, malformed("both Content-Length and Transfer-Encoding")
 	default:
-		f = framing{length: Chunked, chunked: true}
+		f.chunked = true
 	}
 	switch {
 	case h.status < http.StatusOK || h.status == http.StatusNoContent || h.status == http.StatusNotModified:
