Read the responses of the store and of nodes' messages with the strict reader

Seen: a malformed response of the store counts as its response. A write counts as applied (200), as refused without effect (503, 429) or as in conflict (412), the history as lost (410), and an era is taken from it, also from status 000. A malformed response of a node acknowledges a message, for example that the node holds a departure; there status 000 alone was enough. lentilctl shows a state from it.

These clients used http.Transport, which reads with http.ReadResponse.

Change: h1.Transport is an http.RoundTripper on h1.Pool. As before, a GET request is sent again if a reused connection has ended, other requests are sent once, and the end of a context is reported as such and not as a dial timeout, which would make a node count as unreachable.

--- a/cmd/lentilctl/cli/cli.go
+++ b/cmd/lentilctl/cli/cli.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -57,12 +56,12 @@
 
 // Commands returns the operations that change the deployment.
 func (e *Env) Commands() *operator.Commands {
-	return &operator.Commands{Store: e.rulesStore(), Client: http.DefaultClient}
+	return &operator.Commands{Store: e.rulesStore(), Client: operator.NewNodeClient()}
 }
 
 // Queries returns the operations that read the state of the deployment.
 func (e *Env) Queries() *operator.Queries {
-	return &operator.Queries{Store: e.rulesStore(), Client: http.DefaultClient}
+	return &operator.Queries{Store: e.rulesStore(), Client: operator.NewNodeClient()}
 }
 
 func (e *Env) rulesStore() *platform.RulesStore {
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -158,7 +157,7 @@
 	a.gossip = &gossip.Node{
 		Self: a.self, Config: a.configHolder, View: a.fleetView, Notices: a.crashRecords, Departures: a.heldDepartures, Log: c.Log,
 		Serving:   func() bool { return a.local.Serving() },
-		Client:    messageClient(),
+		Client:    gossip.NewClient(),
 		OnConfig:  func(v config.Version, from string) { a.onConfigInForce(v, zap.String("from_node", from)) },
 		OnFleet:   a.onFleetChange,
 		OnEra:     c.Platform.ReportEra,
@@ -210,20 +209,6 @@
 	return e
 }
 
-// messageClient returns the client for messages to other nodes. It does not
-// reuse connections, because it rarely sends a request to the same node.
-func messageClient() *http.Client {
-	live := h1.Liveness{DialTimeout: messageDialTimeout, ProbeInterval: time.Second, UserTimeout: messageDialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: live.DialNetwork(), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
-}
-
-// messageDialTimeout bounds the opening of a connection to the message listener
-// of another node. An open connection ends if data that was sent stays
-// unacknowledged for as long.
-const messageDialTimeout = 500 * time.Millisecond
-
 func (a *Agent) registerMetrics(r *prometheus.Registry) {
 	gauge := func(name, help string, value func() float64) {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "lentilflow", Name: name, Help: help}, value))
--- a/pkg/devcluster/cluster.go
+++ b/pkg/devcluster/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -109,7 +108,7 @@
 		return merry.Prepend(err, "store")
 	}
 	c.store = endpoint
-	commands := operator.Commands{Store: c.rulesStore(), Client: http.DefaultClient}
+	commands := operator.Commands{Store: c.rulesStore(), Client: operator.NewNodeClient()}
 	_, faults, err := commands.Put(ctx, c.cfg.Deployment.Name, string(c.cfg.Deployment.Rules), operator.Tag{})
 	if err != nil || len(faults) > 0 {
 		return merry.Errorf("example rules of %s: %v %w", c.cfg.Deployment.Name, faults, err)
@@ -185,7 +184,7 @@
 func (c *Cluster) AwaitVersion(ctx context.Context, v model.Version, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	queries := operator.Queries{Store: c.rulesStore(), Client: http.DefaultClient}
+	queries := operator.Queries{Store: c.rulesStore(), Client: operator.NewNodeClient()}
 	for {
 		s, err := queries.Status(ctx)
 		if err == nil && c.inForceEverywhere(&s, v) {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -62,7 +62,7 @@
 			Location: model.Location{Region: "r", AvailabilityZone: "z"},
 		},
 		Config: config.NewHolder(), View: fleet.NewView(), Notices: crashguard.NewMemoryRegistry(time.Now), Departures: recovery.NewDepartures(time.Time{}), Serving: p.serving.Load,
-		ApplyTime: relay.MinApplyTime, Client: server.Client(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ string) { p.lastAccepted.Store(int64(v)) },
+		ApplyTime: relay.MinApplyTime, Client: NewClient(), Log: zap.NewNop(), OnConfig: func(v config.Version, _ string) { p.lastAccepted.Store(int64(v)) },
 	}
 	p.OnFleet = func([]model.NodeID) {}
 	p.OnEra = func(follow.Era) {}
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/text"
 )
 
@@ -24,6 +26,18 @@
 	compressedType = "application/zstd"
 )
 
+// messageDialTimeout bounds the opening of a connection to the message listener
+// of another node. An open connection ends if data that was sent stays
+// unacknowledged for as long.
+const messageDialTimeout = 500 * time.Millisecond
+
+// NewClient returns the client for messages to other nodes. It does not reuse
+// connections, because it rarely sends a request to the same node.
+func NewClient() *http.Client {
+	live := h1.Liveness{DialTimeout: messageDialTimeout, ProbeInterval: time.Second, UserTimeout: messageDialTimeout}
+	return &http.Client{Transport: &h1.Transport{Dial: live.Dialer()}}
+}
+
 // writeUpdate sends u as JSON, compressed if it is large. A configuration in it
 // is already compressed and does not count.
 func writeUpdate(c echo.Context, u *Update) error {
--- a/pkg/h1/dial.go
+++ b/pkg/h1/dial.go
@@ -47,12 +47,5 @@
 	}
 }
 
-// DialNetwork returns the function of Dialer with the signature that
-// http.Transport expects. The network argument is ignored; it is always TCP.
-func (l Liveness) DialNetwork() func(ctx context.Context, network, address string) (net.Conn, error) {
-	dial := l.Dialer()
-	return func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
-}
-
 // keepAliveProbes is how many keep-alive probes may remain unacknowledged.
 const keepAliveProbes = 2
--- /dev/null
+++ b/pkg/h1/transport_test.go
@@ -0,0 +1,152 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newTransportClient(maxIdleConns int) *http.Client {
+	live := Liveness{DialTimeout: testTimeout, ProbeInterval: time.Second, UserTimeout: testTimeout}
+	return &http.Client{Transport: &Transport{Dial: live.Dialer(), MaxIdleConns: maxIdleConns, IdleTimeout: testTimeout}, Timeout: testTimeout}
+}
+
+// Guards the requests and responses of Transport: method, target, fields and body arrive, and
+// connections are reused only if that is allowed.
+func TestTransportSendsRequests(t *testing.T) {
+	for _, maxIdleConns := range []int{0, 2} {
+		is := is.New(t)
+		var conns atomic.Int64
+		s := &Server{Handle: func(x *Exchange) {
+			r := x.Request
+			reply := textReply(201, r.Method+" "+r.RequestURI+" "+r.Header.Get("X-A")+" "+string(x.Body))
+			reply.Header = http.Header{"X-B": {"b"}}
+			x.CloseAfter = r.Close
+			_ = x.Reply(reply)
+		}}
+		address := startServer(t, s)
+		client := newTransportClient(maxIdleConns)
+		transport := client.Transport.(*Transport)
+		dial := transport.Dial
+		transport.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conns.Add(1)
+			return dial(ctx, address)
+		}
+		for range 3 {
+			r, err := http.NewRequest(http.MethodPost, "http://"+address+"/a%20b?c=d", strings.NewReader("text"))
+			is.NoErr(err)
+			r.Header.Set("X-A", "a")
+			resp, err := client.Do(r)
+			is.NoErr(err)
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.NoErr(resp.Body.Close())
+			is.Equal(resp.StatusCode, 201)
+			is.Equal(resp.Status, "201 Created")
+			is.Equal(resp.Header.Get("X-B"), "b")
+			is.Equal(string(body), "POST /a%20b?c=d a text")
+		}
+		want := int64(3)
+		if maxIdleConns > 0 {
+			want = 1
+		}
+		is.Equal(conns.Load(), want)
+	}
+}
+
+// Guards against malformed responses that Transport returns.
+func TestTransportRejectsMalformedResponses(t *testing.T) {
+	is := is.New(t)
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		address, _ := rawServer(t, response, true)
+		_, err := newTransportClient(0).Get("http://" + address + "/")
+		is.True(errors.Is(err, ErrMalformedResponse))
+	}
+}
+
+// oneResponseServer responds to the first request on each connection, and closes the
+// connection at the second one without a response.
+func oneResponseServer(t *testing.T) (address string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for n := range 2 {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					requests.Add(1)
+					if n == 0 {
+						_, _ = io.WriteString(nc, responseText("", ""))
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+// Guards against a request that fails although the server has only closed an idle connection,
+// and against a POST request that is sent twice.
+func TestTransportSendsOnlyGetAgain(t *testing.T) {
+	for method, want := range map[string]int64{http.MethodGet: 3, http.MethodPost: 2} {
+		is := is.New(t)
+		address, requests := oneResponseServer(t)
+		client := newTransportClient(1)
+		send := func() error {
+			r, err := http.NewRequest(method, "http://"+address+"/", nil)
+			is.NoErr(err)
+			resp, err := client.Do(r)
+			if err != nil {
+				return err
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			return errors.Join(err, resp.Body.Close())
+		}
+		is.NoErr(send())
+		is.Equal(send() == nil, method == http.MethodGet)
+		is.Equal(requests.Load(), want)
+	}
+}
+
+// Guards against the end of a context that looks like a dial timeout, after which the node at
+// the address would count as unreachable.
+func TestTransportReturnsErrorOfEndedContext(t *testing.T) {
+	is := is.New(t)
+	transport := &Transport{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
+	}}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://127.0.0.1:1/", nil)
+	is.NoErr(err)
+	_, err = (&http.Client{Transport: transport}).Do(r)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	var dial *net.OpError
+	is.True(!errors.As(err, &dial))
+}
--- a/pkg/operator/queries.go
+++ b/pkg/operator/queries.go
@@ -15,6 +15,7 @@
 
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/rules"
 )
@@ -27,6 +28,12 @@
 	nodeStateTimeout = 2 * time.Second
 )
 
+// NewNodeClient returns the client for requests to nodes.
+func NewNodeClient() *http.Client {
+	live := h1.Liveness{DialTimeout: nodeStateTimeout, ProbeInterval: time.Second, UserTimeout: nodeStateTimeout}
+	return &http.Client{Transport: &h1.Transport{Dial: live.Dialer()}}
+}
+
 // Queries report the state of a deployment. They are safe for concurrent use
 // if Store is.
 type Queries struct {
