Count and log malformed responses of the upstream

An operator could find a faulty upstream only by the lines of the calls that it failed: the metrics count a lost response and a malformed one alike.

Change: h1.Pool reports each malformed response once, whether it is malformed in the head, in a chunk or in the trailer. The node of the upstream counts them in lentilflow_upstream_malformed_responses_total and logs, at most five times a second, the address and the boot of the upstream and what is malformed. A response that breaks off is not reported as malformed.

--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -101,7 +101,7 @@
 // address, as host:port, and returns l.
 func NewLocal(l *Local, address string) *Local {
 	live := h1.Liveness{DialTimeout: upstreamDialTimeout, ProbeInterval: upstreamProbeInterval, UserTimeout: upstreamUserTimeout}
-	l.pool = &h1.Pool{Address: address, IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns, Dial: live.Dialer()}
+	l.pool = &h1.Pool{Address: address, IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns, Dial: live.Dialer(), OnMalformed: l.observeMalformed}
 	l.gate = admission.NewGate(admission.Limits{Slots: 1})
 	l.gate.Guard = l.Guard
 	l.tracker.VerifyFirstBoot = true
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -20,7 +20,7 @@
 	answeredLinesPerSecond = 5
 	decisionLinesPerSecond = 100
 	// statementLinesPerSecond limits the log lines about what the upstream states
-	// in its responses.
+	// in its responses, and about malformed responses.
 	statementLinesPerSecond = 5
 )
 
--- a/pkg/gateway/malformed_response_test.go
+++ b/pkg/gateway/malformed_response_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -85,6 +88,23 @@
 	is.True(!l.Serving())
 }
 
+// Guards against a faulty upstream that an operator cannot find.
+func TestMalformedResponseIsCountedAndLogged(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawUpstream(t, malformedResponses("1")["blank in a name"], true)
+	l := newTestLocal(t, address, shaping.NewLink(0), 1)
+	core, lines := observer.New(zap.WarnLevel)
+	l.Log = zap.New(core)
+	_, refusal := l.Run(t.Context(), downloadAttempt(time.Minute))
+	is.True(refusal != nil)
+	is.Equal(testutil.ToFloat64(l.Metrics.malformed), 1.0)
+	is.Equal(lines.Len(), 1)
+	fields := lines.All()[0].ContextMap()
+	is.Equal(fields["upstream"], address)
+	is.Equal(fields["boot"], "boot")
+	is.Equal(fields["error"], `malformed response: field name "X Odd" is no token`)
+}
+
 // Guards against a malformed response of another node: its refusal would say that the request
 // has not run, and its answer would be delivered.
 func TestMalformedResponseOfNodeIsNotUsed(t *testing.T) {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -21,6 +21,7 @@
 	queueTime   *prometheus.HistogramVec
 	serviceTime *prometheus.HistogramVec
 	sent        prometheus.Counter
+	malformed   prometheus.Counter
 	statements  *prometheus.CounterVec
 }
 
@@ -63,9 +64,12 @@
 		sent: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "lentilflow", Name: "upstream_requests_total", Help: "Requests sent to the upstream, without health checks.",
 		}),
+		malformed: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "lentilflow", Name: "upstream_malformed_responses_total", Help: "Responses of the upstream that were malformed and were not used.",
+		}),
 		statements: counter("upstream_statements_total", "Responses that state something about their upstream, by kind.", "statement"),
 	}
-	r.MustRegister(m.sent)
+	r.MustRegister(m.sent, m.malformed)
 	for _, k := range []statementKind{statementLimit, statementLeaving, statementInvalid} {
 		m.statements.WithLabelValues(string(k))
 	}
@@ -100,6 +104,7 @@
 }
 
 func (m *Metrics) countRequestSent()              { m.sent.Inc() }
+func (m *Metrics) countMalformed()                { m.malformed.Inc() }
 func (m *Metrics) countStatement(k statementKind) { m.statements.WithLabelValues(string(k)).Inc() }
 
 func (m *Metrics) countRefusal(r model.Reason)  { m.refusals.WithLabelValues(string(r)).Inc() }
--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -76,6 +76,22 @@
 	return bootStatement{boot: upstream.Boot{ID: boot.ID, StartedAt: boot.StartedAt}, Statement: s}
 }
 
+// observeMalformed counts and logs a malformed response of the upstream. The line about the
+// call names the request.
+func (l *Local) observeMalformed(err error) {
+	l.Metrics.countMalformed()
+	dropped, ok := l.statementLog.allow()
+	if !ok {
+		return
+	}
+	boot := ""
+	if b := l.boot.Load(); b != nil {
+		boot = b.ID
+	}
+	l.Log.Warn("response of the upstream is malformed and is not used", zap.String("upstream", l.pool.Address), zap.String("boot", boot),
+		zap.Int64("lines_left_out", dropped), zap.Error(err))
+}
+
 // observeHealthCheck applies what the response to a health check says about the
 // upstream, and returns it. id names the boot that responded. Before a boot is
 // serving, its rate limit is only stored, so that it applies from the first call.
--- a/pkg/h1/client.go
+++ b/pkg/h1/client.go
@@ -119,13 +119,19 @@
 	stop     func() bool
 	reusable bool
 	bodyRead bool
+	failed   bool // a read of the body has failed
 }
 
 // Read implements io.Reader. It returns io.EOF only after the whole body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
 		r.bodyRead = true
+	case !r.failed && r.pool != nil:
+		r.failed = true
+		r.pool.reportMalformed(err)
 	}
 	return n, err
 }
@@ -180,6 +186,10 @@
 	MaxIdleConns int
 	// Dial opens a connection. It may be called concurrently.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnMalformed is called once for each malformed response, with an error that wraps
+	// ErrMalformedResponse. It may be called concurrently. Nil means that nothing is to be
+	// done.
+	OnMalformed func(err error)
 
 	mu    sync.Mutex
 	conns []*clientConn
@@ -198,6 +208,7 @@
 	resp, sent, err := c.exchange(ctx, req)
 	if err != nil {
 		stop()
+		p.reportMalformed(err)
 		if req.Rest != nil {
 			closeAborted(c.nc)
 		} else {
@@ -213,6 +224,13 @@
 	return resp, nil
 }
 
+// reportMalformed calls OnMalformed if err is that of a malformed response.
+func (p *Pool) reportMalformed(err error) {
+	if p.OnMalformed != nil && errors.Is(err, ErrMalformedResponse) {
+		p.OnMalformed(err)
+	}
+}
+
 // Close closes the idle connections. Connections in use are not affected and
 // may become idle later.
 func (p *Pool) Close() {
--- a/pkg/h1/malformed_test.go
+++ b/pkg/h1/malformed_test.go
@@ -264,3 +264,46 @@
 		t.Run(name, func(t *testing.T) { checkMalformed(t, response) })
 	}
 }
+
+// Guards against malformed responses that an operator does not learn of: each one must be
+// reported once, wherever it is malformed, and one that breaks off must not be.
+func TestMalformedResponsesAreReported(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+	for name, c := range map[string]struct {
+		response string
+		reports  int64
+	}{
+		"field name":               {"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n", 1},
+		"status":                   {"HTTP/1.1 000 OK\r\n\r\n", 1},
+		"second status line":       {"HTTP/1.1 200 OKHTTP/1.1 200 OK\r\n\r\n", 1},
+		"length":                   {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", 1},
+		"chunk size":               {chunked + "x\r\n", 1},
+		"end of a chunk":           {chunked + "4\r\nbodymore\r\n", 1},
+		"trailer":                  {chunked + "0\r\nX Sum: 1\r\n\r\n", 1},
+		"proper":                   {chunked + "0\r\n\r\n", 0},
+		"breaks off in the head":   {"HTTP/1.1 200 OK\r\nX Odd", 0},
+		"breaks off in a chunk":    {chunked + "4\r\nbo", 0},
+		"breaks off in a trailer":  {chunked + "0\r\nX Sum", 0},
+		"breaks off in the length": {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := rawServer(t, c.response, true)
+			p := newPool(address)
+			var reports atomic.Int64
+			p.OnMalformed = func(err error) {
+				is.True(errors.Is(err, ErrMalformedResponse))
+				reports.Add(1)
+			}
+			resp, err := p.Do(t.Context(), newRequest("7"))
+			if err == nil {
+				_, err = io.ReadAll(resp)
+				_, again := resp.Read(make([]byte, 1))
+				is.True(err == nil || again != nil)
+				resp.Close()
+			}
+			is.Equal(err == nil, name == "proper")
+			is.Equal(reports.Load(), c.reports)
+		})
+	}
+}
--- a/pkg/h1/response_body.go
+++ b/pkg/h1/response_body.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -114,12 +115,17 @@
 		return 0, b.err
 	}
 	var n int
+	var broken net.Error
 	n, b.err = b.chunks.Read(p)
-	if errors.Is(b.err, io.EOF) {
+	switch {
+	case b.err == nil, errors.Is(b.err, io.ErrUnexpectedEOF), errors.As(b.err, &broken):
+	case errors.Is(b.err, io.EOF):
 		r := lineReader{br: b.br, remaining: maxTrailerBytes}
 		if err := r.skipFields(); err != nil {
 			b.err = err
 		}
+	default:
+		b.err = malformed("chunk: %w", b.err)
 	}
 	return n, b.err
 }
