Test malformed responses with real processes

The stand-in for an upstream can send malformed responses: blanks and control bytes in names, a length behind a bare LF, status 000, some with the claim that the request has not run. TestFaultyUpstreamsKeepRunGuarantees plays them, and checks that no field name that a caller receives is malformed.

TestEndlessTrailerFails guards the bound of the new reader of trailers.

--- a/pkg/h1/malformed_test.go
+++ b/pkg/h1/malformed_test.go
@@ -307,3 +307,14 @@
 		})
 	}
 }
+
+// Guards against a trailer without end, and one of a single endless line, that occupies a
+// request until its deadline.
+func TestEndlessTrailerFails(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	for _, more := range []string{"A: b\r\n", "a"} {
+		is := is.New(t)
+		_, _, err := exchangeOnce(t, newPool(endlessServer(t, head, strings.Repeat(more, 1<<10), 0)))
+		is.True(errors.Is(err, errTooLarge))
+	}
+}
--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -56,6 +57,7 @@
 	Truncate      bool          // closes connections before the end of the response body
 	Fail          bool          // responds with status 500
 	Duplicate     bool          // sends each response twice
+	Malformed     bool          // sends responses that violate the HTTP grammar
 	// RateLimit is the limit in requests per second that all responses state, 0
 	// for none. The upstream itself does not enforce it.
 	RateLimit float64
@@ -344,8 +346,13 @@
 	w.Header().Set(headerSignature, u.ID+"."+run.ID)
 	w.Header().Set(headerID, run.ID)
 	u.setStatements(w.Header()) // it may have changed while the request ran
-	if b.Duplicate {
-		u.respondTwice(w, status, text)
+	switch {
+	case b.Duplicate:
+		response := fmt.Sprintf("HTTP/1.1 %d OK\r\n%sContent-Length: %d\r\n\r\n%s", status, fieldLines(w.Header()), len(text), text)
+		respondRaw(w, response, response)
+		return
+	case b.Malformed:
+		respondRaw(w, malformedResponse(fieldLines(w.Header()), text))
 		return
 	}
 	w.WriteHeader(status)
@@ -355,23 +362,44 @@
 	}
 }
 
-// respondTwice sends a response twice on the connection. It leaves the connection
-// open until the client closes it.
-func (u *Upstream) respondTwice(w http.ResponseWriter, status int, text string) {
+// respondRaw sends responses on the connection, each one after the client has read the
+// one before. It leaves the connection open until the client closes it.
+func respondRaw(w http.ResponseWriter, responses ...string) {
 	nc, rw, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
-	var head strings.Builder
-	_ = w.Header().Write(&head)
-	response := fmt.Sprintf("HTTP/1.1 %d OK\r\n%sContent-Length: %d\r\n\r\n%s", status, head.String(), len(text), text)
-	_, _ = rw.WriteString(response)
-	_ = rw.Flush()
-	time.Sleep(5 * time.Millisecond) // the second arrives after the client has read the first
-	_, _ = rw.WriteString(response)
-	_ = rw.Flush()
+	for i, response := range responses {
+		if i > 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		_, _ = rw.WriteString(response)
+		_ = rw.Flush()
+	}
 	go func() {
 		_, _ = io.Copy(io.Discard, nc)
 		_ = nc.Close()
 	}()
 }
+
+func fieldLines(h http.Header) string {
+	var lines strings.Builder
+	_ = h.Write(&lines)
+	return lines.String()
+}
+
+// malformedResponse returns a response with the given field lines and body that violates
+// the HTTP grammar in one of several ways. Some claim that the request has not run.
+func malformedResponse(fields, body string) string {
+	const notRun = headerNotRun + ": 1\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	responses := []string{
+		"HTTP/1.1 200 OK\r\n" + fields + "X Odd: 1\r\n" + length,
+		"HTTP/1.1 200 OK\r\n" + fields + fmt.Sprintf("Transfer-Encoding : chunked\r\nContent-Length: %d\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body)+11, len(body), body),
+		"HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\n" + length,
+		"HTTP/1.1 503 Full\r\n" + fields + "X-Odd : 1\r\n" + notRun + length,
+		"HTTP/1.1 421 Misdirected\r\n" + fields + "X-Odd\x01: 1\r\n" + notRun + length,
+		"HTTP/1.1 000 OK\r\n" + fields + "\r\nHTTP/1.1 503 Full\r\n" + fields + notRun + length,
+	}
+	return responses[rand.IntN(len(responses))]
+}
--- a/test/calls_test.go
+++ b/test/calls_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
 )
@@ -51,7 +52,7 @@
 }
 
 // Guards against wrong responses while upstreams lose responses, truncate them,
-// fail, or send them twice. A non-idempotent request must run at most once, a
+// fail, send them twice, or send malformed ones. A non-idempotent request must run at most once, a
 // refused request must not run, and a response must belong to its request.
 func TestFaultyUpstreamsKeepRunGuarantees(t *testing.T) {
 	for name, b := range map[string]upstream.Behaviour{
@@ -59,6 +60,7 @@
 		"truncated": {Truncate: true},
 		"failed":    {Fail: true},
 		"duplicate": {Duplicate: true},
+		"malformed": {Malformed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -84,6 +86,9 @@
 			}
 			for _, r := range append(bookings, reads...) {
 				is.True(r.status != http.StatusOK || r.served()) // a success has the whole body of its own request
+				for name := range r.header {
+					is.True(httpguts.ValidHeaderFieldName(name))
+				}
 			}
 			is.True(served*2 > len(reads)) // one upstream of each service has no fault
 		})
