--- a/pkg/gateway/download_test.go
+++ b/pkg/gateway/download_test.go
@@ -22,6 +22,7 @@
 	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
+	"github.com/lentilflow/lentilflow/pkg/standin/rawserver"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
@@ -32,31 +33,12 @@
 // response.
 func rawUpstream(t *testing.T, response string, closes bool) (address string, runs *atomic.Int64) {
 	t.Helper()
-	l := mustListen()
-	t.Cleanup(func() { _ = l.Close() })
-	runs = &atomic.Int64{}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				for {
-					if _, err := http.ReadRequest(br); err != nil {
-						return
-					}
-					runs.Add(1)
-					if _, err := io.WriteString(nc, response); err != nil || closes {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), runs
+	s, err := rawserver.Start(response, closes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Address(), &s.Requests
 }
 
 func newTestLocal(t *testing.T, address string, link *shaping.Link, slots int) *Local {
--- a/pkg/gossip/malformed_test.go
+++ b/pkg/gossip/malformed_test.go
@@ -1,14 +1,12 @@
 package gossip
 
 import (
-	"fmt"
-	"io"
-	"net"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/standin/rawserver"
 )
 
 // Guards against a malformed response that counts as the acknowledgement of a message: a
@@ -23,24 +21,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := rawserver.Start(response, true)
 			is.NoErr(err)
-			t.Cleanup(func() { _ = l.Close() })
-			go func() {
-				for {
-					nc, err := l.Accept()
-					if err != nil {
-						return
-					}
-					_, _ = io.ReadAtLeast(nc, make([]byte, 4<<10), 1)
-					_, _ = io.WriteString(nc, response)
-					_ = nc.(*net.TCPConn).CloseWrite()
-				}
-			}()
+			t.Cleanup(server.Close)
 			a := newPeer(t, "a")
-			err = a.post(t.Context(), fleet.Member{Node: "b", MessageAddress: l.Addr().String()}, pathDepartures, struct{}{}, nil)
+			err = a.post(t.Context(), fleet.Member{Node: "b", MessageAddress: server.Address()}, pathDepartures, struct{}{}, nil)
 			is.True(err != nil)
-			t.Log(fmt.Sprint(err))
 		})
 	}
 }
--- a/pkg/h1/malformed_test.go
+++ b/pkg/h1/malformed_test.go
@@ -1,54 +1,29 @@
 package h1
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
-	"net"
-	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lentilflow/lentilflow/pkg/standin/rawserver"
 )
 
-// rawServer responds to each request with the same text and then waits until the client
-// closes the connection, or closes it itself if closes is set. It returns its address and
-// the number of connections that it has accepted.
-func rawServer(t *testing.T, response string, closes bool) (address string, conns *atomic.Int64) {
+// rawServer starts a server that responds to each request with the same text and closes the
+// connection afterwards if closes is set.
+func rawServer(t *testing.T, response string, closes bool) *rawserver.Server {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := rawserver.Start(response, closes)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	conns = &atomic.Int64{}
-	serve := func(nc net.Conn) {
-		defer func() { _ = nc.Close() }()
-		r := bufio.NewReader(nc)
-		for {
-			if _, err := http.ReadRequest(r); err != nil {
-				return
-			}
-			if _, err := io.WriteString(nc, response); err != nil || closes {
-				return
-			}
-		}
-	}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			conns.Add(1)
-			go serve(nc)
-		}
-	}()
-	return l.Addr().String(), conns
+	t.Cleanup(s.Close)
+	return s
 }
 
 // exchangeOnce sends a request and returns the response and its body. An error of the body
@@ -74,8 +49,8 @@
 	t.Parallel()
 	is := is.New(t)
 	for _, closes := range []bool{false, true} {
-		address, conns := rawServer(t, response, closes)
-		p := newPool(address)
+		server := rawServer(t, response, closes)
+		p := newPool(server.Address())
 		began := time.Now()
 		for range 2 {
 			resp, body, err := exchangeOnce(t, p)
@@ -85,7 +60,7 @@
 			var exchangeErr *ExchangeError
 			is.True(!errors.As(err, &exchangeErr) || exchangeErr.Sent)
 		}
-		is.Equal(conns.Load(), int64(2))
+		is.Equal(server.Connections.Load(), int64(2))
 		is.True(time.Since(began) < testTimeout) // the exchange does not wait for its deadline
 	}
 }
@@ -182,8 +157,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			address, conns := rawServer(t, c.response, c.closes)
-			p := newPool(address)
+			server := rawServer(t, c.response, c.closes)
+			p := newPool(server.Address())
 			for range 2 {
 				resp, body, err := exchangeOnce(t, p)
 				is.NoErr(err)
@@ -192,7 +167,7 @@
 				is.Equal(resp.Length, c.length)
 				is.Equal(body, "body")
 			}
-			is.Equal(conns.Load() == 1, c.reused)
+			is.Equal(server.Connections.Load() == 1, c.reused)
 		})
 	}
 }
@@ -288,8 +263,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address, _ := rawServer(t, c.response, true)
-			p := newPool(address)
+			p := newPool(rawServer(t, c.response, true).Address())
 			var reports atomic.Int64
 			p.OnMalformed = func(err error) {
 				is.True(errors.Is(err, ErrMalformedResponse))
--- a/pkg/h1/transport_test.go
+++ b/pkg/h1/transport_test.go
@@ -70,8 +70,7 @@
 		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
 	} {
-		address, _ := rawServer(t, response, true)
-		_, err := newTransportClient(0).Get("http://" + address + "/")
+		_, err := newTransportClient(0).Get("http://" + rawServer(t, response, true).Address() + "/")
 		is.True(errors.Is(err, ErrMalformedResponse))
 	}
 }
--- a/pkg/operator/queries_test.go
+++ b/pkg/operator/queries_test.go
@@ -1,13 +1,12 @@
 package operator
 
 import (
-	"io"
-	"net"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/lentilflow/lentilflow/pkg/fleet"
+	"github.com/lentilflow/lentilflow/pkg/standin/rawserver"
 )
 
 // Guards against a malformed response that is shown as the state of a node.
@@ -19,19 +18,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := rawserver.Start(response, true)
 			is.NoErr(err)
-			t.Cleanup(func() { _ = l.Close() })
-			go func() {
-				nc, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = nc.Close() }()
-				_, _ = nc.Read(make([]byte, 4<<10))
-				_, _ = io.WriteString(nc, response)
-			}()
-			nodes := nodeStates(t.Context(), NewNodeClient(), []fleet.Member{{Node: "n", MessageAddress: l.Addr().String()}})
+			t.Cleanup(server.Close)
+			nodes := nodeStates(t.Context(), NewNodeClient(), []fleet.Member{{Node: "n", MessageAddress: server.Address()}})
 			is.True(nodes[0].State == nil)
 			is.True(nodes[0].Error != "")
 		})
