Close connections that Transport must not keep, and replace timed-out ones

With MaxIdleConns 0 a connection stayed open after the response if the server did not close it, in a pool that nothing used again. And a GET request on a reused connection that TCP_USER_TIMEOUT had ended failed instead of being sent again, which http.Transport did before.

Change: the connection is closed after the response, and only the read deadline of the exchange keeps a broken connection from being replaced.

Evidence: TestTransportWithoutIdleConnectionsClosesThem (0 of 3 closed) and TestOnlyEndedConnectionsAreReplaced (ETIMEDOUT) failed before and pass now; the tests of h1, platform and gossip passed with -race.

--- a/pkg/h1/transport.go
+++ b/pkg/h1/transport.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -61,6 +62,9 @@
 		}
 		return nil, err
 	}
+	if t.MaxIdleConns == 0 {
+		resp.reusable = false // the server may keep the connection open
+	}
 	return &http.Response{
 		Status: strconv.Itoa(resp.Status) + " " + http.StatusText(resp.Status), StatusCode: resp.Status,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: resp.Header, ContentLength: resp.Length,
@@ -88,11 +92,15 @@
 }
 
 // endedWhileReused reports whether err says that a reused connection has ended instead of a
-// response: the server may have closed it before it read the request.
+// response: the server may have closed it before it read the request. A deadline for reads
+// does not end a connection.
 func endedWhileReused(err error) bool {
 	var e *ExchangeError
+	if !errors.As(err, &e) || !e.Reused || errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
 	var broken *net.OpError
-	return errors.As(err, &e) && e.Reused && (errors.Is(err, io.EOF) || errors.As(err, &broken) && !broken.Timeout())
+	return errors.Is(err, io.EOF) || errors.As(err, &broken)
 }
 
 // contextError returns the error of a context that has ended, also if its deadline has just
--- a/pkg/h1/transport_test.go
+++ b/pkg/h1/transport_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -149,3 +151,61 @@
 	var dial *net.OpError
 	is.True(!errors.As(err, &dial))
 }
+
+// closeCounter counts the connections that the client has closed.
+type closeCounter struct {
+	net.Conn
+	closed *atomic.Int64
+}
+
+// Close implements net.Conn.
+func (c closeCounter) Close() error {
+	c.closed.Add(1)
+	return c.Conn.Close()
+}
+
+// Guards against connections that stay open because the server does not close them after the
+// response, although it was asked to.
+func TestTransportWithoutIdleConnectionsClosesThem(t *testing.T) {
+	is := is.New(t)
+	server := rawServer(t, responseText("", "body"), false)
+	client := newTransportClient(0)
+	transport := client.Transport.(*Transport)
+	dial := transport.Dial
+	var closed atomic.Int64
+	transport.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		nc, err := dial(ctx, address)
+		return closeCounter{nc, &closed}, err
+	}
+	for range 3 {
+		resp, err := client.Get("http://" + server.Address() + "/")
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+	}
+	is.Equal(closed.Load(), int64(3))
+}
+
+// Guards against a GET request that fails because a reused connection is broken, and against
+// one that is sent again after a malformed or slow response.
+func TestOnlyEndedConnectionsAreReplaced(t *testing.T) {
+	is := is.New(t)
+	broken := func(err error) error { return &net.OpError{Op: "read", Err: err} }
+	for _, c := range []struct {
+		err  error
+		want bool
+	}{
+		{io.EOF, true},
+		{broken(syscall.ECONNRESET), true},
+		{broken(syscall.EPIPE), true},
+		{broken(syscall.ETIMEDOUT), true},
+		{broken(os.ErrDeadlineExceeded), false},
+		{io.ErrUnexpectedEOF, false},
+		{ErrMalformedResponse, false},
+		{errUnmatchedResponses, false},
+	} {
+		is.Equal(endedWhileReused(&ExchangeError{Sent: true, Reused: true, Err: c.err}), c.want)
+		is.True(!endedWhileReused(&ExchangeError{Sent: true, Err: c.err}))
+	}
+}
