--- a/pkg/h1/malformed_test.go
+++ b/pkg/h1/malformed_test.go
@@ -172,6 +172,19 @@
 	}
 }
 
+// Guards against control bytes in field values (RFC 9110, section 5.5), which the next reader
+// may take for the end of a line or of the value.
+func TestControlBytesInValuesAreRejected(t *testing.T) {
+	for name, value := range map[string]string{
+		"null": "a\x00b", "carriage return": "a\rb", "carriage return at the end": "a\r", "carriage return at the start": "\ra",
+		"escape": "a\x1bb", "vertical tab": "a\vb", "delete": "a\x7f",
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.1 200 OK\r\nId: 7\r\nX-A: "+value+"\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+}
+
 // Guards against a status line that is none (RFC 9112, section 4) or whose status is none
 // (RFC 9110, section 15). A status below 200 counts as that of an interim response, so
 // what follows the head, also its body, would be read as the response.
