Use the scripted server in the tests of Transport, and name a test apart

oneResponseServer repeated scriptedServer; countingServer serves both, and the assertions are the same. TestUnusualResponsesAreAccepted is now TestProperResponsesAreUnchanged, because TestUnusualResponses stands beside it.

--- a/pkg/h1/h1_test.go
+++ b/pkg/h1/h1_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -296,6 +297,14 @@
 // of texts. An empty text closes the connection. It returns its address.
 func scriptedServer(t *testing.T, texts ...string) string {
 	t.Helper()
+	address, _ := countingServer(t, texts...)
+	return address
+}
+
+// countingServer is a scriptedServer that counts the requests that it reads.
+func countingServer(t *testing.T, texts ...string) (address string, requests *atomic.Int64) {
+	t.Helper()
+	requests = &atomic.Int64{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -319,6 +328,7 @@
 					if err != nil {
 						return
 					}
+					requests.Add(1)
 					_, _ = io.Copy(io.Discard, req.Body)
 					response := <-next
 					if response == "" {
@@ -332,7 +342,7 @@
 			}()
 		}
 	}()
-	return l.Addr().String()
+	return l.Addr().String(), requests
 }
 
 func newPool(address string) *Pool {
--- a/pkg/h1/malformed_test.go
+++ b/pkg/h1/malformed_test.go
@@ -119,7 +119,7 @@
 }
 
 // Guards against the rejection or the change of responses that are unusual and proper.
-func TestUnusualResponsesAreAccepted(t *testing.T) {
+func TestProperResponsesAreUnchanged(t *testing.T) {
 	const length, id = "Content-Length: 4\r\n", "Id: 7\r\n"
 	for name, c := range map[string]struct {
 		response string
--- a/pkg/h1/transport_test.go
+++ b/pkg/h1/transport_test.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -77,46 +76,12 @@
 	}
 }
 
-// oneResponseServer responds to the first request on each connection, and closes the
-// connection at the second one without a response.
-func oneResponseServer(t *testing.T) (address string, requests *atomic.Int64) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	requests = &atomic.Int64{}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				for n := range 2 {
-					if _, err := http.ReadRequest(br); err != nil {
-						return
-					}
-					requests.Add(1)
-					if n == 0 {
-						_, _ = io.WriteString(nc, responseText("", ""))
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), requests
-}
-
 // Guards against a request that fails although the server has only closed an idle connection,
 // and against a POST request that is sent twice.
 func TestTransportSendsOnlyGetAgain(t *testing.T) {
 	for method, want := range map[string]int64{http.MethodGet: 3, http.MethodPost: 2} {
 		is := is.New(t)
-		address, requests := oneResponseServer(t)
+		address, requests := countingServer(t, responseText("", ""), "", responseText("", ""))
 		client := newTransportClient(1)
 		send := func() error {
 			r, err := http.NewRequest(method, "http://"+address+"/", nil)
