State exactly what becomes of a malformed response

The log line and the help of the metric said that a malformed response is not used. A part of a long body may have been passed on before a chunk or a trailer turns out to be malformed; the connection to the caller is then cut.

--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -65,7 +65,7 @@
 			Namespace: "lentilflow", Name: "upstream_requests_total", Help: "Requests sent to the upstream, without health checks.",
 		}),
 		malformed: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: "lentilflow", Name: "upstream_malformed_responses_total", Help: "Responses of the upstream that were malformed and were not used.",
+			Namespace: "lentilflow", Name: "upstream_malformed_responses_total", Help: "Responses of the upstream that violate the HTTP grammar.",
 		}),
 		statements: counter("upstream_statements_total", "Responses that state something about their upstream, by kind.", "statement"),
 	}
--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -88,7 +88,7 @@
 	if b := l.boot.Load(); b != nil {
 		boot = b.ID
 	}
-	l.Log.Warn("response of the upstream is malformed and is not used", zap.String("upstream", l.pool.Address), zap.String("boot", boot),
+	l.Log.Warn("response of the upstream is malformed", zap.String("upstream", l.pool.Address), zap.String("boot", boot),
 		zap.Int64("lines_left_out", dropped), zap.Error(err))
 }
 
--- a/test/calls_test.go
+++ b/test/calls_test.go
@@ -52,8 +52,9 @@
 }
 
 // Guards against wrong responses while upstreams lose responses, truncate them,
-// fail, send them twice, or send malformed ones. A non-idempotent request must run at most once, a
-// refused request must not run, and a response must belong to its request.
+// fail, send them twice, or send malformed ones. A non-idempotent request must
+// run at most once, a refused request must not run, and a response must belong to
+// its request.
 func TestFaultyUpstreamsKeepRunGuarantees(t *testing.T) {
 	for name, b := range map[string]upstream.Behaviour{
 		"lost":      {LoseResponses: true},
