Decode teams and their keys' digests

The operator's configuration names teams with keys, a rank and a rate. A change between two versions carries the difference of their teams.

A faulty team rejects the version, and the error names the team and the field.

--- a/pkg/config/change.go
+++ b/pkg/config/change.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -18,6 +19,12 @@
 	Removed  []RouteKey   `json:"removed,omitempty"`
 	// Routes is the number of routes of the later version; Apply checks it.
 	Routes int `json:"routes"`
+	// SetTeams are the teams that are new or changed, RemovedTeams the names of
+	// those that the later version lacks, and Teams the number of its teams, which
+	// Apply checks.
+	SetTeams     []Team   `json:"set_teams,omitempty"`
+	RemovedTeams []string `json:"removed_teams,omitempty"`
+	Teams        int      `json:"teams,omitempty"`
 }
 
 // RouteKey identifies a route within a configuration.
@@ -31,10 +38,13 @@
 // Key returns the key of r.
 func (r *Route) Key() RouteKey { return RouteKey{r.Host, r.Prefix, strings.Join(r.Methods, ",")} }
 
-// Diff returns the change that turns older into newer. The order of routes is
-// not compared.
+// Diff returns the change that turns older into newer. The order of routes and of
+// teams is not compared.
 func Diff(older, newer *Configuration) *Change {
-	c := &Change{Base: older.Version, Version: newer.Version, Services: newer.Services, Callers: newer.Callers, Routes: len(newer.Routes)}
+	c := &Change{
+		Base: older.Version, Version: newer.Version, Services: newer.Services, Callers: newer.Callers, Routes: len(newer.Routes), Teams: len(newer.Teams),
+	}
+	c.SetTeams, c.RemovedTeams = diffTeams(older.Teams, newer.Teams)
 	before := make(map[RouteKey]*Route, len(older.Routes))
 	for i := range older.Routes {
 		before[older.Routes[i].Key()] = &older.Routes[i]
@@ -52,8 +62,25 @@
 	return c
 }
 
+// diffTeams returns the teams of newer that are new or changed, and the names of
+// those that only older has.
+func diffTeams(older, newer []Team) (set []Team, removed []string) {
+	before := make(map[string]*Team, len(older))
+	for i := range older {
+		before[older[i].Name] = &older[i]
+	}
+	for i := range newer {
+		t := &newer[i]
+		if b, ok := before[t.Name]; !ok || !reflect.DeepEqual(b, t) {
+			set = append(set, *t)
+		}
+		delete(before, t.Name)
+	}
+	return set, slices.Collect(maps.Keys(before))
+}
+
 // Apply returns the later version. It returns false if older is not the base of
-// c, or if the result does not have the expected number of routes.
+// c, or if the result does not have the expected number of routes and teams.
 func (c *Change) Apply(older *Configuration) (*Configuration, bool) {
 	if older.Version != c.Base {
 		return nil, false
@@ -85,5 +112,24 @@
 			next.Routes = append(next.Routes, c.Set[i])
 		}
 	}
-	return next, len(next.Routes) == c.Routes
+	next.Teams = c.applyTeams(older.Teams)
+	return next, len(next.Routes) == c.Routes && len(next.Teams) == c.Teams
+}
+
+// applyTeams returns the teams of the later version.
+func (c *Change) applyTeams(older []Team) []Team {
+	replaced := make(map[string]bool, len(c.SetTeams)+len(c.RemovedTeams))
+	for i := range c.SetTeams {
+		replaced[c.SetTeams[i].Name] = true
+	}
+	for _, name := range c.RemovedTeams {
+		replaced[name] = true
+	}
+	var next []Team
+	for i := range older {
+		if !replaced[older[i].Name] {
+			next = append(next, older[i])
+		}
+	}
+	return append(next, c.SetTeams...)
 }
--- a/pkg/config/change_test.go
+++ b/pkg/config/change_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
 func drawConfiguration(t *rapid.T, v Version) *Configuration {
@@ -29,9 +31,28 @@
 			c.Routes = append(c.Routes, r)
 		}
 	}
+	c.Teams = drawTeams(t)
 	return c
 }
 
+func drawTeams(t *rapid.T) (teams []Team) {
+	for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 4, rapid.ID).Draw(t, "teams") {
+		team := Team{Name: name, Rate: float64(rapid.IntRange(0, 2).Draw(t, "rate"))}
+		for i := range rapid.IntRange(0, 2).Draw(t, "keys") {
+			team.Keys = append(team.Keys, DigestOfKey(fmt.Sprint(name, i)))
+		}
+		if rapid.Bool().Draw(t, "ranked") {
+			team.Rank = new(model.Rank(rapid.IntRange(0, 1).Draw(t, "rank")))
+		}
+		teams = append(teams, team)
+	}
+	return teams
+}
+
+func sortedTeams(c *Configuration) []Team {
+	return slices.SortedFunc(slices.Values(c.Teams), func(a, b Team) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 func sortedRoutes(c *Configuration) []Route {
 	routes := slices.Clone(c.Routes)
 	slices.SortFunc(routes, func(a, b Route) int {
@@ -56,7 +77,8 @@
 			t.Fatal(err)
 		}
 		got, ok := c.Apply(older)
-		if !ok || got.Version != 7 || !slices.EqualFunc(sortedRoutes(got), sortedRoutes(newer), sameRoute) || !reflect.DeepEqual(got.Services, newer.Services) {
+		if !ok || got.Version != 7 || !slices.EqualFunc(sortedRoutes(got), sortedRoutes(newer), sameRoute) || !reflect.DeepEqual(got.Services, newer.Services) ||
+			!reflect.DeepEqual(sortedTeams(got), sortedTeams(newer)) {
 			t.Fatalf("got %+v, want %+v", got, newer)
 		}
 		if _, ok := c.Apply(&Configuration{Version: 4}); ok {
--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -18,6 +18,8 @@
 	Services []Service    `json:"services"`
 	Routes   []Route      `json:"routes"`
 	Callers  CallerLimits `json:"callers"`
+	// Teams are the teams whose keys are accepted. Without teams, calls need no key.
+	Teams []Team `json:"teams,omitempty"`
 }
 
 // Service is a service to which routes may send calls.
@@ -78,6 +80,8 @@
 	// Prefer is the area whose upstreams are used before those further away;
 	// empty stands for the availability zone.
 	Prefer model.Preference `json:"prefer,omitempty"`
+	// Public makes the route accept calls without a key.
+	Public bool `json:"public,omitempty"`
 	// AskedBy is the person who requested the rule, empty if not stated.
 	AskedBy string `json:"asked_by,omitempty"`
 }
@@ -134,6 +138,9 @@
 			return fault("route "+r.Name, "%s", message)
 		}
 	}
+	if field, message := c.checkTeams(); message != "" {
+		return fault(field, "%s", message)
+	}
 	return nil
 }
 
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -15,6 +15,7 @@
 	*Configuration
 	hosts    map[string]paths
 	services map[string]*Service
+	teams    teamIndex
 }
 
 // paths holds the routes of one host. prefixes has them by prefix with its last
@@ -55,6 +56,7 @@
 		Configuration: c,
 		hosts:         make(map[string]paths),
 		services:      make(map[string]*Service, len(c.Services)),
+		teams:         indexTeams(c.Teams),
 	}
 	for i := range c.Services {
 		s.services[c.Services[i].Name] = &c.Services[i]
--- a/pkg/model/reason.go
+++ b/pkg/model/reason.go
@@ -35,6 +35,9 @@
 	HeadersTooLarge     Reason = "headers_too_large"    // the request headers exceed the limit
 	BodyTooSlow         Reason = "body_too_slow"        // the request body arrived too slowly
 	CallerGone          Reason = "caller_gone"          // the caller disconnected before the response
+	UnknownKey          Reason = "unknown_key"          // the request has no key of a team, on a route that is not public
+	QuotaExceeded       Reason = "quota_exceeded"       // the team has used its quota
+	QuotaUnavailable    Reason = "quota_unavailable"    // no node that may hold a share of the team's quota answered in time
 )
 
 // StatusCallerGone is the status in the log of calls whose caller disconnected
@@ -59,6 +62,9 @@
 	HeadersTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	BodyTooSlow:         http.StatusRequestTimeout,
 	CallerGone:          StatusCallerGone,
+	UnknownKey:          http.StatusUnauthorized,
+	QuotaExceeded:       http.StatusTooManyRequests,
+	QuotaUnavailable:    http.StatusServiceUnavailable,
 }
 
 // Reasons returns every reason, in no particular order.
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -41,6 +41,9 @@
 	model.HeadersTooLarge:     "The request headers are too large",
 	model.BodyTooSlow:         "The request body came too slowly",
 	model.CallerGone:          "The caller has left",
+	model.UnknownKey:          "The request has no valid key",
+	model.QuotaExceeded:       "The team has used its quota",
+	model.QuotaUnavailable:    "The quota of the team cannot be checked",
 }
 
 // New returns the details of a refusal, with the title and the status of its
