Look up the team of a call by its key

Where the configuration has teams, a node looks up the digest of the key before any other decision on a call, answers 401 without a known one, removes the key and sets the team's name on the request to the upstream. The rank of the team takes precedence over that of the route. Lentilflow-Call carries the escaped name as its 12th word, for calls with a team only. The limiter of quotas is an interface that nothing implements yet.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -23,6 +23,7 @@
 	Length               int64       // whole length of the body in bytes, or h1.Chunked
 
 	Service    string
+	Team       string // name of the team, "" if it has none
 	Rank       model.Rank
 	Route      string
 	Weight     int // relative share among the routes of the rank, at least 1
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -57,6 +57,9 @@
 	Budgets *Budgets
 	Metrics *Metrics
 	Log     *zap.Logger
+	// Quota limits the calls of teams that have a rate; nil means that nothing is
+	// limited. It is asked after the key lookup and before the first attempt.
+	Quota QuotaLimiter
 	// OnNewerConfig is called when the remote node from has a newer configuration
 	// than this node; v is its version. Several calls may run at the same time.
 	OnNewerConfig func(v config.Version, from model.NodeID)
@@ -175,6 +178,8 @@
 	version config.Version
 	route   *config.RouteState
 	budget  *retry.Budget
+	// identity is that of the team, nil if the configuration has no teams.
+	identity *identity
 
 	triedNodes        []model.NodeID // in the order of the attempts
 	excludedNodes     []model.NodeID
@@ -212,11 +217,15 @@
 		return r
 	}
 	defer c.route.Release()
+	if r := g.takeQuota(c); r != nil {
+		return r
+	}
 	return g.serve(c)
 }
 
-// prepare matches a call to a route and fills in its attempt. It returns a
-// refusal if there is no configuration or no matching route, or if the call may
+// prepare matches a call to a route, looks up its team and fills in its attempt. It
+// returns a refusal if there is no configuration or no matching route, if the route
+// needs a key and the call has none that belongs to a team, or if the call may
 // outlast this node.
 func (g *Gateway) prepare(c *call) *Refusal {
 	req := c.x.Request
@@ -232,6 +241,9 @@
 		return newRefusal(model.NoRule)
 	}
 	c.route = t
+	if r := g.checkKey(c, s); r != nil {
+		return r
+	}
 	h1.RemoveHopByHopFields(req.Header)
 	stripInternalFields(req.Header)
 	deadline := g.deadline(c)
@@ -246,12 +258,15 @@
 		req.Header[g.Names.RequestID] = []string{newRequestID()}
 	}
 	req.Header[g.Names.Caller] = []string{g.Self.Service}
+	if c.identity != nil { // after RemoveHopByHopFields, which removes what the caller lists
+		g.Names.setTeam(req.Header, c.teamName())
+	}
 	delete(req.Header, g.Names.Deadline)
 	delete(req.Header, g.Names.ExpectedBoot)
 	c.attempt = &Attempt{
 		RequestID: req.Header.Get(g.Names.RequestID), Method: req.Method, Target: req.RequestURI, Host: req.Host,
 		Header: req.Header, Body: c.x.Body, Rest: c.x.Rest, Length: c.x.Length,
-		Service: t.ChooseService(), Route: t.Name, Rank: min(t.Rank, model.MaxRank), Idempotent: t.Idempotent, Deadline: deadline,
+		Service: t.ChooseService(), Route: t.Name, Team: c.teamName(), Rank: c.team().RankOf(t.Route), Idempotent: t.Idempotent, Deadline: deadline,
 		MaxWait: maxWait(t), Weight: max(t.Weight, 1),
 		Download: t.Download, LatencyTarget: t.TargetLatency,
 	}
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -34,6 +34,7 @@
 var testNames = HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Left", Signature: "X-Signature", ExpectedBoot: "X-Expected", Boot: "X-Boot",
 	NotRun: "X-Not-Run", Caller: "X-Caller", RateLimit: "X-Rate-Limit", Leaving: "X-Leaving",
+	Authorization: "Authorization", Team: "X-Team",
 }
 
 const (
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -20,7 +20,8 @@
 //	Lentilflow-Call      service, route, rank, weight, remaining milliseconds, longest
 //	                     acceptable wait in milliseconds (0 for any), 1 if idempotent,
 //	                     version in force at the caller's node, 1 if a download, latency
-//	                     target and the time left until it is missed in milliseconds
+//	                     target and the time left until it is missed in milliseconds,
+//	                     escaped name of the team if there is one
 //	Lentilflow-Attempt   ID of the attempt, repeated by the response
 //	Lentilflow-Answer    the word upstream, queue time and service time in milliseconds
 //	Lentilflow-Refusal   reason, run state, milliseconds until a retry is worthwhile, 1 if
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -53,6 +54,12 @@
 	RateLimit string
 	// Leaving is set in the responses of an upstream that is about to leave.
 	Leaving string
+	// Authorization holds the key of the caller's team. No upstream and no other
+	// node receives it if the configuration has teams.
+	Authorization string
+	// Team is the name of the team in requests to upstreams. Nodes set it if the
+	// configuration has teams, and remove what a caller states.
+	Team string
 }
 
 // stripInternalFields removes the header fields of this package.
@@ -93,13 +100,27 @@
 	download      bool
 	latencyTarget time.Duration
 	dueIn         time.Duration
+	// team is the name of the team, "" if there is none. Nodes of earlier releases
+	// answer a request with this word with status 400 and do not run it.
+	team string
 }
 
+// Numbers of words of Lentilflow-Call, by the release that wrote it.
+const (
+	callWords         = 8
+	callWordsDownload = 11 // with download, latency target and due time
+	callWordsTeam     = 12 // with a team
+)
+
 func (f *callFields) String() string {
-	return strings.Join([]string{
+	s := strings.Join([]string{
 		f.service, f.route, strconv.Itoa(int(f.rank)), strconv.Itoa(f.weight), millis(f.remaining), millis(f.maxWait),
 		flag(f.idempotent), strconv.FormatUint(uint64(f.version), 10), flag(f.download), millis(f.latencyTarget), millis(f.dueIn),
 	}, " ")
+	if f.team != "" {
+		s += " " + url.QueryEscape(f.team)
+	}
+	return s
 }
 
 func flag(b bool) string {
@@ -111,7 +132,7 @@
 
 func parseCallFields(s string) (f callFields, ok bool) {
 	parts := strings.Fields(s)
-	if len(parts) != 8 && len(parts) != 11 {
+	if len(parts) != callWords && len(parts) != callWordsDownload && len(parts) != callWordsTeam {
 		return f, false
 	}
 	rank, err := strconv.ParseUint(parts[2], 10, 8)
@@ -128,13 +149,17 @@
 			return f, false
 		}
 	}
-	if len(parts) == 11 {
+	if len(parts) >= callWordsDownload {
 		var dueOK bool
 		f.download = parts[8] == "1"
 		f.latencyTarget, ok = parseMillis(parts[9])
 		f.dueIn, dueOK = parseMillis(parts[10])
 		ok = ok && dueOK
 	}
+	if len(parts) == callWordsTeam {
+		f.team, err = url.QueryUnescape(parts[11])
+		ok = ok && err == nil && f.team != ""
+	}
 	return f, ok
 }
 
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -57,7 +57,7 @@
 
 // logFields returns what identifies a call and what decided it.
 func (g *Gateway) logFields(c *call, dropped int64) []zap.Field {
-	f := make([]zap.Field, 0, 21)
+	f := make([]zap.Field, 0, 22)
 	f = append(f,
 		zap.String("request", c.x.Request.Header.Get(g.Names.RequestID)),
 		zap.Uint64("version", uint64(c.version)),
@@ -68,6 +68,9 @@
 			zap.Uint8("rank", uint8(c.attempt.Rank)), zap.Bool("idempotent", c.attempt.Idempotent),
 			zap.Duration("remaining", time.Until(c.attempt.Deadline)))
 	}
+	if team := c.teamName(); team != "" {
+		f = append(f, zap.String("team", team))
+	}
 	if len(c.triedNodes) > 0 {
 		at := g.View.Current().Position
 		f = append(f, zap.Any("asked", c.triedNodes), zap.Uint64("fleet_revision", uint64(at.Revision)), zap.Uint64("fleet_era", uint64(at.Era)),
@@ -110,6 +113,12 @@
 	if r.Cause != nil {
 		f = append(f, zap.Error(r.Cause))
 	}
+	if id := c.identity; id != nil && r.Reason == model.UnknownKey {
+		f = append(f, zap.String("route", c.route.Name), zap.String("why", string(id.fault)))
+		if id.hasDigest {
+			f = append(f, zap.Stringer("key_digest", id.digest))
+		}
+	}
 	if c.route == nil {
 		f = append(f, zap.String("host", c.x.Request.Host), zap.String("path", c.x.Request.URL.Path))
 	}
@@ -141,6 +150,9 @@
 		zap.String("reason", string(r.Reason)), zap.String("run", string(r.RunState)),
 		zap.Duration("remaining", time.Until(att.Deadline)), zap.Duration("patience", att.MaxWait),
 	}
+	if att.Team != "" {
+		f = append(f, zap.String("team", att.Team))
+	}
 	s := g.Local.gate.State()
 	f = append(f, zap.Int("running", s.Running), zap.Int("limit", s.Limit), zap.Int("waiting", s.Waiting))
 	if s.RateLimit >= 0 {
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -49,6 +49,9 @@
 	if r.RetryAfter > 0 && r.RunState == model.NotRun {
 		h["Retry-After"] = []string{formatSeconds(r.RetryAfter)}
 	}
+	if d.Status == http.StatusUnauthorized {
+		h["Www-Authenticate"] = []string{authenticate}
+	}
 	body, err := json.Marshal(d)
 	if err != nil {
 		g.Log.Error("refusal cannot be encoded", zap.Error(err))
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -127,6 +127,7 @@
 	f := callFields{
 		service: att.Service, route: att.Route, rank: att.Rank, weight: att.Weight, remaining: time.Until(att.Deadline),
 		maxWait: att.MaxWait, idempotent: att.Idempotent, version: r.Config.Version(), download: att.Download, latencyTarget: att.LatencyTarget,
+		team: att.Team,
 	}
 	if !att.Due.IsZero() {
 		f.dueIn = time.Until(att.Due)
@@ -250,10 +251,11 @@
 	}
 	h1.RemoveHopByHopFields(x.Request.Header)
 	stripInternalFields(x.Request.Header)
+	g.applyTeam(x.Request.Header, f.team)
 	att := &Attempt{
 		RequestID: x.Request.Header.Get(g.Names.RequestID), Method: x.Request.Method, Target: x.Request.RequestURI, Host: x.Request.Host,
 		Header: x.Request.Header, Body: x.Body, Rest: x.Rest, Length: x.Length,
-		Service: f.service, Route: f.route, Rank: f.rank, Weight: f.weight, Idempotent: f.idempotent, MaxWait: f.maxWait,
+		Service: f.service, Route: f.route, Team: f.team, Rank: f.rank, Weight: f.weight, Idempotent: f.idempotent, MaxWait: f.maxWait,
 		Deadline: x.Arrived.Add(f.remaining), Download: f.download, LatencyTarget: f.latencyTarget, ID: attemptID,
 	}
 	if f.latencyTarget > 0 {
