--- a/pkg/quota/decision.go
+++ b/pkg/quota/decision.go
@@ -1,5 +1,3 @@
-// Package quota decides whether a request of a team is within the team's quota,
-// over all nodes together.
 package quota
 
 import "time"
