Run the quotas in a node

The quotas share the UDP socket of the messages listener; settings quota.window, quota.overage and quota.tolerance come from the bounds of the deployment. A section of the settings file without fields has its defaults, because the platform's template may fill in none. The state of a node has its share of the limits, what it holds, and the use of each team.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -84,6 +84,7 @@
 	local        *gateway.Local
 	gateway      *gateway.Gateway
 	gossip       *gossip.Node
+	quotas       *quotas
 	budgets      *gateway.Budgets
 	crashRecords *crashguard.MemoryRegistry
 	// heldDepartures holds the departures of this node's upstream and of others;
@@ -165,6 +166,9 @@
 		Guard: a.guard,
 	}
 	a.gossip.Init(time.Now())
+	a.quotas = newQuotas(s, &a.self, a.gossip.SendDatagram, c.Platform.StoreSilence)
+	a.gossip.OnQuotaDatagram = a.quotas.node.Handle
+	c.Metrics.MustRegister(a.quotas.node.Collector(a.quotas.namedTeams))
 	a.departureSaver = &recovery.Saver{
 		Node: a.self.Node, Held: a.heldDepartures, Store: a.recoveryStore, Replicate: a.gossip.Replicate, Guard: a.guard, Log: c.Log,
 	}
@@ -178,7 +182,7 @@
 	a.gateway = gateway.New(&gateway.Gateway{
 		Names: names, Self: a.self, Config: a.configHolder, View: a.fleetView, Local: a.local,
 		Remote: gateway.NewRemote(a.self.Node, names, a.configHolder), Picker: balance.NewPicker(), Budgets: a.budgets,
-		Metrics: metrics, Log: c.Log, OnNewerConfig: a.gossip.NoteNewerConfig,
+		Metrics: metrics, Log: c.Log, OnNewerConfig: a.gossip.NoteNewerConfig, Quota: a.quotas.node,
 	})
 	a.callServer, a.peerServer = a.gateway.CallServer(), a.gateway.PeerServer()
 	a.messageEcho, a.reportEcho, a.readinessEcho = a.newEcho(), a.newEcho(), a.newEcho()
@@ -256,6 +260,7 @@
 	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source, zap.Duration("behind_for", lag.Total),
 		zap.Duration("known_for", lag.Known), zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
 	a.local.Reconfigure()
+	a.quotas.reconfigure(s)
 	a.findUpstreamOnce.Do(func() { a.guard.Go("find upstream", a.local.DetectBoot) })
 	a.gateway.ReleaseIfReady()
 }
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -100,6 +100,9 @@
 	a.addLoop(&g, "probe nodes", a.gossip.Probe)
 	a.addLoop(&g, "send beacons", a.gossip.RunBeacons)
 	a.addLoop(&g, "read datagrams", a.gossip.ReadDatagrams)
+	a.addLoop(&g, "share quotas", a.quotas.node.Run)
+	a.addLoop(&g, "follow fleet for quotas", a.followFleet)
+	a.addLoop(&g, "log quotas", a.logQuotas)
 	a.addLoop(&g, "recover records", a.recoverRecords)
 	a.addLoop(&g, "hand over departures", a.gossip.RunHandOver)
 	a.addLoop(&g, "keep row", a.maintainRow)
@@ -237,7 +240,9 @@
 		})
 	})
 	defer giveUp.Stop()
-	if _, _, known := a.local.State(); !known {
+	_, _, known := a.local.State()
+	a.quotas.node.Drain(!known)
+	if !known {
 		go a.removeRow()
 	}
 	time.Sleep(time.Duration(drain.Announce))
--- a/pkg/agent/state.go
+++ b/pkg/agent/state.go
@@ -31,6 +31,9 @@
 	if load.RateLimit >= 0 {
 		s.RateLimit = &load.RateLimit
 	}
+	if a.quotas.node.Limited() {
+		s.Quota = a.quotas.node.State()
+	}
 	if known {
 		s.Boot, s.Draining = boot.ID, boot.Draining
 	}
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -14,6 +14,7 @@
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/quota"
 	"github.com/lentilflow/lentilflow/pkg/relay"
 )
 
@@ -152,6 +153,10 @@
 	}
 }
 
+// SendDatagram sends a datagram of another kind than Datagram on the same socket, once
+// that is open. It may be lost.
+func (n *Node) SendDatagram(body []byte, to netip.AddrPort) { n.writeDatagram(body, to) }
+
 func (n *Node) writeDatagram(body []byte, to netip.AddrPort) {
 	if _, err := n.Datagrams.WriteToUDPAddrPort(body, to); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.Log.Debug("datagram was not sent", zap.Stringer("to", to), zap.Error(err))
@@ -173,6 +178,12 @@
 			}
 			continue // for example an ICMP error for a datagram to a closed port
 		}
+		if size > 0 && buf[0] == quota.FirstByte {
+			if n.OnQuotaDatagram != nil {
+				n.OnQuotaDatagram(buf[:size], from)
+			}
+			continue
+		}
 		var d Datagram
 		if err := n.decodeDatagram(buf[:size], &d); err != nil {
 			n.Log.Debug("datagram is invalid", zap.Stringer("remote", from), zap.Error(err))
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,6 +90,10 @@
 	// Datagrams is the socket for the datagrams of the zone. It is bound to the
 	// port of Self.MessageAddress.
 	Datagrams *net.UDPConn
+	// OnQuotaDatagram is called with each datagram whose first byte is quota.FirstByte,
+	// one at a time. The bytes are valid until it returns. If it is nil, the datagrams are
+	// ignored.
+	OnQuotaDatagram func(b []byte, from netip.AddrPort)
 	// Guard starts goroutines and recovers their panics.
 	Guard *contain.Guard
 
--- a/pkg/model/version.go
+++ b/pkg/model/version.go
@@ -68,6 +68,8 @@
 	// Running and Waiting are numbers of calls at the node.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// Quota is nil if no team has a limit.
+	Quota *QuotaState `json:"quota,omitempty"`
 }
 
 // StatePath is where the message listener of a node serves its NodeState.
--- a/pkg/quota/client.go
+++ b/pkg/quota/client.go
@@ -106,6 +106,40 @@
 	fleet() (version uint32, areas, nodes int)
 }
 
+// usageWindow is the time over which the use of a team is counted for operators.
+const usageWindow = 10 * time.Second
+
+// usage counts the decisions on the requests of a team.
+type usage struct {
+	total        [verdicts]uint64 // by Verdict
+	recent, last [verdicts]uint64 // since start, and in usageWindow before that
+	start        time.Duration
+}
+
+// verdicts is the number of verdicts.
+const verdicts = 3
+
+func (u *usage) count(v Verdict, now time.Duration) {
+	u.roll(now)
+	u.total[v]++
+	u.recent[v]++
+}
+
+func (u *usage) roll(now time.Duration) {
+	switch passed := now - u.start; {
+	case passed >= 2*usageWindow:
+		u.recent, u.last, u.start = [verdicts]uint64{}, [verdicts]uint64{}, now
+	case passed >= usageWindow:
+		u.recent, u.last, u.start = [verdicts]uint64{}, u.recent, u.start+usageWindow
+	}
+}
+
+// perSecond returns the rate of a verdict lately.
+func (u *usage) perSecond(v Verdict, now time.Duration) float64 {
+	u.roll(now)
+	return float64(u.last[v]+u.recent[v]) / (usageWindow + now - u.start).Seconds()
+}
+
 // teamState is the state of one team at a node: its stock, the requests that wait for a
 // token, the asks, and what holders have denied. It is safe for concurrent use if the
 // mutex is held during each call.
@@ -127,9 +161,7 @@
 	slotStart       time.Duration // of the count of requests
 	slot, lastSlot  int           // requests in this slot and in the one before
 	refusedUntil    time.Duration // when a token for the last denied request is expected
-	granted         uint64
-	exceeded        uint64
-	unavailable     uint64
+	usage           usage
 	lastGrantsStart time.Duration
 	grantsSlot      int     // tokens granted since lastGrantsStart
 	grantRate       float64 // tokens per second that this node has been granted lately
@@ -144,7 +176,7 @@
 	t.count(now)
 	if len(t.waiting) == 0 {
 		if _, ok := t.stock.take(now); ok {
-			t.granted++
+			t.usage.count(Granted, now)
 			return Decision{Verdict: Granted}, true
 		}
 	}
@@ -211,7 +243,7 @@
 // exceed returns the decision on a denied request. The requests that this node denies
 // are told to return one after another, at the rate at which it gets tokens.
 func (t *teamState) exceed(until, now time.Duration) Decision {
-	t.exceeded++
+	t.usage.count(Exceeded, now)
 	first := max(until, now+minRetryAfter)
 	t.refusedUntil = max(t.refusedUntil+time.Duration(float64(time.Second)/t.tokenRate()), first)
 	if t.refusedUntil > now+maxRetryAfter {
@@ -244,7 +276,7 @@
 	if sum >= unit/2 {
 		return t.exceed(until, now)
 	}
-	t.unavailable++
+	t.usage.count(Unavailable, now)
 	return Decision{Unavailable, unavailableRetry}
 }
 
@@ -277,7 +309,7 @@
 			break
 		}
 		w.expires = expires
-		t.granted++
+		t.usage.count(Granted, now)
 		served++
 		w.resolve(Decision{Verdict: Granted})
 	}
@@ -417,7 +449,6 @@
 		return
 	}
 	if w.expires != 0 {
-		t.granted--
 		t.stock.add(1, w.expires)
 	}
 }
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -603,6 +603,7 @@
 			t.mu.Lock()
 			if now-t.lastUsed > teamLife && len(t.waiting) == 0 {
 				t.removed = true
+				n.counters.addRemoved(t)
 				delete(s.teams, hash)
 			}
 			t.mu.Unlock()
@@ -657,4 +658,28 @@
 // counters are the numbers of events of a node.
 type counters struct {
 	asks, sent, sentBytes, received, malformed atomic.Uint64
+
+	mu      sync.Mutex
+	removed map[string][verdicts]uint64 // of teams whose state was removed; "" for those without a series
 }
+
+// addRemoved keeps the counts of a team whose state is removed. t.mu is held.
+func (c *counters) addRemoved(t *teamState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.removed == nil {
+		c.removed = make(map[string][verdicts]uint64)
+	}
+	name := t.name
+	if _, known := c.removed[name]; !known && len(c.removed) > maxRemoved {
+		name = ""
+	}
+	sum := c.removed[name]
+	for v := range sum {
+		sum[v] += t.usage.total[v]
+	}
+	c.removed[name] = sum
+}
+
+// maxRemoved bounds the removed teams whose counts are kept apart.
+const maxRemoved = 1000
--- a/pkg/settings/decode.go
+++ b/pkg/settings/decode.go
@@ -57,6 +57,9 @@
 }
 
 func (d *decoder) decodeMapping(n ast.Node, path string, v reflect.Value) *ValidationError {
+	if n.Type() == ast.NullType && path != "" { // a section without fields
+		return d.completeMapping(lineOf(n), path, v, nil)
+	}
 	entries, ok := entriesOf(n)
 	if !ok {
 		return d.errorAt(lineOf(n), path, "wrong type", accepted(v.Type(), ""))
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -20,6 +20,7 @@
 	// reads them.
 	FirstStart string  `yaml:"first_start" default:"no" enum:"yes,no" unit:"word"`
 	Retries    Retries `yaml:"retries"`
+	Quota      Quota   `yaml:"quota"`
 	Drain      Drain   `yaml:"drain"`
 	Log        Log     `yaml:"log"`
 }
@@ -85,6 +86,16 @@
 	Extra int `yaml:"extra" default:"10" min:"0" max:"1000000" unit:"runs"`
 }
 
+// Quota is what the deployment promises about the requests of a team in every window:
+// at most (rate x Window + burst) x (1 + Overage) + Tolerance.
+type Quota struct {
+	Window  Duration `yaml:"window" default:"5s" min:"100ms" max:"10m" unit:"duration"`
+	Overage Ratio    `yaml:"overage" default:"0" unit:"ratio"`
+	// Tolerance is a number of requests. It lets small teams use their whole limit, and
+	// nodes get tokens ahead of demand.
+	Tolerance int `yaml:"tolerance" default:"0" min:"0" max:"1000000" unit:"requests"`
+}
+
 // Drain limits the duration of a graceful stop.
 type Drain struct {
 	// Announce is how long new calls are accepted after the node has reported
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// Guards against an error for a section in which the platform's template has filled in
+// no field, and against required fields that are missing in one.
+func TestEmptySectionHasDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("node.yaml", []byte(validSettings+"quota:\n"))
+	is.NoErr(err)
+	is.Equal(s.Quota, Quota{Window: Duration(5 * time.Second)})
+	_, err = Parse("node.yaml", []byte(strings.Replace(validSettings, "  address: 127.0.0.1:7390\n", "", 1)))
+	is.True(err != nil && strings.Contains(err.Error(), "store.address: missing"))
+}
+
 // Guards against starting a node with defaults only because its settings file
 // is empty.
 func TestParseRefusesEmptyFile(t *testing.T) {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -216,6 +216,7 @@
 upstream: {service: %s, address: "%s"}
 store: {address: "%s"}
 retries: {ratio: %g, extra: 60}
+quota: {overage: 0.1, tolerance: 20}
 drain: {announce: 500ms, finish: 6s}
 `, n.name, region, zone, n.calls, n.peers, n.messages, n.reports, n.readiness, n.service, n.upstreamAddress, n.storeAddress, ratio)
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
