Measure the handling of quota datagrams, and make it cheaper

An ask is handled without allocations, a change of states alone no longer sorts the nodes, and the number of nodes is counted again only when it changes. Tests over real sockets run requests, datagrams, changes of the fleet, metrics and a stop at the same time.

--- a/pkg/quota/census.go
+++ b/pkg/quota/census.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -42,6 +43,9 @@
 	present int
 	loaded  bool
 	settled bool
+	// count is the number of nodes that may have a weight, until recount.
+	count   int
+	recount time.Duration
 	since   time.Duration // when this node was first present
 	reports map[string]dated
 	// heard is the largest number of nodes that another node has stated since heardSince,
@@ -89,6 +93,7 @@
 			delete(c.members, id)
 		}
 	}
+	c.recount = 0
 	_, isMember := present[c.self]
 	switch {
 	case !isMember:
@@ -117,13 +122,20 @@
 // size returns the number of nodes that may have a weight, as far as this node knows
 // itself.
 func (c *census) size(now time.Duration) int {
-	n := 0
+	if now < c.recount {
+		return c.count
+	}
+	c.count, c.recount = 0, math.MaxInt64
 	for _, s := range c.members {
-		if s.expires == 0 || now < s.expires {
-			n++
+		switch {
+		case s.expires == 0:
+			c.count++
+		case now < s.expires:
+			c.count++
+			c.recount = min(c.recount, s.expires)
 		}
 	}
-	return n
+	return c.count
 }
 
 // hear records the number of nodes that another node has stated.
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/netip"
@@ -49,7 +50,7 @@
 	// Clock returns the time since the VM was started, including the time in which it
 	// was frozen.
 	Clock func() time.Duration
-	// Send sends a datagram. The bytes must not be used after it returns.
+	// Send sends a datagram. The bytes are valid until it returns.
 	Send func(b []byte, to netip.AddrPort)
 	// Limit returns the limit of the team with a hash of its name (Hash), and false if it
 	// has none. Limited reports whether any team has a limit.
@@ -93,10 +94,18 @@
 	nextSweep   time.Duration
 	draining    bool
 	left        bool
+	scratch     scratch
 	datagrams   [][]byte // to be sent when the mutex is released
 	receivers   []netip.AddrPort
 }
 
+// scratch is memory of Handle, which is not called concurrently.
+type scratch struct {
+	request request
+	answer  answer
+	reply   []byte
+}
+
 // shard is one part of the table of teams.
 type shard struct {
 	mu    sync.RWMutex
@@ -122,8 +131,9 @@
 }
 
 // SetFleet replaces the known nodes, which include this one once its row is known. It
-// must not be called before the whole fleet was loaded.
+// must not be called before the whole fleet was loaded. It sorts peers and keeps them.
 func (n *Node) SetFleet(peers []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
 	now := n.Clock()
 	present := make(map[uint64]model.UpstreamNodeState, len(peers))
 	for _, p := range peers {
@@ -135,6 +145,12 @@
 		n.usableAt = now + minLease
 	}
 	n.census.update(present, n.FirstStart, now)
+	n.nextRenew = 0
+	if n.routing.sameNodes(n.peers, peers) {
+		n.routing.setStates(peers)
+		n.peers = peers
+		return
+	}
 	areas := n.routing.names()
 	n.routing.update(n.Location, peers)
 	n.peers = peers
@@ -144,7 +160,6 @@
 	}
 	n.census.reportLife = n.lease
 	n.fleetNumber = n.number.Load() + 1
-	n.nextRenew = 0
 	if !slices.Equal(areas, n.routing.names()) {
 		n.areaVersion.Add(1)
 	}
@@ -457,23 +472,22 @@
 }
 
 func (n *Node) handleRequest(b []byte, from netip.AddrPort) {
-	r := request{teams: make([]want, 0, 4)}
-	if err := decodeRequest(b, &r); err != nil {
+	r, a := &n.scratch.request, &n.scratch.answer
+	if err := decodeRequest(b, r); err != nil {
 		n.counters.malformed.Add(1)
 		return
 	}
 	now := n.Clock()
-	n.observeRequest(&r, now)
-	a := answer{teams: make([]grant, 0, 4)}
+	n.observeRequest(r, now)
 	valid := r.echoProcess == n.Process && r.echoClock <= now
-	n.holder.classes[r.class].serve(&r, from, valid, n.terms(), now, &a)
+	n.holder.classes[r.class].serve(r, from, valid, n.terms(), now, a)
 	flags := a.flags
 	a.header = n.header(kindAnswer, r.class, r.number)
 	a.flags, a.asker, a.clock = flags, r.process, now
-	reply := a.append(make([]byte, 0, answerBytes+reportBytes+len(a.teams)*grantBytes))
+	n.scratch.reply = a.append(n.scratch.reply[:0])
 	n.counters.sent.Add(1)
-	n.counters.sentBytes.Add(uint64(len(reply)))
-	n.Send(reply, from)
+	n.counters.sentBytes.Add(uint64(len(n.scratch.reply)))
+	n.Send(n.scratch.reply, from)
 }
 
 // observeRequest records what a request says about its sender.
@@ -490,13 +504,13 @@
 }
 
 func (n *Node) handleAnswer(b []byte) {
-	a := answer{teams: make([]grant, 0, 4)}
-	if err := decodeAnswer(b, &a); err != nil {
+	a := &n.scratch.answer
+	if err := decodeAnswer(b, a); err != nil {
 		n.counters.malformed.Add(1)
 		return
 	}
 	now := n.Clock()
-	if !n.observeAnswer(&a, now) {
+	if !n.observeAnswer(a, now) {
 		return
 	}
 	for _, g := range a.teams {
--- a/pkg/quota/routing.go
+++ b/pkg/quota/routing.go
@@ -141,6 +141,22 @@
 	})
 }
 
+// sameNodes reports whether two lists, which are sorted by name, differ at most in the
+// states of the nodes.
+func (r *routing) sameNodes(before, after []Peer) bool {
+	return len(r.areas) > 0 && slices.EqualFunc(before, after, func(a, b Peer) bool {
+		a.State = b.State
+		return a == b
+	})
+}
+
+// setStates sets the states of the nodes of the last update.
+func (r *routing) setStates(peers []Peer) {
+	for _, p := range peers {
+		r.contacts[nodeHash(p.Name)].state = p.State
+	}
+}
+
 // areaNames returns the name of the area of each node, and of this one. The nodes of
 // small areas belong to the largest area.
 func areaNames(own model.Location, peers []Peer) (names []string, ownName string) {
