Examine only flows with waiting calls, in a fixed order

The queue of a rank iterated over a map of all rules that had ever had a call. The choice among several late calls, and the rounding of sums, depended on the order of the map, so two runs of one simulation differed.

go test ./pkg/admission ./pkg/play: ok

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // targetMargin times the mean service time must be left for a call to count as
 // one that can meet its latency target. With 0.9, half of the calls that started
@@ -37,6 +40,7 @@
 // call costs them little.
 type rankQueue struct {
 	flows       map[string]*flow
+	active      []*flow // those with waiting calls, in the order in which the first of them arrived
 	virtualTime float64 // of the flow whose call was taken last
 	waiting     int
 	running     int
@@ -48,6 +52,7 @@
 	if f.head == nil { // an idle flow accumulates no share
 		f.virtualTime = max(f.virtualTime, q.virtualTime)
 		f.head = w
+		q.active = append(q.active, f)
 	} else {
 		f.tail.next, w.prev = w, f.tail
 	}
@@ -87,9 +92,9 @@
 // same: under a rate limit a start is what is scarce, not the time in a slot.
 func (q *rankQueue) pop(now, defaultTime time.Duration, byStarts bool) *Waiter {
 	var best *flow
-	for _, f := range q.flows {
-		if f.head != nil && (best == nil || f.virtualTime < best.virtualTime ||
-			f.virtualTime == best.virtualTime && f.head.Rule < best.head.Rule) {
+	for _, f := range q.active {
+		if best == nil || f.virtualTime < best.virtualTime ||
+			f.virtualTime == best.virtualTime && f.head.Rule < best.head.Rule {
 			best = f
 		}
 	}
@@ -117,10 +122,10 @@
 }
 
 // firstLate returns the oldest waiting call of one rule that can no longer meet
-// its latency target, or nil if there is none. If several rules have such calls,
-// the rule is arbitrary.
+// its latency target, or nil if there is none. If several rules have such calls, it
+// is one of the rule that has had waiting calls for the longest time.
 func (q *rankQueue) firstLate(now time.Duration) *Waiter {
-	for _, f := range q.flows {
+	for _, f := range q.active {
 		for w := f.head; w != nil; w = w.next {
 			if !f.meetsTarget(w, now) {
 				return w
@@ -143,9 +148,9 @@
 // longestFlow returns the flow with the most waiting calls, nil if no call waits.
 func (q *rankQueue) longestFlow() *flow {
 	var longest *flow
-	for _, f := range q.flows {
-		if f.head != nil && (longest == nil || f.waiting > longest.waiting ||
-			f.waiting == longest.waiting && f.head.Rule < longest.head.Rule) {
+	for _, f := range q.active {
+		if longest == nil || f.waiting > longest.waiting ||
+			f.waiting == longest.waiting && f.head.Rule < longest.head.Rule {
 			longest = f
 		}
 	}
@@ -169,8 +174,8 @@
 		ownFlow = float64(f.callsAhead(now, w)) * f.cost(defaultTime)
 	}
 	sum := ownFlow
-	for r, f := range q.flows {
-		if r == w.Rule || f.waiting == 0 {
+	for _, f := range q.active {
+		if f.head.Rule == w.Rule {
 			continue
 		}
 		cost := f.cost(defaultTime)
@@ -202,8 +207,8 @@
 		own = float64(f.callsAhead(now, w))
 	}
 	sum := own
-	for r, f := range q.flows {
-		if r != w.Rule && f.waiting > 0 {
+	for _, f := range q.active {
+		if f.head.Rule != w.Rule {
 			sum += min(float64(f.waiting), own*float64(f.weight)/weight+1)
 		}
 	}
@@ -214,14 +219,14 @@
 // nanoseconds.
 func (q *rankQueue) totalWork(defaultTime time.Duration) float64 {
 	sum := 0.0
-	for _, f := range q.flows {
+	for _, f := range q.active {
 		sum += float64(f.waiting) * f.cost(defaultTime)
 	}
 	return sum
 }
 
 func (q *rankQueue) expired(now time.Duration) *Waiter {
-	for _, f := range q.flows {
+	for _, f := range q.active {
 		for w := f.head; w != nil; w = w.next {
 			if w.Deadline <= now {
 				return w
@@ -246,4 +251,8 @@
 	w.prev, w.next, w.flow = nil, nil, nil
 	f.waiting--
 	q.waiting--
+	if f.head == nil {
+		i := slices.Index(q.active, f)
+		q.active = slices.Delete(q.active, i, i+1)
+	}
 }
