--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -1,6 +1,7 @@
 package play
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/admission"
@@ -20,7 +21,9 @@
 	// most before a retry, so that time is left for the retry.
 	maxRetryWaitShare = 0.3
 	defaultRetryWait  = 50 * time.Millisecond // wait before a retry if the refusal does not state one
-	// overloadedRetryAfter and maxMovesWithWaitLimit equal those of pkg/gateway.
+	// defaultRetryAfter, overloadedRetryAfter and maxMovesWithWaitLimit equal those of
+	// pkg/gateway.
+	defaultRetryAfter     = 500 * time.Millisecond
 	overloadedRetryAfter  = 400 * time.Millisecond
 	maxMovesWithWaitLimit = 2
 )
@@ -43,6 +46,7 @@
 	unreached    bool          // no upstream saw the attempt
 	retryAfter   time.Duration // after which the caller may retry, 0 if not stated
 	expectedWait time.Duration // for a slot or the link, 0 if not stated
+	offered      bool          // an upstream saw an attempt of the call
 }
 
 func unreachedRefusal(reason model.Reason) *refusal {
@@ -54,6 +58,7 @@
 type call struct {
 	node              *node
 	kind              *RequestKind
+	team              int
 	deadline          time.Duration
 	due               time.Duration // after which the response misses the latency target
 	maxWait           time.Duration // limit of the expected wait of an attempt, 0 if there is none
@@ -63,19 +68,20 @@
 	unreachedAttempts int
 	lostUpstreams     int
 	mayHaveRun        bool
+	offered           bool // an upstream saw an attempt
 	lastRefusal       *refusal
 	done              func(*refusal)
 }
 
-// handleCall starts a call at the node that received it. done is called with nil
-// for a response, or with the refusal.
-func (n *node) handleCall(k *RequestKind, deadline time.Duration, done func(*refusal)) {
+// handleCall starts a call at the node that received it. stated is the time for which
+// the caller waits. done is called with nil for a response, or with the refusal.
+func (n *node) handleCall(k *RequestKind, stated time.Duration, team int, done func(*refusal)) {
 	share := n.sim.policy.MaxWaitShare
 	if k.DownloadBytes > 0 {
 		share = n.sim.policy.DownloadMaxWaitShare
 	}
 	c := &call{
-		node: n, kind: k, deadline: deadline, due: n.sim.clock.now + k.LatencyTarget, done: done,
+		node: n, kind: k, team: team, deadline: n.sim.clock.now + min(stated, cmp.Or(k.Timeout, stated)), due: n.sim.clock.now + k.LatencyTarget, done: done,
 		maxWait: time.Duration(share * float64(k.LatencyTarget)), budget: n.budget(k.Service),
 	}
 	c.budget.Earn()
@@ -93,7 +99,7 @@
 func (c *call) pick(candidates []model.UpstreamNode) (balance.Choice, balance.Result) {
 	sim := c.node.sim
 	return c.node.picker.Pick(balance.Request{
-		Candidates: candidates, From: c.node.upstream.Location, Prefer: model.PreferZone, Rank: c.kind.Rank, Service: c.kind.Service,
+		Candidates: candidates, From: c.node.upstream.Location, Prefer: model.PreferZone, Rank: sim.rank(c.kind, c.team), Service: c.kind.Service,
 		Route: c.kind.Name, IgnoreBackoff: c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Exclude: c.excluded,
 		Now: sim.clock.now, Seed: sim.clock.rnd.Uint64(),
 	})
@@ -101,7 +107,7 @@
 
 func (c *call) startAttempt() {
 	sim := c.node.sim
-	candidates := sim.upstreams[c.kind.Service]
+	candidates := c.node.candidates(c.kind.Service)
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(candidates) == 1 {
 		c.removeWaitLimit()
 	}
@@ -116,14 +122,17 @@
 		if r == nil {
 			r = unreachedRefusal(model.NoUpstream)
 		}
-		c.done(r)
+		if r.retryAfter == 0 {
+			r.retryAfter = defaultRetryAfter
+		}
+		c.refuse(r)
 		return
 	case balance.Busy:
 		c.removeWaitLimit()
 	case balance.Overloaded:
 		r := unreachedRefusal(model.Overloaded)
 		r.retryAfter = overloadedRetryAfter/2 + sim.clock.uniform(overloadedRetryAfter)
-		c.done(r)
+		c.refuse(r)
 		return
 	}
 	target := sim.nodesByService[c.kind.Service][choice.Index]
@@ -131,8 +140,17 @@
 	choice.Stats.Begin(sim.clock.now)
 	start := sim.clock.now
 	delay := latency(choice.Distance)
+	if target.cut() != c.node.cut() {
+		sim.clock.after(connectTimeout(c.deadline-start), func() {
+			c.node.unreachable[target.upstream.Node] = true
+			r := unreachedRefusal(model.UpstreamUnreachable)
+			c.recordOutcome(&choice, target, start, r)
+			c.finishAttempt(r)
+		})
+		return
+	}
 	sim.clock.after(delay, func() {
-		target.arrive(&attempt{kind: c.kind, deadline: c.deadline, due: c.due, maxWait: c.maxWait, done: func(r *refusal) {
+		target.arrive(&attempt{kind: c.kind, team: c.team, deadline: c.deadline, due: c.due, maxWait: c.maxWait, done: func(r *refusal) {
 			sim.clock.after(delay, func() {
 				c.recordOutcome(&choice, target, start, r)
 				c.finishAttempt(r)
@@ -141,6 +159,17 @@
 	})
 }
 
+// refuse ends the call without a response.
+func (c *call) refuse(r *refusal) {
+	r.offered = c.offered
+	c.done(r)
+}
+
+// connectTimeout is the time limit of a new connection (dialTimeout in pkg/gateway).
+func connectTimeout(remaining time.Duration) time.Duration {
+	return min(max(time.Duration(0.4*float64(remaining)), 60*time.Millisecond), 500*time.Millisecond)
+}
+
 // recordOutcome records the outcome of an attempt in the statistics of the chosen
 // upstream, which is that of target.
 func (c *call) recordOutcome(choice *balance.Choice, target *node, start time.Duration, r *refusal) {
@@ -163,7 +192,7 @@
 			outcome = balance.Neutral
 		}
 	}
-	choice.Stats.End(sim.clock.now, c.kind.Rank, outcome, sim.clock.now-start)
+	choice.Stats.End(sim.clock.now, sim.rank(c.kind, c.team), outcome, sim.clock.now-start)
 }
 
 // finishAttempt ends the call with the outcome of an attempt, or schedules a further
@@ -175,6 +204,7 @@
 	}
 	sim := c.node.sim
 	c.lastRefusal = r
+	c.offered = c.offered || !r.unreached
 	if r.runState != model.NotRun {
 		c.mayHaveRun = true
 		if r.reason == model.UpstreamLost {
@@ -189,7 +219,7 @@
 		if c.mayHaveRun {
 			r.runState = model.RunUnknown
 		}
-		c.done(r)
+		c.refuse(r)
 		return
 	}
 	if r.unreached {
@@ -207,6 +237,7 @@
 // and maxWait are those of the call.
 type attempt struct {
 	kind     *RequestKind
+	team     int
 	deadline time.Duration
 	due      time.Duration
 	maxWait  time.Duration
@@ -241,7 +272,7 @@
 		due = 0
 	}
 	w := &admission.Waiter{Call: admission.Call{
-		Rank: a.kind.Rank, Rule: rule, Weight: 1, Deadline: a.deadline, Due: due, MaxQueueTime: a.maxWait,
+		Rank: n.sim.rank(a.kind, a.team), Rule: rule, Weight: 1, Deadline: a.deadline, Due: due, MaxQueueTime: a.maxWait,
 	}}
 	a.waiter = w
 	verdict, dropped := n.admission.Arrive(now, w)
@@ -407,7 +438,7 @@
 	remaining, anyFailed := c.Times, false
 	var callOnce func()
 	callOnce = func() {
-		n.handleCall(k, min(sim.clock.now+k.Deadline, a.deadline), func(r *refusal) {
+		n.handleCall(k, min(k.Deadline, a.deadline-sim.clock.now), 0, func(r *refusal) {
 			remaining--
 			anyFailed = anyFailed || r != nil
 			switch {
--- /dev/null
+++ b/pkg/play/heavy.go
@@ -0,0 +1,78 @@
+package play
+
+import "time"
+
+// HeavyScenarios returns the scenarios of the heaviest days of the two deployments with
+// hard load (docs/design/heavy-load.md).
+func HeavyScenarios() []Scenario { return []Scenario{dispatchScenario(), flagScenario()} }
+
+// dispatchScenario is a dispatch mesh with 66 VMs and 75 teams. A third of the nodes is
+// partitioned from the others; audits, one team and lookups burst one after the other;
+// then two upstreams are slow, and five leave.
+func dispatchScenario() Scenario {
+	ms, s := time.Millisecond, time.Second
+	speeds := []float64{1 / 0.6, 1, 1 / 1.4}
+	const load = 1.2 // the mean load of the day, relative to that of a usual day
+	return Scenario{
+		Name: "dispatch mesh", Zones: 6, Length: 30 * s, Amplitude: 0.4, Period: 17 * s, CallerRetries: 1, Teams: 75, urgentTeams: 15,
+		Services: []Service{
+			{Name: "disponibil", Slots: 12, UpstreamsPerZone: 4, Speeds: speeds},
+			{Name: "comenzi", Slots: 12, UpstreamsPerZone: 3, Speeds: speeds},
+			{Name: "arhiva", Slots: 12, UpstreamsPerZone: 4, Speeds: []float64{1 / 0.7, 1 / 0.7, 1 / 1.6}},
+		},
+		Kinds: []RequestKind{
+			{Name: "lookup", Service: "disponibil", Rank: 1, Idempotent: true, LatencyTarget: 500 * ms, Deadline: 2 * s, Timeout: s, Worth: 1.5, LateWorth: 0.3,
+				Work: 160 * ms, WorkSpread: 0.6, Rate: 979 * load / 6, InnerCalls: []InnerCalls{{Kind: "tariff", Times: 2, Share: 0.7}}},
+			{Name: "booking", Service: "comenzi", Rank: 1, LatencyTarget: 600 * ms, Deadline: 2500 * ms, Timeout: 1200 * ms, Worth: 1.6, LateWorth: 0.78,
+				Work: 210 * ms, WorkSpread: 0.6, Rate: 392 * load / 6, InnerCalls: []InnerCalls{{Kind: "weighbridge", Times: 1, Share: 0.7}}},
+			{Name: "audit", Service: "arhiva", Rank: 1, Idempotent: true, LatencyTarget: 2500 * ms, Deadline: 5 * s, Timeout: 2500 * ms, Worth: 0.39, LateWorth: 0.29,
+				Work: 400 * ms, WorkSpread: 0.6, Rate: 479 * load / 6},
+			{Name: "tariff", Service: "comenzi", Rank: 1, Idempotent: true, LatencyTarget: 150 * ms, Deadline: 500 * ms, Work: 40 * ms, WorkSpread: 0.5},
+			{Name: "weighbridge", Service: "arhiva", Rank: 1, Idempotent: true, LatencyTarget: 150 * ms, Deadline: 500 * ms, Work: 40 * ms, WorkSpread: 0.5},
+		},
+		Faults: []Fault{
+			{From: s, To: 13 * s, CutShare: 0.35},
+			{From: 2100 * ms, To: 8100 * ms, RateKind: "audit", RateZone: -1, RateFactor: 2.4},
+			{From: 6300 * ms, To: 11900 * ms, RateZone: -1, RateTeam: 1, RateFactor: 4.6},
+			{From: 13 * s, To: 16400 * ms, RateKind: "lookup", RateZone: -1, RateFactor: 1.8},
+			{From: 12 * s, To: 30 * s, Service: "disponibil", UpstreamShare: 2. / 24, Slowdown: 4.3},
+			{From: 20 * s, To: 30 * s, Service: "disponibil", UpstreamShare: 0, GoneShare: 5. / 24},
+		},
+	}
+}
+
+// flagScenario is a flag platform with 75 VMs, whose reads call another service.
+func flagScenario() Scenario {
+	ms, s := time.Millisecond, time.Second
+	speeds := []float64{1 / 0.6, 1, 1 / 1.4}
+	return Scenario{
+		Name: "flag platform", Zones: 6, Length: 30 * s, Amplitude: 0.5, Period: 17 * s, CallerRetries: 1,
+		Services: []Service{
+			{Name: "flag-api", Slots: 6, UpstreamsPerZone: 8, Speeds: speeds},
+			{Name: "rule-store", Slots: 6, UpstreamsPerZone: 4, Speeds: speeds},
+		},
+		Kinds: []RequestKind{
+			{Name: "read", Service: "flag-api", Rank: 1, Idempotent: true, LatencyTarget: 400 * ms, Deadline: 1500 * ms, Timeout: 800 * ms, Worth: 1, LateWorth: 0.1,
+				Work: 85 * ms, WorkSpread: 0.6, Rate: 900. / 6, InnerCalls: []InnerCalls{{Kind: "rule fetch", Times: 1, Share: 0.7}}},
+			{Name: "toggle", Service: "flag-api", Rank: 0, LatencyTarget: 500 * ms, Deadline: 2 * s, Timeout: s, Worth: 1.5, LateWorth: 0.5,
+				Work: 110 * ms, WorkSpread: 0.6, Rate: 425. / 6},
+			{Name: "export", Service: "rule-store", Rank: 2, Idempotent: true, LatencyTarget: 800 * ms, Deadline: 3 * s, Timeout: 1500 * ms, Worth: 0.6, LateWorth: 0.3,
+				Work: 220 * ms, WorkSpread: 0.6, Rate: 289. / 6},
+			{Name: "rule fetch", Service: "rule-store", Rank: 1, Idempotent: true, LatencyTarget: 120 * ms, Deadline: 300 * ms, Work: 26 * ms, WorkSpread: 0.5},
+		},
+		Faults: []Fault{
+			{From: 2 * s, To: 7 * s, RateZone: -1, RateFactor: 2},
+			{From: 9 * s, To: 14 * s, RateZone: 0, RateFactor: 3},
+			{From: 11 * s, To: 17 * s, Service: "rule-store", UpstreamShare: 0.3, Slowdown: 5},
+			{From: 19 * s, To: 25 * s, Service: "flag-api", UpstreamShare: 1, ShedShare: 0.4},
+		},
+	}
+}
+
+// HeavyVariants returns GatewayPolicy unchanged, then variants that each switch off one
+// decision under heavy load.
+func HeavyVariants() []Variant {
+	return []Variant{
+		{"all decisions", func(*Policy) {}},
+	}
+}
--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/admission"
@@ -38,6 +39,10 @@
 	budgets   map[string]*retry.Budget // by service
 	queued    map[*admission.Waiter]*attempt
 	limits    admission.Limits
+	serial    int // among all nodes
+	// unreachable holds the nodes to which connections have timed out since the start
+	// of the last partition.
+	unreachable map[model.NodeID]bool
 	// startScheduled says that startQueued will run when the rate limit permits the
 	// next start.
 	startScheduled bool
@@ -53,6 +58,7 @@
 	n := &node{
 		sim: sim, index: index, zone: zone, service: s, picker: balance.NewPicker(),
 		budgets: make(map[string]*retry.Budget), queued: make(map[*admission.Waiter]*attempt), parts: make(map[*shaping.Part]*transfer),
+		serial: len(sim.nodes), unreachable: make(map[model.NodeID]bool),
 		upstream: model.UpstreamNode{Node: model.NodeID(fmt.Sprint(s.Name, "-", zone, "-", index)), Service: s.Name, Location: location(zone)},
 	}
 	limits := admission.Limits{Slots: s.Slots}
@@ -106,6 +112,59 @@
 	return e
 }
 
+// cut reports whether the node is one of those that a fault partitions from the others.
+// They are spread over zones and services.
+func (n *node) cut() bool {
+	for i := range n.sim.scenario.Faults {
+		f := &n.sim.scenario.Faults[i]
+		if f.CutShare > 0 && f.active(n.sim.clock.now) && float64(n.serial*cutStep%len(n.sim.nodes)) < f.CutShare*float64(len(n.sim.nodes)) {
+			return true
+		}
+	}
+	return false
+}
+
+// cutStep is a prime, so that its multiples modulo the number of nodes are a
+// permutation of the nodes.
+const cutStep = 37
+
+// candidates returns the upstreams of a service as the node knows them. A node that
+// did not accept a connection counts as unreachable until the partition ends.
+func (n *node) candidates(service string) []model.UpstreamNode {
+	all := n.sim.upstreams[service]
+	gone := n.sim.goneShare(service)
+	if len(n.unreachable) == 0 && gone == 0 {
+		return all
+	}
+	known := slices.Clone(all)
+	for i := range known {
+		if n.unreachable[known[i].Node] || float64(len(all)-i) <= gone*float64(len(all)) {
+			known[i].State = model.Unreachable
+		}
+	}
+	return known
+}
+
+// goneShare returns the share of the upstreams of a service that have left.
+func (sim *simulation) goneShare(service string) float64 {
+	share := 0.0
+	for i := range sim.scenario.Faults {
+		if f := &sim.scenario.Faults[i]; f.Service == service && f.active(sim.clock.now) {
+			share = max(share, f.GoneShare)
+		}
+	}
+	return share
+}
+
+// rank returns the rank of a request: that of its team if the team has one, otherwise
+// that of its kind.
+func (sim *simulation) rank(k *RequestKind, team int) model.Rank {
+	if n := sim.scenario.urgentTeams; n > 0 && team > 0 && team%n == 0 {
+		return 0
+	}
+	return k.Rank
+}
+
 // updateRateLimit applies the rate limit that the upstream states now.
 func (n *node) updateRateLimit() {
 	limits, now := n.limits, n.sim.clock.now
--- a/pkg/play/play.go
+++ b/pkg/play/play.go
@@ -51,6 +51,13 @@
 			sim.clock.after(f.From, sim.updateRateLimits)
 			sim.clock.after(f.To, sim.updateRateLimits)
 		}
+		if f := &scenario.Faults[i]; f.CutShare > 0 {
+			sim.clock.after(f.To, func() {
+				for _, n := range sim.nodes {
+					clear(n.unreachable)
+				}
+			})
+		}
 	}
 	sim.clock.run()
 	return sim.stats.result()
@@ -73,7 +80,7 @@
 		if sim.clock.now >= sim.scenario.Length {
 			return
 		}
-		r := &request{sim: sim, kind: k, zone: zone, start: sim.clock.now}
+		r := &request{sim: sim, kind: k, zone: zone, start: sim.clock.now, team: sim.scenario.team(sim.clock.now, sim.clock.rnd.Float64())}
 		r.send()
 		sim.scheduleArrival(k, zone)
 	})
@@ -84,12 +91,15 @@
 	sim     *simulation
 	kind    *RequestKind
 	zone    int
+	team    int // from 1, 0 without teams
 	start   time.Duration
 	retries int
+	held    time.Duration // sum of the times after which tries were refused
+	offered bool          // an upstream saw a try
 }
 
 func (r *request) send() {
-	sim := r.sim
+	sim, sent := r.sim, r.sim.clock.now
 	sim.clock.after(callerLatency, func() {
 		nodes := sim.nodesByZone[r.zone]
 		n := nodes[sim.clock.rnd.IntN(len(nodes))]
@@ -97,12 +107,14 @@
 			sim.clock.after(callerLatency, func() { r.handleFailure(unreachedRefusal(model.UpstreamUnreachable)) })
 			return
 		}
-		n.handleCall(r.kind, r.start+r.kind.Deadline, func(f *refusal) {
+		n.handleCall(r.kind, r.start+r.kind.Deadline-sent, r.team, func(f *refusal) {
 			sim.clock.after(callerLatency, func() {
 				if f == nil {
-					sim.stats.add(r, sim.clock.now-r.start)
+					sim.stats.add(r, sim.clock.now-r.start, nil)
 					return
 				}
+				r.held += sim.clock.now - sent
+				r.offered = r.offered || f.offered
 				r.handleFailure(f)
 			})
 		})
@@ -115,7 +127,7 @@
 	sim := r.sim
 	remaining := r.start + r.kind.Deadline - sim.clock.now
 	if r.retries >= sim.scenario.CallerRetries || remaining <= 0 || !r.kind.Idempotent && f.runState != model.NotRun {
-		sim.stats.add(r, 0)
+		sim.stats.add(r, 0, f)
 		return
 	}
 	r.retries++
@@ -148,27 +160,30 @@
 
 // statistics sums up the outcomes of requests.
 type statistics struct {
-	kinds   map[string]*tally
-	zones   []tally
-	windows []tally
-	total   tally
+	kinds    map[string]*tally
+	accounts map[string][]Account // by kind and window
+	teams    map[int]*tally
+	zones    []tally
+	windows  []tally
+	total    tally
 }
 
 func newStatistics(scenario *Scenario) statistics {
 	return statistics{
-		kinds: make(map[string]*tally), zones: make([]tally, scenario.Zones),
+		kinds: make(map[string]*tally), accounts: make(map[string][]Account), teams: make(map[int]*tally), zones: make([]tally, scenario.Zones),
 		windows: make([]tally, (scenario.Length+windowLength-1)/windowLength),
 	}
 }
 
-// add records the outcome of a request. took is the time until the response, 0 if
-// there was none.
-func (s *statistics) add(r *request, took time.Duration) {
+// add records the outcome of a request. took is the time until the response, and f is
+// nil. If there was no response, took is 0, and f is the refusal of the last try.
+func (s *statistics) add(r *request, took time.Duration, f *refusal) {
 	k, ok := s.kinds[r.kind.Name]
 	if !ok {
 		k = &tally{}
-		s.kinds[r.kind.Name] = k
+		s.kinds[r.kind.Name], s.accounts[r.kind.Name] = k, make([]Account, len(s.windows))
 	}
+	s.accounts[r.kind.Name][r.start/windowLength].add(r, took, f)
 	earned, served := 0.0, 0.0
 	switch {
 	case took > 0 && took <= r.kind.LatencyTarget:
@@ -176,7 +191,12 @@
 	case took > 0 && took <= r.kind.Deadline:
 		earned, served = r.kind.LateWorth, 1
 	}
-	for _, t := range []*tally{k, &s.zones[r.zone], &s.windows[r.start/windowLength], &s.total} {
+	team, ok := s.teams[r.team]
+	if !ok {
+		team = &tally{}
+		s.teams[r.team] = team
+	}
+	for _, t := range []*tally{k, team, &s.zones[r.zone], &s.windows[r.start/windowLength], &s.total} {
 		t.offered += r.kind.Worth
 		t.earned += earned
 		t.requests++
@@ -193,6 +213,67 @@
 type Result struct {
 	EarnedShare, WorstWindows, WorstKind, WorstZone, ServedShare float64
 	Kinds                                                        map[string]float64
+	// Teams holds the earned share by the number of the team.
+	Teams map[int]float64
+	// Accounts holds the outcomes by the name of the request kind, and Windows those of
+	// each window of 2 s.
+	Accounts map[string]Account
+	Windows  map[string][]Account
+}
+
+// Account counts the outcomes of the requests of one kind. Charged is the sum of
+// Account.charge in requests.
+type Account struct {
+	Requests, InTarget, Late, RefusedAtOnce, RefusedLate, RefusedAgain, Failed int
+	Charged                                                                    float64
+}
+
+const (
+	// freeRefusalShare is the share of the latency target within which a refusal is
+	// free of charge.
+	freeRefusalShare = 0.125
+	// chargedShare is the share of the time of a call from which the charge for
+	// holding and refusing it is all of its worth.
+	chargedShare = 0.75
+)
+
+func sum(accounts []Account) Account {
+	var s Account
+	for _, a := range accounts {
+		s = s.Plus(a)
+	}
+	return s
+}
+
+// Plus returns the sum of two accounts.
+func (a Account) Plus(b Account) Account {
+	return Account{
+		a.Requests + b.Requests, a.InTarget + b.InTarget, a.Late + b.Late, a.RefusedAtOnce + b.RefusedAtOnce,
+		a.RefusedLate + b.RefusedLate, a.RefusedAgain + b.RefusedAgain, a.Failed + b.Failed, a.Charged + b.Charged,
+	}
+}
+
+func (a *Account) add(r *request, took time.Duration, f *refusal) {
+	a.Requests++
+	free := time.Duration(freeRefusalShare * float64(r.kind.LatencyTarget))
+	switch {
+	case took > 0 && took <= r.kind.LatencyTarget:
+		a.InTarget++
+	case took > 0 && took <= r.kind.Deadline:
+		a.Late++
+	case f != nil && f.runState != model.NotRun || took > 0:
+		a.Failed++
+	case r.retries > 0:
+		a.RefusedAgain++
+	case r.held <= free:
+		a.RefusedAtOnce++
+	default:
+		a.RefusedLate++
+	}
+	if f != nil && f.runState == model.NotRun && !r.offered {
+		full := time.Duration(chargedShare * float64(r.kind.Deadline))
+		a.Charged += min(max(float64(r.held-free)/float64(full-free), 0), 1)
+	}
 }
 
 // Worth returns the weighted sum of the measures with the weights of the deployment
@@ -202,14 +283,20 @@
 }
 
 func (s *statistics) result() Result {
-	r := Result{EarnedShare: s.total.earnedShare(), WorstKind: 1, WorstZone: 1, Kinds: make(map[string]float64)}
+	r := Result{
+		EarnedShare: s.total.earnedShare(), WorstKind: 1, WorstZone: 1, Kinds: make(map[string]float64),
+		Teams: make(map[int]float64), Accounts: make(map[string]Account), Windows: make(map[string][]Account),
+	}
 	if s.total.requests > 0 {
 		r.ServedShare = s.total.served / s.total.requests
 	}
 	for name, t := range s.kinds {
-		r.Kinds[name] = t.earnedShare()
+		r.Kinds[name], r.Accounts[name], r.Windows[name] = t.earnedShare(), sum(s.accounts[name]), s.accounts[name]
 		r.WorstKind = min(r.WorstKind, t.earnedShare())
 	}
+	for team, t := range s.teams {
+		r.Teams[team] = t.earnedShare()
+	}
 	var windows []float64
 	for i := range s.windows {
 		windows = append(windows, s.windows[i].earnedShare())
@@ -221,3 +308,25 @@
 	}
 	return r
 }
+
+// ChargedShare returns the charge for requests that were held and refused, as a share
+// of the worth of all requests.
+func (s *Scenario) ChargedShare(r *Result) float64 {
+	return s.worthShare(r, func(a Account) float64 { return a.Charged })
+}
+
+// RefusedAgainShare returns the worth of the requests whose second try was refused, as
+// a share of the worth of all requests.
+func (s *Scenario) RefusedAgainShare(r *Result) float64 {
+	return s.worthShare(r, func(a Account) float64 { return float64(a.RefusedAgain) })
+}
+
+func (s *Scenario) worthShare(r *Result, requests func(Account) float64) float64 {
+	part, all := 0.0, 0.0
+	for name, a := range r.Accounts {
+		worth := s.kind(name).Worth
+		part += worth * requests(a)
+		all += worth * float64(a.Requests)
+	}
+	return part / all
+}
--- a/pkg/play/play_test.go
+++ b/pkg/play/play_test.go
@@ -104,3 +104,31 @@
 		t.Error("found a request kind that does not exist")
 	}
 }
+
+// Guards the account of the heaviest day (docs/design/heavy-load.md) in simulation: with
+// the present policy, callers of the same rank are served unevenly, and it takes long
+// after the bursts until lookups are in target again.
+func TestHeavyScenarioIsOverloaded(t *testing.T) {
+	s := dispatchScenario()
+	s.Length = 14 * time.Second
+	r := Run(s, GatewayPolicy(), 1)
+	for kind, a := range r.Accounts {
+		if sum := a.InTarget + a.Late + a.RefusedAtOnce + a.RefusedLate + a.RefusedAgain + a.Failed; sum != a.Requests {
+			t.Errorf("%s: the outcomes of %d requests add up to %d", kind, a.Requests, sum)
+		}
+	}
+	if share := s.RefusedAgainShare(&r); share < 0.05 || share > 0.5 {
+		t.Errorf("%.3f of the worth was refused again", share)
+	}
+	if got := s.ChargedShare(&r); got <= 0 || got > s.RefusedAgainShare(&r) {
+		t.Errorf("%.3f of the worth was charged for calls that were held and refused", got)
+	}
+	if first := s.teamShare(1); first < 0.25 || first > 0.35 {
+		t.Errorf("the largest of 75 teams sends %.2f of the requests", first)
+	}
+	for team := range r.Teams {
+		if team < 1 || team > s.Teams {
+			t.Errorf("a request of team %d", team)
+		}
+	}
+}
--- a/pkg/play/scenario.go
+++ b/pkg/play/scenario.go
@@ -27,6 +27,11 @@
 	// refusal states, or for defaultRetryWait if it states none.
 	CallerRetries    int
 	RetryImmediately bool
+	// Teams is the number of teams that send requests, 0 for none. The load of team
+	// number i, from 1, is proportional to i to the power of -teamExponent. Every
+	// urgentTeams-th team has rank 0, which replaces that of the request kind; 0 for none.
+	Teams       int
+	urgentTeams int
 }
 
 // Service describes the upstreams of one service.
@@ -48,6 +53,7 @@
 	Idempotent    bool
 	LatencyTarget time.Duration // from the start of the request
 	Deadline      time.Duration // from the start of the request
+	Timeout       time.Duration // of the route, from the arrival of each try at a node; 0 if only Deadline applies
 	Worth         float64       // of a response within the latency target
 	LateWorth     float64       // of a later response within the deadline
 	Work          time.Duration // mean service time at speed 1, without inner calls
@@ -80,6 +86,9 @@
 	RateKind      string        // request kind to which RateFactor applies, "" for all
 	RateZone      int           // zone to which RateFactor applies, -1 for all
 	RateFactor    float64       // factor of the request rate, 0 for 1
+	RateTeam      int           // number of the team to which RateFactor applies, 0 for all
+	CutShare      float64       // share of all nodes that do not reach the others, while callers reach all
+	GoneShare     float64       // share of the service's upstreams that leave and are not used any more
 }
 
 func (f *Fault) active(now time.Duration) bool { return now >= f.From && now < f.To }
@@ -108,12 +117,53 @@
 	for i := range s.Faults {
 		f := &s.Faults[i]
 		if f.RateFactor > 0 && f.active(now) && (f.RateKind == "" || f.RateKind == k.Name) && (f.RateZone < 0 || f.RateZone == zone) {
-			r *= f.RateFactor
+			if f.RateTeam > 0 {
+				r *= 1 + (f.RateFactor-1)*s.teamShare(f.RateTeam)
+			} else {
+				r *= f.RateFactor
+			}
 		}
 	}
 	return r
 }
 
+// teamExponent is the exponent of the sizes of teams, by their position in the order
+// of size. With 75 teams the first one sends 0.28 of the requests.
+const teamExponent = 1.2
+
+// teamShare returns the share of the requests that a team sends without faults.
+func (s *Scenario) teamShare(team int) float64 {
+	sum := 0.0
+	for i := 1; i <= s.Teams; i++ {
+		sum += math.Pow(float64(i), -teamExponent)
+	}
+	return math.Pow(float64(team), -teamExponent) / sum
+}
+
+// team draws the team of a request, 0 without teams. random is in [0, 1).
+func (s *Scenario) team(now time.Duration, random float64) int {
+	if s.Teams == 0 {
+		return 0
+	}
+	weights, total := make([]float64, s.Teams+1), 0.0
+	for i := 1; i <= s.Teams; i++ {
+		weights[i] = math.Pow(float64(i), -teamExponent)
+		for j := range s.Faults {
+			if f := &s.Faults[j]; f.RateTeam == i && f.active(now) {
+				weights[i] *= f.RateFactor
+			}
+		}
+		total += weights[i]
+	}
+	point := random * total
+	for i := 1; i < s.Teams; i++ {
+		if point -= weights[i]; point < 0 {
+			return i
+		}
+	}
+	return s.Teams
+}
+
 // bookingScenario returns a scenario with four services. Their requests are lookups
 // and bookings that call other services, downloads, and long queries. load is a
 // factor of the request rates.
--- a/tools/play/main.go
+++ b/tools/play/main.go
@@ -2,7 +2,10 @@
 // means over a number of seeds: the worth without prices, and the earned shares of
 // the two worst windows, of the worst request kind and of downloads.
 //
-//	go run ./tools/play [SEEDS]
+// With the word "heavy" it prints the outcomes by kind of request in the scenarios of
+// the heaviest days.
+//
+//	go run ./tools/play [SEEDS [heavy]]
 package main
 
 import (
@@ -28,6 +31,10 @@
 		}
 		seeds = n
 	}
+	if len(os.Args) > 2 && os.Args[2] == "heavy" {
+		printHeavy(seeds)
+		return
+	}
 	for _, scenario := range play.Scenarios() {
 		fmt.Println(scenario.Name)
 		for _, v := range play.Variants() {
@@ -48,7 +55,7 @@
 		wg.Go(func() { results[i] = play.Run(scenario, policy, uint64(i)) })
 	}
 	wg.Wait()
-	m := play.Result{Kinds: make(map[string]float64)}
+	m := play.Result{Kinds: make(map[string]float64), Accounts: make(map[string]play.Account)}
 	n := float64(seeds)
 	for _, r := range results {
 		m.EarnedShare += r.EarnedShare / n
@@ -58,7 +65,31 @@
 		m.ServedShare += r.ServedShare / n
 		for kind, share := range r.Kinds {
 			m.Kinds[kind] += share / n
+			m.Accounts[kind] = m.Accounts[kind].Plus(r.Accounts[kind])
 		}
 	}
 	return m
 }
+
+// printHeavy prints the means of the earned shares, and the outcomes by kind.
+func printHeavy(seeds int) {
+	for _, scenario := range play.HeavyScenarios() {
+		fmt.Println(scenario.Name)
+		for _, v := range play.HeavyVariants() {
+			policy := play.GatewayPolicy()
+			v.Change(&policy)
+			r := meanResult(scenario, policy, seeds)
+			fmt.Printf("  %-40s earned %.4f  worst windows %.4f  worst kind %.3f  worst zone %.3f  charged %.4f  refused again %.4f\n",
+				v.Name, r.EarnedShare, r.WorstWindows, r.WorstKind, r.WorstZone, scenario.ChargedShare(&r), scenario.RefusedAgainShare(&r))
+			for _, k := range scenario.Kinds {
+				a, ok := r.Accounts[k.Name]
+				if !ok {
+					continue
+				}
+				share := func(n int) float64 { return float64(n) / float64(a.Requests) }
+				fmt.Printf("    %-12s %6d requests  earned %.3f  in target %.3f  late %.3f  refused at once %.3f  late %.3f  again %.3f  failed %.3f\n",
+					k.Name, a.Requests/seeds, r.Kinds[k.Name], share(a.InTarget), share(a.Late), share(a.RefusedAtOnce), share(a.RefusedLate), share(a.RefusedAgain), share(a.Failed))
+			}
+		}
+	}
+}
