Count the time since the first try of a caller that comes back

After a burst, callers that were refused came back when they could only be served late, got the slots in the order of their arrival, and so made new calls late as well. A node now learns for how long the callers of a route wait, from the times that they state. A caller that states less has been refused before, and its call is late when its first try would be; calls that can still be in time go first. Calls of public routes are left out: upstreams state what is left of other calls.

Setting load.returning_late, metric lentilflow_load_decisions_total, field since_first_try of the log lines of calls.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -178,7 +178,7 @@
 	a.gateway = gateway.New(&gateway.Gateway{
 		Names: names, Self: a.self, Config: a.configHolder, View: a.fleetView, Local: a.local,
 		Remote: gateway.NewRemote(a.self.Node, names, a.configHolder), Picker: balance.NewPicker(), Budgets: a.budgets,
-		Metrics: metrics, Log: c.Log, OnNewerConfig: a.gossip.NoteNewerConfig,
+		Metrics: metrics, Log: c.Log, OnNewerConfig: a.gossip.NoteNewerConfig, Load: loadPolicy(&s.Load),
 	})
 	a.callServer, a.peerServer = a.gateway.CallServer(), a.gateway.PeerServer()
 	a.messageEcho, a.reportEcho, a.readinessEcho = a.newEcho(), a.newEcho(), a.newEcho()
@@ -191,6 +191,11 @@
 	return a
 }
 
+// loadPolicy returns the decisions under heavy load that the settings switch on.
+func loadPolicy(l *settings.HeavyLoad) gateway.LoadPolicy {
+	return gateway.LoadPolicy{ReturningLate: l.ReturningLate == "yes"}
+}
+
 const (
 	// headerTimeout, readTimeout and maxHeaderBytes bound the requests to the
 	// listeners of messages, reports and readiness: the time to read the header,
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -57,6 +57,7 @@
 	Budgets *Budgets
 	Metrics *Metrics
 	Log     *zap.Logger
+	Load    LoadPolicy
 	// Quota limits the calls of teams that have a rate; nil means that nothing is
 	// limited. It is asked after the key lookup and before the first attempt.
 	Quota QuotaLimiter
@@ -65,6 +66,7 @@
 	OnNewerConfig func(v config.Version, from model.NodeID)
 
 	callLog           *callLog
+	callerTimes       callerTimes
 	startTime         time.Time
 	refuseEndingAfter atomic.Pointer[time.Time] // nil unless this node is stopping
 	// deadlineCap limits the deadlines of calls, and retriesDisabled prevents
@@ -189,6 +191,7 @@
 	mayHaveRun        bool            // an earlier attempt may have run
 	lastRefusal       *Refusal        // of the previous attempt
 	failedResponse    *failedResponse // response with a server error; a retry may replace it
+	elapsed           time.Duration   // since the caller's first try
 	queueTime         time.Duration
 	serviceTime       time.Duration
 	verdict           retry.Verdict
@@ -261,6 +264,7 @@
 	if c.identity != nil { // after RemoveHopByHopFields, which removes what the caller lists
 		g.Names.setTeam(req.Header, c.teamName())
 	}
+	c.elapsed = g.elapsed(t, req.Header.Get(g.Names.Deadline))
 	delete(req.Header, g.Names.Deadline)
 	delete(req.Header, g.Names.ExpectedBoot)
 	c.attempt = &Attempt{
@@ -271,7 +275,7 @@
 		Download: t.Download, LatencyTarget: t.TargetLatency,
 	}
 	if t.TargetLatency > 0 {
-		c.attempt.Due = c.x.Arrived.Add(t.TargetLatency)
+		c.attempt.Due = c.x.Arrived.Add(t.TargetLatency - c.elapsed)
 	}
 	c.budget = g.Budgets.Of(c.attempt.Service)
 	c.budget.Earn()
--- /dev/null
+++ b/pkg/gateway/load.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/retry"
+)
+
+// LoadPolicy switches the decisions under heavy load (docs/design/heavy-load.md). The
+// zero value makes none of them.
+type LoadPolicy struct {
+	// ReturningLate counts the time since the first try of a caller that comes back.
+	ReturningLate bool
+}
+
+// maxCallerTimes bounds the routes whose callers' times are kept. Routes come and go
+// with versions. One more route drops what was learned of all others.
+const maxCallerTimes = 4096
+
+// callerTimes holds what is known about the callers of each route, by the name of the
+// route. It is safe for concurrent use.
+type callerTimes struct {
+	byRoute sync.Map // string to *retry.CallerTime
+	count   atomic.Int64
+}
+
+func (t *callerTimes) of(route string) *retry.CallerTime {
+	if c, ok := t.byRoute.Load(route); ok {
+		return c.(*retry.CallerTime)
+	}
+	if t.count.Add(1) > maxCallerTimes {
+		t.byRoute.Clear()
+		t.count.Store(1)
+	}
+	c, _ := t.byRoute.LoadOrStore(route, &retry.CallerTime{})
+	return c.(*retry.CallerTime)
+}
+
+// elapsed returns how long ago the caller of a call began its first try, by the time
+// that it states; 0 if this is the first one or the time is not known. The calls of
+// public routes are made by upstreams, which state what is left of other calls.
+func (g *Gateway) elapsed(route *config.RouteState, stated string) time.Duration {
+	if !g.Load.ReturningLate || route.Public || route.TargetLatency <= 0 {
+		return 0
+	}
+	d, ok := parseMillis(stated)
+	if !ok {
+		return 0
+	}
+	elapsed := g.callerTimes.of(route.Name).Elapsed(d)
+	if elapsed > 0 {
+		g.Metrics.countLoadDecision(decisionReturning)
+	}
+	return elapsed
+}
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -71,6 +71,9 @@
 	if team := c.teamName(); team != "" {
 		f = append(f, zap.String("team", team))
 	}
+	if c.elapsed > 0 {
+		f = append(f, zap.Duration("since_first_try", c.elapsed))
+	}
 	if len(c.triedNodes) > 0 {
 		at := g.View.Current().Position
 		f = append(f, zap.Any("asked", c.triedNodes), zap.Uint64("fleet_revision", uint64(at.Revision)), zap.Uint64("fleet_era", uint64(at.Era)),
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,8 +23,19 @@
 	sent        prometheus.Counter
 	malformed   prometheus.Counter
 	statements  *prometheus.CounterVec
+	decisions   *prometheus.CounterVec
 }
 
+// loadDecision is a decision under heavy load.
+type loadDecision string
+
+const (
+	decisionReturning loadDecision = "returning_caller"
+)
+
+// loadDecisions returns every decision under heavy load.
+func loadDecisions() []loadDecision { return []loadDecision{decisionReturning} }
+
 // statementKind is what a response states about its upstream.
 type statementKind string
 
@@ -68,8 +79,12 @@
 			Namespace: "lentilflow", Name: "upstream_malformed_responses_total", Help: "Responses of the upstream that violate the HTTP grammar.",
 		}),
 		statements: counter("upstream_statements_total", "Responses that state something about their upstream, by kind.", "statement"),
+		decisions:  counter("load_decisions_total", "Decisions that differ from those without heavy load, by decision.", "decision"),
 	}
 	r.MustRegister(m.sent, m.malformed)
+	for _, d := range loadDecisions() {
+		m.decisions.WithLabelValues(string(d))
+	}
 	for _, k := range []statementKind{statementLimit, statementLeaving, statementInvalid} {
 		m.statements.WithLabelValues(string(k))
 	}
@@ -103,8 +118,11 @@
 	m.callTime.WithLabelValues(rankLabels[min(r, model.MaxRank)]).Observe(d.Seconds())
 }
 
-func (m *Metrics) countRequestSent()              { m.sent.Inc() }
-func (m *Metrics) countMalformed()                { m.malformed.Inc() }
+func (m *Metrics) countRequestSent() { m.sent.Inc() }
+func (m *Metrics) countMalformed()   { m.malformed.Inc() }
+func (m *Metrics) countLoadDecision(d loadDecision) {
+	m.decisions.WithLabelValues(string(d)).Inc()
+}
 func (m *Metrics) countStatement(k statementKind) { m.statements.WithLabelValues(string(k)).Inc() }
 
 func (m *Metrics) countRefusal(r model.Reason)  { m.refusals.WithLabelValues(string(r)).Inc() }
--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -84,6 +84,9 @@
 		node: n, kind: k, team: team, deadline: n.sim.clock.now + min(stated, cmp.Or(k.Timeout, stated)), due: n.sim.clock.now + k.LatencyTarget, done: done,
 		maxWait: time.Duration(share * float64(k.LatencyTarget)), budget: n.budget(k.Service),
 	}
+	if n.sim.policy.ReturningLate {
+		c.due -= n.callerTime(k.Name).Elapsed(stated)
+	}
 	c.budget.Earn()
 	c.startAttempt()
 }
--- a/pkg/play/heavy.go
+++ b/pkg/play/heavy.go
@@ -76,5 +76,6 @@
 func HeavyVariants() []Variant {
 	return []Variant{
 		{"all decisions", func(*Policy) {}},
+		{"returning callers as new ones", func(p *Policy) { p.ReturningLate = false }},
 	}
 }
--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -29,17 +29,18 @@
 
 // node is a node together with its upstream.
 type node struct {
-	sim        *simulation
-	serial     int // among the upstreams of its service, across all zones
-	upstream   model.UpstreamNode
-	zone       int
-	service    *Service
-	drawnSpeed float64 // 0 if speeds are assigned in turn
-	admission  *admission.Core
-	picker     *balance.Picker
-	budgets    map[string]*retry.Budget // by service
-	queued     map[*admission.Waiter]*attempt
-	limits     admission.Limits
+	sim         *simulation
+	serial      int // among the upstreams of its service, across all zones
+	upstream    model.UpstreamNode
+	zone        int
+	service     *Service
+	drawnSpeed  float64 // 0 if speeds are assigned in turn
+	admission   *admission.Core
+	picker      *balance.Picker
+	budgets     map[string]*retry.Budget     // by service
+	callerTimes map[string]*retry.CallerTime // by request kind
+	queued      map[*admission.Waiter]*attempt
+	limits      admission.Limits
 	// startScheduled says that startQueued will run when the rate limit permits the
 	// next start.
 	startScheduled bool
@@ -54,7 +55,7 @@
 func newNode(sim *simulation, s *Service, zone, index int) *node {
 	n := &node{
 		sim: sim, serial: len(sim.upstreams[s.Name]), zone: zone, service: s, picker: balance.NewPicker(),
-		budgets: make(map[string]*retry.Budget), queued: make(map[*admission.Waiter]*attempt), parts: make(map[*shaping.Part]*transfer),
+		budgets: make(map[string]*retry.Budget), callerTimes: make(map[string]*retry.CallerTime), queued: make(map[*admission.Waiter]*attempt), parts: make(map[*shaping.Part]*transfer),
 		upstream: model.UpstreamNode{Node: model.NodeID(fmt.Sprint(s.Name, "-", zone, "-", index)), Service: s.Name, Location: location(zone)},
 	}
 	limits := admission.Limits{Slots: s.Slots}
@@ -139,6 +140,16 @@
 	return share
 }
 
+// callerTime returns what the node has learned about the callers of a request kind.
+func (n *node) callerTime(kind string) *retry.CallerTime {
+	t, ok := n.callerTimes[kind]
+	if !ok {
+		t = &retry.CallerTime{}
+		n.callerTimes[kind] = t
+	}
+	return t
+}
+
 // rank returns the rank of a request: that of its team if the team has one, otherwise
 // that of its kind.
 func (sim *simulation) rank(k *RequestKind, team int) model.Rank {
--- a/pkg/play/play_test.go
+++ b/pkg/play/play_test.go
@@ -132,3 +132,34 @@
 		}
 	}
 }
+
+// heavyRun simulates the first part of the dispatch mesh's heaviest day with all
+// decisions and with a variant.
+func heavyRun(t *testing.T, variant string, length time.Duration) (with, without Result) {
+	t.Helper()
+	s, policy := dispatchScenario(), GatewayPolicy()
+	s.Length = length
+	for _, v := range HeavyVariants() {
+		if v.Name == variant {
+			v.Change(&policy)
+		}
+	}
+	if policy == GatewayPolicy() {
+		t.Fatalf("no variant %q", variant)
+	}
+	return Run(s, GatewayPolicy(), 1), Run(s, policy, 1)
+}
+
+// Load: callers that were refused during bursts come back when they can only be served
+// late. Guards against late answers to them that make the answers to new callers late.
+func TestReturningCallersDoNotDelayNewOnes(t *testing.T) {
+	with, without := heavyRun(t, "returning callers as new ones", 18*time.Second)
+	a, b := with.Accounts["lookup"], without.Accounts["lookup"]
+	t.Logf("lookups: %+v, without the decision %+v", a, b)
+	if inTarget := float64(a.InTarget) / float64(a.Requests); inTarget < float64(b.InTarget)/float64(b.Requests)+0.05 {
+		t.Errorf("%.3f of the lookups in target", inTarget)
+	}
+	if with.EarnedShare <= without.EarnedShare {
+		t.Errorf("earned %.3f, want more than %.3f", with.EarnedShare, without.EarnedShare)
+	}
+}
--- a/pkg/play/policy.go
+++ b/pkg/play/policy.go
@@ -34,6 +34,9 @@
 	// the share of extraRetries that all nodes together may spend at once, in
 	// addition. Each node may spend at least one of them.
 	BudgetShare, ReserveShare float64
+	// ReturningLate counts the time since the first try of a caller that comes back: its
+	// call is late when the first try would be.
+	ReturningLate bool
 }
 
 // Variant is a named change of a policy.
@@ -66,5 +69,6 @@
 	return Policy{
 		MaxWaitShare: 0.25, DownloadMaxWaitShare: 0.35, LinkWaitShare: 0.42, LinkRetryAfterShare: 0.25, BackOff: true, BackOffLimitedAlone: true, DownloadsInRegion: true,
 		ShortestFirst: true, InTimeFirst: true, ShareWithinRank: true, Retries: true, BudgetShare: 0.75 * 0.2, ReserveShare: 0.7,
+		ReturningLate: true,
 	}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -18,10 +18,11 @@
 	// FirstStart is "yes" if the whole deployment starts for the first time. The
 	// node then waits until the other nodes have written their rows before it
 	// reads them.
-	FirstStart string  `yaml:"first_start" default:"no" enum:"yes,no" unit:"word"`
-	Retries    Retries `yaml:"retries"`
-	Drain      Drain   `yaml:"drain"`
-	Log        Log     `yaml:"log"`
+	FirstStart string    `yaml:"first_start" default:"no" enum:"yes,no" unit:"word"`
+	Retries    Retries   `yaml:"retries"`
+	Drain      Drain     `yaml:"drain"`
+	Load       HeavyLoad `yaml:"load"`
+	Log        Log       `yaml:"log"`
 }
 
 // Listeners are the addresses that a node listens on.
@@ -85,6 +86,14 @@
 	Extra int `yaml:"extra" default:"10" min:"0" max:"1000000" unit:"runs"`
 }
 
+// HeavyLoad switches the decisions under heavy load (docs/design/heavy-load.md). "no" makes
+// the node decide as it does for a lighter load.
+type HeavyLoad struct {
+	// ReturningLate counts the time since the first try of a caller that comes back
+	// after a refusal towards its latency target.
+	ReturningLate string `yaml:"returning_late" default:"yes" enum:"yes,no" unit:"word"`
+}
+
 // Drain limits the duration of a graceful stop.
 type Drain struct {
 	// Announce is how long new calls are accepted after the node has reported
