Refuse calls that would wait too long at every upstream

If the upstreams of a service were all busy, calls waited in their queues up to the deadline, were displaced by others, and were refused when their callers had no time left. A call whose expected wait exceeds 0.25 of its latency target at every upstream that was tried is now refused at once. Calls that upstreams make, calls without a latency target and downloads are left out.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -193,7 +193,7 @@
 
 // loadPolicy returns the decisions under heavy load that the settings switch on.
 func loadPolicy(l *settings.HeavyLoad) gateway.LoadPolicy {
-	return gateway.LoadPolicy{ReturningLate: l.ReturningLate == "yes", InnerFirst: l.InnerFirst == "yes"}
+	return gateway.LoadPolicy{ReturningLate: l.ReturningLate == "yes", InnerFirst: l.InnerFirst == "yes", QueueLimit: l.QueueLimit == "yes"}
 }
 
 const (
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -39,7 +39,7 @@
 	// for a slot may take while another upstream may be free.
 	maxWaitShare = 0.25
 	// maxMovesWithWaitLimit is the number of attempts that reached no upstream
-	// after which Attempt.MaxWait is removed, so that the next node queues the
+	// after which Attempt.MaxWait is relaxed, so that the next node queues the
 	// call.
 	maxMovesWithWaitLimit = 2
 )
@@ -192,6 +192,7 @@
 	lastRefusal       *Refusal        // of the previous attempt
 	failedResponse    *failedResponse // response with a server error; a retry may replace it
 	elapsed           time.Duration   // since the caller's first try
+	relaxed           bool            // relaxWaitLimit was called
 	queueTime         time.Duration
 	serviceTime       time.Duration
 	verdict           retry.Verdict
@@ -377,18 +378,17 @@
 	now := time.Since(g.startTime)
 	entries := g.View.Current().UpstreamNodes(c.attempt.Service)
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(entries) == 1 {
-		c.removeWaitLimit()
+		g.relaxWaitLimit(c)
 	}
 	choice, found := g.pick(c, entries, now)
-	if found == balance.NoUpstream && c.attempt.MaxWait > 0 {
-		c.removeWaitLimit()
+	if found == balance.NoUpstream && g.relaxWaitLimit(c) {
 		choice, found = g.pick(c, entries, now)
 	}
 	switch found {
 	case balance.NoUpstream:
 		return g.exhausted(c)
 	case balance.Busy:
-		c.removeWaitLimit()
+		g.relaxWaitLimit(c)
 	case balance.Overloaded:
 		r := newRefusal(model.Overloaded)
 		r.RetryAfter = overloadedRetryAfter/2 + rand.N(overloadedRetryAfter)
@@ -415,7 +415,7 @@
 func (g *Gateway) pick(c *call, entries []model.UpstreamNode, now time.Duration) (balance.Choice, balance.Result) {
 	return g.Picker.Pick(balance.Request{
 		Candidates: entries, From: g.Self.Location, Prefer: c.route.Prefer, Rank: c.attempt.Rank,
-		Service: c.attempt.Service, Route: c.attempt.Route, IgnoreBackoff: c.attempt.MaxWait == 0, Download: c.attempt.Download,
+		Service: c.attempt.Service, Route: c.attempt.Route, IgnoreBackoff: c.attempt.MaxWait == 0 || c.relaxed, Download: c.attempt.Download,
 		Exclude: c.excludedNodes, Now: now, Seed: rand.Uint64(),
 	})
 }
@@ -431,13 +431,16 @@
 	g.Picker.BackOff(choice, c.attempt.Service, c.attempt.Route, excess, now, rand.Float64())
 }
 
-// removeWaitLimit lets every node queue the call, including nodes that refused
-// it because another upstream might run it sooner.
-func (c *call) removeWaitLimit() {
-	if c.attempt.MaxWait > 0 {
-		c.attempt.MaxWait = 0
-		c.excludedNodes = nil
+// relaxWaitLimit replaces the limit of the expected wait, which applies while another
+// upstream may be free, by the one that applies at all of them. Every node may then
+// queue the call, including nodes that refused it because another upstream might run it
+// sooner. It reports whether the limit was not relaxed before.
+func (g *Gateway) relaxWaitLimit(c *call) bool {
+	if c.relaxed || c.attempt.MaxWait == 0 {
+		return false
 	}
+	c.relaxed, c.attempt.MaxWait, c.excludedNodes = true, g.queueLimit(c.route), nil
+	return true
 }
 
 const (
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -17,6 +17,24 @@
 	ReturningLate bool
 	// InnerFirst gives the calls that upstreams make the most urgent rank.
 	InnerFirst bool
+	// QueueLimit limits the expected wait of a call at all upstreams.
+	QueueLimit bool
+}
+
+// queueShare is the share of the latency target that the expected wait of a call may
+// take if every upstream is busy. The callers of calls that are refused at once come
+// back in time. With longer queues, simulations serve no more calls in target, and hold
+// many calls that are then refused.
+const queueShare = 0.25
+
+// queueLimit returns the limit of the expected wait of a call at all upstreams, 0 if only
+// the deadline limits it: the call of an upstream goes first, and the one that waits for
+// it would fail with it. Downloads have a limit of their own.
+func (g *Gateway) queueLimit(t *config.RouteState) time.Duration {
+	if !g.Load.QueueLimit || t.Inner || t.Download {
+		return 0
+	}
+	return time.Duration(queueShare * float64(t.TargetLatency))
 }
 
 // innerWeight is the factor of the weight of calls that upstreams make, among the calls
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -113,6 +113,9 @@
 	if c.verdict != "" {
 		f = append(f, zap.String("verdict", string(c.verdict)))
 	}
+	if c.relaxed && c.attempt.MaxWait > 0 {
+		f = append(f, zap.Duration("queue_limit", c.attempt.MaxWait), zap.Duration("expected_wait", r.ExpectedWait))
+	}
 	if r.Cause != nil {
 		f = append(f, zap.Error(r.Cause))
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -32,10 +32,14 @@
 const (
 	decisionReturning loadDecision = "returning_caller"
 	decisionInner     loadDecision = "call_of_upstream"
+	// decisionQueueLimit is a refusal because of queueLimit.
+	decisionQueueLimit loadDecision = "queue_limit"
 )
 
 // loadDecisions returns every decision under heavy load.
-func loadDecisions() []loadDecision { return []loadDecision{decisionReturning, decisionInner} }
+func loadDecisions() []loadDecision {
+	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit}
+}
 
 // statementKind is what a response states about its upstream.
 type statementKind string
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -35,6 +35,9 @@
 		r.Reason = model.CallerGone
 	}
 	g.Metrics.countRefusal(r.Reason)
+	if c.relaxed && c.attempt.MaxWait > 0 && r.Reason == model.Overloaded {
+		g.Metrics.countLoadDecision(decisionQueueLimit)
+	}
 	if r.Reason == model.CallerGone {
 		g.logRefusal(c, r, model.StatusCallerGone)
 		return
--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -63,7 +63,8 @@
 	due               time.Duration // after which the response misses the latency target
 	maxWait           time.Duration // limit of the expected wait of an attempt, 0 if there is none
 	budget            *retry.Budget
-	excluded          []model.NodeID // not picked again, unless removeWaitLimit clears it
+	relaxed           bool
+	excluded          []model.NodeID // not picked again, unless relaxWaitLimit clears it
 	retries           int
 	unreachedAttempts int
 	lostUpstreams     int
@@ -91,11 +92,15 @@
 	c.startAttempt()
 }
 
-// removeWaitLimit removes the limit of the expected wait. Every upstream may then
-// be tried again.
-func (c *call) removeWaitLimit() {
-	if c.maxWait > 0 {
-		c.maxWait, c.excluded = 0, nil
+// relaxWaitLimit replaces the limit of the expected wait by the one that applies at all
+// upstreams. Every upstream may then be tried again.
+func (c *call) relaxWaitLimit() {
+	if c.relaxed {
+		return
+	}
+	c.relaxed, c.maxWait, c.excluded = true, 0, nil
+	if c.kind.DownloadBytes == 0 && !c.kind.inner() {
+		c.maxWait = time.Duration(c.node.sim.policy.QueueShare * float64(c.kind.LatencyTarget))
 	}
 }
 
@@ -103,7 +108,7 @@
 	sim := c.node.sim
 	return c.node.picker.Pick(balance.Request{
 		Candidates: candidates, From: c.node.upstream.Location, Prefer: model.PreferZone, Rank: sim.rank(c.kind, c.team), Service: c.kind.Service,
-		Route: c.kind.Name, IgnoreBackoff: c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Exclude: c.excluded,
+		Route: c.kind.Name, IgnoreBackoff: c.relaxed || c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Exclude: c.excluded,
 		Now: sim.clock.now, Seed: sim.clock.rnd.Uint64(),
 	})
 }
@@ -112,11 +117,11 @@
 	sim := c.node.sim
 	candidates := c.node.candidates(c.kind.Service)
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(candidates) == 1 {
-		c.removeWaitLimit()
+		c.relaxWaitLimit()
 	}
 	choice, result := c.pick(candidates)
-	if result == balance.NoUpstream && c.maxWait > 0 {
-		c.removeWaitLimit()
+	if result == balance.NoUpstream && !c.relaxed {
+		c.relaxWaitLimit()
 		choice, result = c.pick(candidates)
 	}
 	switch result {
@@ -131,7 +136,7 @@
 		c.refuse(r)
 		return
 	case balance.Busy:
-		c.removeWaitLimit()
+		c.relaxWaitLimit()
 	case balance.Overloaded:
 		r := unreachedRefusal(model.Overloaded)
 		r.retryAfter = overloadedRetryAfter/2 + sim.clock.uniform(overloadedRetryAfter)
--- a/pkg/play/play_test.go
+++ b/pkg/play/play_test.go
@@ -180,3 +180,20 @@
 		t.Errorf("audits earned %.3f of their worth, all kinds %.3f", audits, with.EarnedShare)
 	}
 }
+
+// Load: all upstreams of a service are busy for seconds. Guards against calls that wait
+// in a queue and are then refused, when their callers have no time left to come back.
+func TestCallsAreRefusedAtOnceOrServed(t *testing.T) {
+	with, without := heavyRun(t, "calls wait up to their deadline", 18*time.Second)
+	s := dispatchScenario()
+	a, b := s.ChargedShare(&with), s.ChargedShare(&without)
+	t.Logf("charged for holding refused calls: %.3f of the worth, without the decision %.3f", a, b)
+	if a > 0.5*b {
+		t.Errorf("%.3f of the worth was charged, want at most half of %.3f", a, b)
+	}
+	for kind, k := range with.Kinds {
+		if k < without.Kinds[kind]-0.02 {
+			t.Errorf("%s earned %.3f, want at least the %.3f with long queues", kind, k, without.Kinds[kind])
+		}
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -94,6 +94,9 @@
 	ReturningLate string `yaml:"returning_late" default:"yes" enum:"yes,no" unit:"word"`
 	// InnerFirst gives the calls that upstreams make the most urgent rank.
 	InnerFirst string `yaml:"inner_first" default:"yes" enum:"yes,no" unit:"word"`
+	// QueueLimit refuses calls whose expected wait is longer than a quarter of the
+	// latency target at all upstreams.
+	QueueLimit string `yaml:"queue_limit" default:"yes" enum:"yes,no" unit:"word"`
 }
 
 // Drain limits the duration of a graceful stop.
