--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -71,6 +71,9 @@
 	if team := c.teamName(); team != "" {
 		f = append(f, zap.String("team", team))
 	}
+	if c.elapsed > 0 {
+		f = append(f, zap.Duration("since_first_try", c.elapsed))
+	}
 	if len(c.triedNodes) > 0 {
 		at := g.View.Current().Position
 		f = append(f, zap.Any("asked", c.triedNodes), zap.Uint64("fleet_revision", uint64(at.Revision)), zap.Uint64("fleet_era", uint64(at.Era)),
@@ -110,6 +113,9 @@
 	if c.verdict != "" {
 		f = append(f, zap.String("verdict", string(c.verdict)))
 	}
+	if c.relaxed && c.attempt.MaxWait > 0 {
+		f = append(f, zap.Duration("queue_limit", c.attempt.MaxWait), zap.Duration("expected_wait", r.ExpectedWait))
+	}
 	if r.Cause != nil {
 		f = append(f, zap.Error(r.Cause))
 	}
--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/admission"
@@ -28,16 +29,18 @@
 
 // node is a node together with its upstream.
 type node struct {
-	sim       *simulation
-	index     int // among the upstreams of its service
-	upstream  model.UpstreamNode
-	zone      int
-	service   *Service
-	admission *admission.Core
-	picker    *balance.Picker
-	budgets   map[string]*retry.Budget // by service
-	queued    map[*admission.Waiter]*attempt
-	limits    admission.Limits
+	sim         *simulation
+	serial      int // among the upstreams of its service, across all zones
+	upstream    model.UpstreamNode
+	zone        int
+	service     *Service
+	drawnSpeed  float64 // 0 if speeds are assigned in turn
+	admission   *admission.Core
+	picker      *balance.Picker
+	budgets     map[string]*retry.Budget     // by service
+	callerTimes map[string]*retry.CallerTime // by request kind
+	queued      map[*admission.Waiter]*attempt
+	limits      admission.Limits
 	// startScheduled says that startQueued will run when the rate limit permits the
 	// next start.
 	startScheduled bool
@@ -51,8 +54,8 @@
 
 func newNode(sim *simulation, s *Service, zone, index int) *node {
 	n := &node{
-		sim: sim, index: index, zone: zone, service: s, picker: balance.NewPicker(),
-		budgets: make(map[string]*retry.Budget), queued: make(map[*admission.Waiter]*attempt), parts: make(map[*shaping.Part]*transfer),
+		sim: sim, serial: len(sim.upstreams[s.Name]), zone: zone, service: s, picker: balance.NewPicker(),
+		budgets: make(map[string]*retry.Budget), callerTimes: make(map[string]*retry.CallerTime), queued: make(map[*admission.Waiter]*attempt), parts: make(map[*shaping.Part]*transfer),
 		upstream: model.UpstreamNode{Node: model.NodeID(fmt.Sprint(s.Name, "-", zone, "-", index)), Service: s.Name, Location: location(zone)},
 	}
 	limits := admission.Limits{Slots: s.Slots}
@@ -62,6 +65,9 @@
 		}
 	}
 	n.limits = limits
+	if len(s.UpstreamsByZone) > 0 {
+		n.drawnSpeed = s.Speeds[sim.clock.rnd.IntN(len(s.Speeds))]
+	}
 	n.admission = admission.NewCore(limits)
 	if s.LinkMbps > 0 {
 		n.link = shaping.NewCore(s.LinkMbps * 1e6 / 8 * downloadLinkShare)
@@ -92,7 +98,7 @@
 		}
 		e.down = e.down || f.Down
 		// The upstreams of a service are numbered across all zones.
-		if float64(n.zone*n.service.UpstreamsPerZone+n.index) >= f.UpstreamShare*float64(n.sim.scenario.Zones*n.service.UpstreamsPerZone) {
+		if float64(n.serial) >= f.UpstreamShare*float64(len(n.sim.upstreams[n.service.Name])) {
 			continue
 		}
 		e.shedShare = max(e.shedShare, f.ShedShare)
@@ -106,6 +112,65 @@
 	return e
 }
 
+// candidates returns the upstreams of a service as the node knows them. Those that have
+// left count as unreachable.
+func (n *node) candidates(service string) []model.UpstreamNode {
+	all := n.sim.upstreams[service]
+	gone := n.sim.goneShare(service)
+	if gone == 0 {
+		return all
+	}
+	known := slices.Clone(all)
+	for i := range known {
+		if float64(len(all)-i) <= gone*float64(len(all)) {
+			known[i].State = model.Unreachable
+		}
+	}
+	return known
+}
+
+// goneShare returns the share of the upstreams of a service that have left.
+func (sim *simulation) goneShare(service string) float64 {
+	share := 0.0
+	for i := range sim.scenario.Faults {
+		if f := &sim.scenario.Faults[i]; f.Service == service && f.active(sim.clock.now) {
+			share = max(share, f.GoneShare)
+		}
+	}
+	return share
+}
+
+// callerTime returns what the node has learned about the callers of a request kind.
+func (n *node) callerTime(kind string) *retry.CallerTime {
+	t, ok := n.callerTimes[kind]
+	if !ok {
+		t = &retry.CallerTime{}
+		n.callerTimes[kind] = t
+	}
+	return t
+}
+
+// weight returns the weight of a request among those of its rank.
+func (sim *simulation) weight(k *RequestKind) int {
+	if k.inner() {
+		return max(sim.policy.InnerWeight, 1)
+	}
+	return 1
+}
+
+// rank returns the rank of a request: that of its team if the team has one, otherwise
+// that of its kind. Calls that upstreams make have the most urgent rank if the policy
+// has a weight for them.
+func (sim *simulation) rank(k *RequestKind, team int) model.Rank {
+	if k.inner() && sim.policy.InnerWeight > 0 {
+		return 0
+	}
+	if n := sim.scenario.urgentTeams; n > 0 && team > 0 && team%n == 0 {
+		return 0
+	}
+	return k.Rank
+}
+
 // updateRateLimit applies the rate limit that the upstream states now.
 func (n *node) updateRateLimit() {
 	limits, now := n.limits, n.sim.clock.now
@@ -123,10 +188,13 @@
 }
 
 func (n *node) speed() float64 {
-	if len(n.service.Speeds) == 0 {
+	switch {
+	case len(n.service.Speeds) == 0:
 		return 1
+	case n.drawnSpeed > 0:
+		return n.drawnSpeed
 	}
-	return n.service.Speeds[(n.zone*n.service.UpstreamsPerZone+n.index)%len(n.service.Speeds)]
+	return n.service.Speeds[n.serial%len(n.service.Speeds)]
 }
 
 // budget returns the node's retry budget for a service.
