Keep keys out of logs, retries and mixed fleets

A call whose key is withdrawn between two attempts gets 401 instead of the next attempt, or 502 if an earlier one may have run. A node of an earlier release refuses an attempt with a team with status 400, which now moves the call to another node. The log no longer quotes a malformed request, whose text may be a key. Ranks that only teams give to calls get the default floor.

A node of an earlier release passes on configurations without their teams. Such a copy does not replace a version with teams, and a complete copy of the same version replaces it.

--- a/pkg/config/configuration.go
+++ b/pkg/config/configuration.go
@@ -20,6 +20,10 @@
 	Callers  CallerLimits `json:"callers"`
 	// Teams are the teams whose keys are accepted. Without teams, calls need no key.
 	Teams []Team `json:"teams,omitempty"`
+	// TeamsUnknown says that the copy comes from a node of an earlier release, which
+	// leaves out the teams and which routes are public. A complete copy of the same
+	// version replaces it.
+	TeamsUnknown bool `json:"-"`
 }
 
 // Service is a service to which routes may send calls.
--- a/pkg/config/holder.go
+++ b/pkg/config/holder.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -34,11 +35,29 @@
 	return 0
 }
 
+// TeamsUnknown reports whether the configuration in force is a copy without its
+// teams.
+func (h *Holder) TeamsUnknown() bool {
+	s := h.current.Load()
+	return s != nil && s.TeamsUnknown
+}
+
+// replaces reports whether c is newer than the configuration in force, or the
+// complete copy of a version that is in force without its teams.
+func (h *Holder) replaces(c *Configuration) bool {
+	return c.Version > h.Version() || c.Version == h.Version() && h.TeamsUnknown() && !c.TeamsUnknown
+}
+
 // Offer puts c in force if it is newer than the configuration in force and has
-// no fault. It reports whether it did so; the error is a *Fault. The caller must
-// not change c afterwards.
+// no fault. A complete copy also replaces one of the same version without its teams,
+// and a copy without its teams does not replace a version that has some. Offer
+// reports whether it put c in force; the error is a *Fault. The caller must not
+// change c afterwards.
 func (h *Holder) Offer(c *Configuration) (bool, error) {
-	if c.Version <= h.Version() {
+	if !h.replaces(c) {
+		return false, nil
+	}
+	if s := h.Current(); c.TeamsUnknown && s != nil && s.HasTeams() {
 		return false, nil
 	}
 	s, err := Compile(c)
@@ -47,10 +66,11 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if c.Version <= h.Version() {
+	if !h.replaces(c) {
 		return false, nil
 	}
 	h.current.Store(s)
+	h.recent = slices.DeleteFunc(h.recent, func(r *Configuration) bool { return r.Version == c.Version })
 	h.recent = append(h.recent, c)
 	if len(h.recent) > recentVersions {
 		h.recent = h.recent[len(h.recent)-recentVersions:]
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -340,6 +340,9 @@
 		if !g.pause(c, delay) {
 			return g.deliverFailedResponse(c, newRefusal(endedReason(c.ctx)))
 		}
+		if r := g.recheckKey(c); r != nil {
+			return g.deliverFailedResponse(c, r)
+		}
 	}
 }
 
--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -200,7 +200,7 @@
 }
 
 // limits returns the slots and the rate limit of a boot, and the floors of the
-// ranks that have a route to its service.
+// ranks that have a route to its service, or that teams give to its calls.
 func (l *Local) limits(b *upstream.Boot) admission.Limits {
 	limits := admission.Limits{Slots: b.Slots}
 	if !l.stopping.Load() {
@@ -223,6 +223,14 @@
 			limits.Floors[r.Rank] = max(limits.Floors[r.Rank], floor)
 		}
 	}
+	if limits.Floors == [admission.Ranks]int{} {
+		return limits // without a route, no team calls the service
+	}
+	for i := range s.Teams {
+		if r := s.Teams[i].Rank; r != nil {
+			limits.Floors[*r] = max(limits.Floors[*r], defaultRankFloor)
+		}
+	}
 	return limits
 }
 
--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"regexp"
 	"sync/atomic"
 	"time"
 
@@ -177,12 +178,23 @@
 			g.Metrics.countRefusal(faultReason(f))
 		}
 		if dropped, ok := g.callLog.decisions.allow(); ok {
-			g.callLog.Info("request could not be read", zap.String("from", side), zap.Stringer("remote", remote),
-				zap.String("fault", string(f)), zap.Int64("lines_left_out", dropped), zap.Error(err))
+			fields := []zap.Field{zap.String("from", side), zap.Stringer("remote", remote), zap.String("fault", string(f)), zap.Int64("lines_left_out", dropped)}
+			if err != nil {
+				fields = append(fields, zap.String("error", withoutQuotes(err)))
+			}
+			g.callLog.Info("request could not be read", fields...)
 		}
 	}
 }
 
+var quoted = regexp.MustCompile(`"(?:[^"\\]|\\.)*"?`)
+
+// withoutQuotes returns the text of an error without what it quotes. The error of a
+// malformed request quotes the line, which may contain a key.
+func withoutQuotes(err error) string {
+	return quoted.ReplaceAllString(err.Error(), `"..."`)
+}
+
 func faultReason(f h1.Fault) model.Reason {
 	switch f {
 	case h1.HeadTooLarge:
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -13,14 +13,15 @@
 	"github.com/lentilflow/lentilflow/pkg/problem"
 )
 
-// refusalStatus returns a status that agrees with the run state: 503 states
-// that the request has not run and will not run, 502 and 504 state neither.
+// refusalStatus returns a status that agrees with the run state: 503, 429, 408 and
+// 401 state that the request has not run and will not run, 502 and 504 state neither.
 func refusalStatus(reason model.Reason, run model.RunState) int {
 	s := reason.Status()
 	switch {
 	case run == model.NotRun && (s == http.StatusBadGateway || s == http.StatusGatewayTimeout):
 		return http.StatusServiceUnavailable
-	case run != model.NotRun && (s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests || s == http.StatusRequestTimeout):
+	case run != model.NotRun && (s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests ||
+		s == http.StatusRequestTimeout || s == http.StatusUnauthorized):
 		return http.StatusBadGateway
 	}
 	return s
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -134,7 +134,9 @@
 	}
 	attemptID, end := r.beginAttempt(address)
 	defer end()
-	o := att.outgoing(func(_ int, h http.Header, _ bool) bool { return h.Get(headerAttempt) == attemptID },
+	o := att.outgoing(func(status int, h http.Header, _ bool) bool {
+		return h.Get(headerAttempt) == attemptID || att.Team != "" && r.lacksTeams(status, h)
+	},
 		h1.Field{Name: headerCall, Value: f.String()}, h1.Field{Name: headerAttempt, Value: attemptID})
 	o.DialTimeout = dialTimeout(f.remaining)
 	if s, ok := r.statements.get(address); ok {
@@ -148,6 +150,11 @@
 		cancel()
 		return nil, refusal
 	}
+	if att.Team != "" && r.lacksTeams(a.Status, a.Header) {
+		discard(a)
+		cancel()
+		return nil, &Refusal{Reason: model.UpstreamUnreachable, RunState: model.NotRun, Unreached: true, Cause: errEarlierRelease}
+	}
 	if text := a.Header.Get(headerRefusal); text != "" {
 		discard(a)
 		cancel()
@@ -175,6 +182,17 @@
 	return res, nil
 }
 
+// errEarlierRelease means that a node does not understand attempts with a team.
+var errEarlierRelease = errors.New("node of an earlier release does not accept calls with a team")
+
+// lacksTeams reports whether a response to an attempt with a team is that of a node
+// of an earlier release, which refuses the 12th word of Lentilflow-Call with status
+// 400 before it runs anything, and does not state the attempt. An upstream that
+// responds at the address of a former node signs its responses.
+func (r *Remote) lacksTeams(status int, h http.Header) bool {
+	return status == http.StatusBadRequest && h.Get(headerAttempt) == "" && h.Get(r.Names.Signature) == "" && h.Get(r.Names.RequestID) == ""
+}
+
 // errNotFromNode means that a response was not sent by a node.
 var errNotFromNode = errors.New("response lacks a valid Lentilflow-Answer or Lentilflow-Refusal field")
 
--- a/pkg/gateway/team.go
+++ b/pkg/gateway/team.go
@@ -39,6 +39,7 @@
 	keyRepeated  keyFault = "several Authorization fields"
 	keyNotBearer keyFault = "the Authorization field is not Bearer and a key"
 	keyUnknown   keyFault = "no team has the key"
+	keyWithdrawn keyFault = "the key was withdrawn before the next attempt"
 )
 
 // bearerKey returns the key in the values of Authorization, or why there is none.
@@ -115,6 +116,25 @@
 	return nil
 }
 
+// recheckKey refuses the next attempt of a call if the version now in force lacks its
+// key. The versions between may have lacked it for as long as the call has run. A
+// call whose key moved to another team keeps the team that it began with.
+func (g *Gateway) recheckKey(c *call) *Refusal {
+	s := g.Config.Current()
+	if c.team() == nil || c.route.Public || s.Version == c.version || !s.HasTeams() {
+		return nil
+	}
+	if _, ok := s.TeamOfDigest(c.identity.digest); ok {
+		return nil
+	}
+	req := c.x.Request
+	if t, ok := s.Match(req.Method, req.Host, req.URL.Path); ok && t.Public {
+		return nil
+	}
+	c.identity.fault = keyWithdrawn
+	return newRefusal(model.UnknownKey)
+}
+
 // setTeam replaces the name of a team that a request states by team, or removes it
 // if team is "". It also removes a key.
 func (n *HeaderNames) setTeam(h http.Header, team string) {
--- a/pkg/gateway/team_test.go
+++ b/pkg/gateway/team_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -9,16 +10,23 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/lentilflow/lentilflow/pkg/admission"
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/quota"
+	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
 // testKeys are the keys of the teams in the tests of this package, by team. They
@@ -374,3 +382,192 @@
 		is.Equal(q.asked, []string{"bozi"})
 	}
 }
+
+// Guards against a call that is sent again with a key that was withdrawn after its
+// first attempt. The refusal says that the call has not run only if that is true, and
+// a route that the new version makes public needs no key.
+func TestWithdrawnKeyEndsRetries(t *testing.T) {
+	withdrawn, public := teamConfiguration(2, "other"), teamConfiguration(2, "other")
+	public.Routes[0].Public = true
+	for name, c := range map[string]struct {
+		first  action
+		next   *config.Configuration
+		status int
+	}{
+		"withdrawn, not run":      {sheds, withdrawn, http.StatusUnauthorized},
+		"withdrawn, may have run": {runsAndCloses, withdrawn, http.StatusBadGateway},
+		"still valid":             {sheds, teamConfiguration(2, "bozi"), http.StatusOK},
+		"now public":              {sheds, public, http.StatusOK},
+		"now without teams":       {sheds, teamConfiguration(2), http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTeamCluster(t, teamConfiguration(1, "bozi"), func(p *teamCluster) {
+				second := newTestNodeBeside("second", p.remotes, p.remote.upstream, "127.0.0.1:0", "127.0.0.1:0", injectedFault{})
+				second.start()
+				t.Cleanup(second.end)
+				p.caller.gateway.View.Replace([]fleet.Member{p.caller.member, p.remote.member, second.member}, follow.At(2), time.Now())
+			})
+			p.remote.upstream.enqueue(c.first)
+			p.remote.upstream.setDelay(100 * time.Millisecond)
+			go func() {
+				time.Sleep(50 * time.Millisecond)
+				p.offer(t, c.next)
+			}()
+			status, _, body := get(t, p.caller.address, "/key/", "Authorization: Bearer "+testKey("bozi"))
+			is.Equal(status, c.status)
+			is.Equal(strings.Contains(body, `"run":"not_run"`), status == http.StatusUnauthorized)
+			is.True(!strings.Contains(p.upstream.String()+p.atRemote.String()+body, keyMark))
+		})
+	}
+}
+
+// Guards requests on one connection that is kept open, also pipelined ones: each is
+// decided by the version in force when its turn comes.
+func TestWithdrawnKeyOnOpenConnection(t *testing.T) {
+	is := is.New(t)
+	p := newTeamCluster(t, teamConfiguration(1, "bozi"), nil)
+	p.remote.upstream.setDelay(100 * time.Millisecond)
+	nc, err := net.Dial("tcp", p.caller.address)
+	is.NoErr(err)
+	defer func() { _ = nc.Close() }()
+	send := func(method, team string) {
+		_, err := fmt.Fprintf(nc, "%s /key/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nAuthorization: Bearer %s\r\n\r\n", method, testKey(team))
+		is.NoErr(err)
+	}
+	br := bufio.NewReader(nc)
+	receive := func() int {
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		return resp.StatusCode
+	}
+	c := teamConfiguration(1, "bozi")
+	c.Version, c.Routes[0].Idempotent = 2, false // pipelined requests wait for their turn
+	p.offer(t, c)
+	send(http.MethodPost, "bozi")
+	send(http.MethodPost, "bozi") // waits until the first one has its response
+	time.Sleep(50 * time.Millisecond)
+	p.offer(t, teamConfiguration(3, "new"))
+	is.Equal(receive(), http.StatusOK)
+	is.Equal(receive(), http.StatusUnauthorized)
+	send(http.MethodGet, "bozi")
+	is.Equal(receive(), http.StatusUnauthorized)
+	send(http.MethodGet, "new")
+	is.Equal(receive(), http.StatusOK)
+}
+
+// Guards against a fleet with nodes of an earlier release, which answer attempts with
+// a team with status 400: these do not end the call, and calls without a team still
+// go there.
+func TestNodeOfEarlierReleaseDoesNotEndCall(t *testing.T) {
+	is := is.New(t)
+	var atOld atomic.Int64
+	old := &h1.Server{
+		Limits: func() h1.Limits { return h1.Limits{} }, OnFault: func(net.Addr, h1.Fault, error) {},
+		Handle: func(x *h1.Exchange) {
+			atOld.Add(1)
+			if words := strings.Fields(x.Request.Header.Get(headerCall)); len(words) != callWordsDownload {
+				_ = x.Reply(&h1.Reply{Status: http.StatusBadRequest})
+				return
+			}
+			_ = x.Reply(&h1.Reply{Status: http.StatusOK, Header: http.Header{
+				headerAttempt: {x.Request.Header.Get(headerAttempt)}, headerAnswer: {"upstream 0 1"}, testNames.Signature: {"1"},
+				testNames.RequestID: {x.Request.Header.Get(testNames.RequestID)},
+			}})
+		},
+	}
+	l := mustListen()
+	go func() { _ = old.Serve(l) }()
+	defer func() { _ = l.Close(); old.CloseAll() }()
+	member := fleet.Member{
+		Node: "old", Service: testService, CallAddress: l.Addr().String(), MessageAddress: "unused",
+		Location: model.Location{Region: "r", AvailabilityZone: "z"},
+	}
+	p := newTeamCluster(t, teamConfiguration(1, "bozi"), func(p *teamCluster) {
+		p.caller.gateway.View.Replace([]fleet.Member{p.caller.member, p.remote.member, member}, follow.At(2), time.Now())
+	})
+	for range 20 {
+		status, _, _ := get(t, p.caller.address, "/key/", "Authorization: Bearer "+testKey("bozi"))
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(atOld.Load() > 0)
+	is.Equal(len(p.upstream.arrivedFields(testNames.Team)), 20)
+	before := atOld.Load()
+	for range 50 {
+		status, _, _ := get(t, p.caller.address, "/public/")
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(atOld.Load() > before)
+}
+
+// Guards against an upstream at the address of a former node whose response counts as
+// the refusal of a node: the call may have run there.
+func TestUpstreamIsNoNodeOfEarlierRelease(t *testing.T) {
+	is := is.New(t)
+	r := &Remote{Names: testNames}
+	is.True(r.lacksTeams(http.StatusBadRequest, http.Header{}))
+	is.True(!r.lacksTeams(http.StatusBadRequest, http.Header{testNames.Signature: {"1"}}))
+	is.True(!r.lacksTeams(http.StatusBadRequest, http.Header{testNames.RequestID: {"1"}}))
+	is.True(!r.lacksTeams(http.StatusBadRequest, http.Header{headerAttempt: {"n/1"}}))
+	is.True(!r.lacksTeams(http.StatusServiceUnavailable, http.Header{}))
+}
+
+// Guards against a key in the log, in a metric or in a response: of calls that are
+// served, refused or retried, and of requests that cannot be read.
+func TestKeyIsNeitherLoggedNorReturned(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.DebugLevel)
+	registry := prometheus.NewRegistry()
+	p := newTeamCluster(t, teamConfiguration(1, "bozi"), func(p *teamCluster) {
+		for _, s := range []*testNode{p.caller, p.remote} {
+			s.gateway.Log, s.gateway.Local.Log = zap.New(core), zap.New(core)
+			s.gateway.callLog = newCallLog(zap.New(core))
+		}
+		p.caller.gateway.Metrics = NewMetrics(registry)
+	})
+	key := testKey("bozi")
+	responses := ""
+	for _, lines := range [][]string{
+		{"Authorization: Bearer " + key}, {"Authorization: Bearer " + testKey("nobody")}, {"Authorization: Basic " + key},
+		{"Authorization Bearer " + key}, {" Authorization: Bearer " + key}, {"Authorization : Bearer " + key},
+		{"Authorization: Bearer " + key + "\x01"}, {"Content-Length: " + key}, {"Transfer-Encoding: " + key},
+		{"Authorization: Bearer \"" + key}, {"Authorization: Bearer " + key, "Content-Length: 5"},
+	} {
+		p.remote.upstream.enqueue(sheds, runsAndCloses, answersMalformed)
+		nc, err := net.Dial("tcp", p.caller.address)
+		is.NoErr(err)
+		_, err = fmt.Fprintf(nc, "GET /key/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n\r\nAuthorization: Bearer %s\r\n\r\n", strings.Join(lines, "\r\n"), key)
+		is.NoErr(err)
+		is.NoErr(nc.(*net.TCPConn).CloseWrite())
+		text, err := io.ReadAll(nc)
+		is.NoErr(err)
+		responses += string(text)
+		_ = nc.Close()
+	}
+	families, err := registry.Gather()
+	is.NoErr(err)
+	is.True(logs.FilterMessage("request could not be read").Len() >= 5)
+	is.True(logs.FilterMessage("call refused").FilterField(zap.Stringer("key_digest", config.DigestOfKey(testKey("nobody")))).Len() == 1)
+	for _, e := range logs.All() {
+		if line := fmt.Sprint(e.Message, e.ContextMap()); strings.Contains(line, keyMark) {
+			t.Errorf("log line contains a key: %s", line)
+		}
+	}
+	for what, text := range map[string]string{"responses": responses, "metrics": fmt.Sprint(families), "upstream": p.upstream.String(), "remote node": p.atRemote.String()} {
+		if strings.Contains(text, keyMark) {
+			t.Errorf("%s contain a key: %s", what, text)
+		}
+	}
+}
+
+// Guards the floor of a rank that only a team gives to calls: they would starve.
+func TestRankOfTeamHasFloor(t *testing.T) {
+	is := is.New(t)
+	c := teamConfiguration(1, "bozi")
+	c.Teams[0].Rank = new(model.Rank(6))
+	c.Routes[0].Floor = 40
+	p := newTeamCluster(t, c, nil)
+	is.Equal(p.remote.gateway.Local.limits(&upstream.Boot{}).Floors, [admission.Ranks]int{3: 40, 6: defaultRankFloor})
+}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -96,31 +96,31 @@
 	// nil if that is not known.
 	StoreSilence func() time.Duration
 
-	startTime         time.Time
-	beaconTrigger     chan struct{}
-	compressMu        sync.Mutex
-	compressedVersion config.Version
-	compressedConfig  []byte
-	startNanos        int64
-	sequence          atomic.Uint64
-	storeUnavailable  atomic.Bool
-	settled           atomic.Bool
-	handedOver        sync.Map // of fleet.Member: the nodes to which the departures were handed over
-	syncTrigger       chan struct{}
-	catchUpTrigger    chan struct{}
-	configLag         catchup.Tracker
-	configSince       atomic.Pointer[time.Time] // when the version in force came into force at some node
-	fleetLag          catchup.Tracker
-	announcer         catchup.Announcer // of the version of the configuration
-	forwarder         catchup.Announcer // of a version that this node knows of and does not have
-	silence           silence
-	forwardsKnown     atomic.Bool // the next datagram states a version that this node does not have
-	mu                sync.Mutex
-	lastStates        map[model.NodeID]stateOrder
-	zone              *relay.Zone
-	zoneNodes         rankedNodes
-	pendingStates     []State                         // to be forwarded in the zone
-	zoneVersions      map[model.NodeID]config.Version // of the nodes of the zone that send beacons
+	startTime        time.Time
+	beaconTrigger    chan struct{}
+	compressMu       sync.Mutex
+	compressedFrom   *config.Configuration // from which compressedConfig was made
+	compressedConfig []byte
+	startNanos       int64
+	sequence         atomic.Uint64
+	storeUnavailable atomic.Bool
+	settled          atomic.Bool
+	handedOver       sync.Map // of fleet.Member: the nodes to which the departures were handed over
+	syncTrigger      chan struct{}
+	catchUpTrigger   chan struct{}
+	configLag        catchup.Tracker
+	configSince      atomic.Pointer[time.Time] // when the version in force came into force at some node
+	fleetLag         catchup.Tracker
+	announcer        catchup.Announcer // of the version of the configuration
+	forwarder        catchup.Announcer // of a version that this node knows of and does not have
+	silence          silence
+	forwardsKnown    atomic.Bool // the next datagram states a version that this node does not have
+	mu               sync.Mutex
+	lastStates       map[model.NodeID]stateOrder
+	zone             *relay.Zone
+	zoneNodes        rankedNodes
+	pendingStates    []State                         // to be forwarded in the zone
+	zoneVersions     map[model.NodeID]config.Version // of the nodes of the zone that send beacons
 }
 
 // stateOrder identifies the newest state that was received of a node. started
@@ -201,7 +201,7 @@
 	return Digest{
 		From: n.Self, Serving: n.Serving(), NeedsUpdate: n.needsUpdate(time.Now()),
 		ConfigVersion: n.Config.Version(), ConfigAge: n.configAge(time.Now()), FleetRevision: f.Position.Revision, FleetEra: f.Position.Era, MembersDigest: f.Digest,
-		RefusedDigest: n.Notices.RefusedDigest(), Started: n.startNanos, Sequence: n.sequence.Add(1),
+		TeamsUnknown: n.Config.TeamsUnknown(), RefusedDigest: n.Notices.RefusedDigest(), Started: n.startNanos, Sequence: n.sequence.Add(1),
 	}
 }
 
@@ -210,10 +210,10 @@
 func (n *Node) isolated() bool { return n.storeUnavailable.Load() && !n.hasHealthyRelay() }
 
 // needsUpdate reports whether this node requests updates from other nodes: it
-// is isolated, has no configuration, or has been behind another node for longer
-// than a read of the store takes.
+// is isolated, has no configuration or one without its teams, or has been behind
+// another node for longer than a read of the store takes.
 func (n *Node) needsUpdate(now time.Time) bool {
-	return n.isolated() || n.Config.Current() == nil || n.configLag.Lag(now).Known > configLagTimeout ||
+	return n.isolated() || n.Config.Current() == nil || n.Config.TeamsUnknown() || n.configLag.Lag(now).Known > configLagTimeout ||
 		n.fleetLag.Lag(now).Known > fleetLagTimeout
 }
 
@@ -230,12 +230,8 @@
 	n.applyDigestState(d)
 	f := n.View.Current()
 	u := Update{Digest: n.digestWith(f)}
-	if s := n.Config.Current(); d.NeedsUpdate && s != nil && s.Version > d.ConfigVersion {
-		if base := n.Config.Recent(d.ConfigVersion); base != nil {
-			u.ConfigurationChange = config.Diff(base, s.Configuration)
-		} else {
-			u.Configuration = n.compressConfiguration(s.Configuration)
-		}
+	if s := n.Config.Current(); d.NeedsUpdate && s != nil {
+		n.addConfiguration(&u, s.Configuration, &d)
 	}
 	if d.NeedsUpdate {
 		u.FleetChange, u.Nodes = n.fleetSince(f, d.fleetPosition())
@@ -250,6 +246,20 @@
 	return writeUpdate(c, &u)
 }
 
+// addConfiguration adds c to the update for the sender of d if it lacks c, as a change
+// if possible. A change of a copy without its teams would not result in c.
+func (n *Node) addConfiguration(u *Update, c *config.Configuration, d *Digest) {
+	if c.Version < d.ConfigVersion || c.Version == d.ConfigVersion && (!d.TeamsUnknown || c.TeamsUnknown) {
+		return
+	}
+	u.WithTeams = !c.TeamsUnknown
+	if base := n.Config.Recent(d.ConfigVersion); base != nil && !base.TeamsUnknown && !d.TeamsUnknown {
+		u.ConfigurationChange = config.Diff(base, c)
+	} else {
+		u.Configuration = n.compressConfiguration(c)
+	}
+}
+
 func (n *Node) handleCrash(c echo.Context) error {
 	var notice CrashNotice
 	if err := readMessage(c, &notice); err != nil || notice.Fingerprint == (crashguard.Fingerprint{}) || notice.Service == "" || len(notice.Service) > fleet.MaxNameBytes {
@@ -348,7 +358,7 @@
 		if err := decodeCompressed(u.Configuration, c); err != nil {
 			n.Log.Warn("configuration from another node cannot be decoded", zap.String("from", string(m.Node)), zap.Error(err))
 		} else {
-			n.applyConfiguration(c, string(m.Node))
+			n.applyConfiguration(c, u.WithTeams, string(m.Node))
 		}
 	}
 	n.applyFleet(&u, m.Node)
@@ -377,13 +387,18 @@
 		return
 	}
 	if c, ok := u.ConfigurationChange.Apply(s.Configuration); ok {
-		n.applyConfiguration(c, from)
+		n.applyConfiguration(c, u.WithTeams && !s.TeamsUnknown, from)
 	}
 }
 
 // applyConfiguration puts a configuration from another node in force if it is
-// newer.
-func (n *Node) applyConfiguration(c *config.Configuration, from string) {
+// newer. withTeams says that the copy is complete.
+func (n *Node) applyConfiguration(c *config.Configuration, withTeams bool, from string) {
+	c.TeamsUnknown = !withTeams
+	if !withTeams {
+		n.Log.Info("configuration from another node lacks its teams; that node is of an earlier release, or got it from one",
+			zap.String("from", from), zap.Uint64("version", uint64(c.Version)))
+	}
 	accepted, err := n.Config.Offer(c)
 	if err != nil {
 		n.Log.Error("configuration from another node was rejected", zap.String("from", from), zap.Error(err))
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -37,6 +37,9 @@
 	// whose store is available does not set it: it is about to read the same from
 	// there, and a whole configuration has the size of 500 digests.
 	NeedsUpdate bool `json:"lacks,omitempty"`
+	// TeamsUnknown says that the sender has ConfigVersion without its teams
+	// (config.Configuration.TeamsUnknown).
+	TeamsUnknown bool `json:"teams_unknown,omitempty"`
 	// Started is the start time of the sender in Unix nanoseconds. Sequence
 	// increases with each digest or state since that start. Both order the digests
 	// and states of a sender.
@@ -64,6 +67,10 @@
 	// ConfigurationChange is set instead of Configuration if the responding node
 	// still has the version of the requesting node.
 	ConfigurationChange *config.Change `json:"configuration_change,omitempty"`
+	// WithTeams says that Configuration or ConfigurationChange is complete. Nodes of
+	// earlier releases do not know teams; they leave out WithTeams, the teams, and
+	// which routes are public.
+	WithTeams bool `json:"with_teams,omitempty"`
 	// Nodes is the whole fleet, and FleetChange the changes since the position of
 	// the requesting node. One of them is set if that position is older.
 	Nodes       []fleet.Member `json:"nodes,omitempty"`
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -61,7 +61,7 @@
 func (n *Node) compressConfiguration(c *config.Configuration) []byte {
 	n.compressMu.Lock()
 	defer n.compressMu.Unlock()
-	if n.compressedVersion == c.Version {
+	if n.compressedFrom == c {
 		return n.compressedConfig
 	}
 	plain, err := json.Marshal(c)
@@ -75,7 +75,7 @@
 	if err != nil {
 		n.Log.Error("configuration cannot be sent to other nodes", zap.Uint64("version", uint64(c.Version)), zap.Error(err))
 	}
-	n.compressedVersion, n.compressedConfig = c.Version, body
+	n.compressedFrom, n.compressedConfig = c, body
 	return body
 }
 
