--- a/cmd/lentilctl/execute.go
+++ b/cmd/lentilctl/execute.go
@@ -10,6 +10,7 @@
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/explain"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/rules"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/status"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/teams"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/upstreams"
 )
 
@@ -25,6 +26,7 @@
 	Rules     rules.Command     `cmd:"" help:"Check, compare, replace and trace the rules file."`
 	Status    status.Command    `cmd:"" help:"Show which version is in force where, by region, availability zone and node."`
 	Upstreams upstreams.Command `cmd:"" help:"List the upstreams with their nodes and load."`
+	Teams     teams.Command     `cmd:"" aliases:"tenants" help:"List the teams with their limits and the digests of their keys, or print the digest of a key."`
 	Explain   explain.Command   `cmd:"" help:"Show which rule decides a call, who asked for it, and where the call would go."`
 }
 
--- a/cmd/lentilctl/explain/explain.go
+++ b/cmd/lentilctl/explain/explain.go
@@ -15,14 +15,15 @@
 type Command struct {
 	Method string `arg:"" help:"Method of the call, for example GET."`
 	URL    string `arg:"" help:"URL of the call, for example http://api.bertolucci.example/status/42."`
+	Team   string `help:"Team of the call: its name, or the digest of its key or at least the first eight digits of it, as the log shows them. Without it, the call has no key." placeholder:"NAME|DIGEST"`
 }
 
 // Run prints the route that the version in force selects for the call, why it is
-// selected, and the nodes of its upstreams.
+// selected, the team of the call with its limits, and the nodes of its upstreams.
 func (c *Command) Run(env *cli.Env) error {
 	ctx, cancel := env.RequestContext()
 	defer cancel()
-	x, err := env.Queries().Explain(ctx, c.Method, c.URL)
+	x, err := env.Queries().Explain(ctx, c.Method, c.URL, c.Team)
 	if err != nil {
 		return err
 	}
@@ -48,7 +49,11 @@
 		fmt.Fprintf(w, "asked by\t%s\n", r.AskedBy)
 	}
 	fmt.Fprintf(w, "match\tmethod %s, host %s, path %s\n", methods(r.Methods), r.Host, r.Prefix)
-	fmt.Fprintf(w, "rank\t%d\n", r.Rank)
+	if x.Caller == nil {
+		fmt.Fprintf(w, "rank\t%d\n", r.Rank)
+	} else {
+		writeCaller(w, x.Caller)
+	}
 	fmt.Fprintf(w, "timeout\t%s\n", r.Timeout)
 	if r.TargetLatency > 0 {
 		fmt.Fprintf(w, "target\t%s\n", r.TargetLatency)
@@ -64,6 +69,34 @@
 	}
 }
 
+// writeCaller writes the team of a call, its rank and its limits.
+func writeCaller(w io.Writer, c *operator.Caller) {
+	switch t := c.Team; {
+	case c.Refused():
+		fmt.Fprintln(w, "team\tnone has the key; the call is answered 401")
+	case t == nil:
+		fmt.Fprintln(w, "team\tnone; the route is public and needs no key")
+	case t.AskedBy != "":
+		fmt.Fprintf(w, "team\t%s, asked by %s\n", t.Name, t.AskedBy)
+	default:
+		fmt.Fprintf(w, "team\t%s\n", t.Name)
+	}
+	if t := c.Team; t != nil && t.Rank != nil {
+		fmt.Fprintf(w, "rank\t%d, of the team\n", c.Rank)
+	} else {
+		fmt.Fprintf(w, "rank\t%d\n", c.Rank)
+	}
+	switch t := c.Team; {
+	case t == nil:
+	case c.Limited:
+		fmt.Fprintf(w, "limit\t%g requests per second over all nodes, burst %g\n", t.Rate, t.Burst)
+	case t.Rate > 0:
+		fmt.Fprintln(w, "limit\tnone on this route, which is public")
+	default:
+		fmt.Fprintln(w, "limit\tnone")
+	}
+}
+
 // yesNo formats a boolean as the rules file does.
 func yesNo(b bool) string {
 	if b {
--- a/cmd/lentilctl/rules/put.go
+++ b/cmd/lentilctl/rules/put.go
@@ -11,6 +11,7 @@
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/operator"
+	"github.com/lentilflow/lentilflow/pkg/rules"
 )
 
 // Wait limits how long a command waits for the rules file that it has put to
@@ -61,6 +62,7 @@
 func put(env *cli.Env, file, text string, tag operator.Tag) (model.Version, error) {
 	ctx, cancel := env.RequestContext()
 	defer cancel()
+	warnOfMissingTeams(ctx, env, text)
 	version, faults, err := env.Commands().Put(ctx, file, text, tag)
 	if len(faults) > 0 {
 		writeFaults(env.Stderr, faults)
@@ -69,6 +71,18 @@
 	return version, err
 }
 
+// warnOfMissingTeams prints a warning to standard error if a rules file has no team and
+// the configuration in force has some, which the file removes with their keys.
+func warnOfMissingTeams(ctx context.Context, env *cli.Env, text string) {
+	f, _ := rules.Parse("", []byte(text))
+	if f == nil || len(f.Teams) > 0 {
+		return
+	}
+	if teams, err := env.Queries().Teams(ctx); err == nil && len(teams.Teams) > 0 {
+		env.Infof("warning: the file has no team, and version %d has %d; calls will need no key", teams.Version, len(teams.Teams))
+	}
+}
+
 // putOutcome is the result of a put or an edit. The numbers of nodes are 0 if the
 // command did not wait.
 type putOutcome struct {
--- a/pkg/model/rule.go
+++ b/pkg/model/rule.go
@@ -50,7 +50,20 @@
 	Retries       int           `json:"retries"`  // attempts after the first one
 	MaxInFlight   int           `json:"inflight"` // calls in flight per node, 0 means no limit
 	Prefer        Preference    `json:"prefer"`
+	Public        bool          `json:"public,omitempty"` // calls need no key of a team
 	AskedBy       string        `json:"asked_by"`         // who asked for the statement
 	Reason        string        `json:"reason,omitempty"` // why it was asked for
 	Line          int           `json:"line"`             // of the statement in the rules file, from 1
 }
+
+// Team is one "team" statement of the rules file.
+type Team struct {
+	Name    string   `json:"name"`
+	Rank    *Rank    `json:"rank,omitempty"`   // nil: the rank of the rule
+	Rate    float64  `json:"rate,omitempty"`   // requests per second over all nodes, 0 means no limit
+	Burst   float64  `json:"burst,omitempty"`  // requests by which the team may exceed its rate for a short time
+	Keys    []string `json:"keys"`             // digests of its keys, 64 hexadecimal digits each
+	AskedBy string   `json:"asked_by"`         // who asked for the statement
+	Reason  string   `json:"reason,omitempty"` // why it was asked for
+	Line    int      `json:"line"`             // of the statement in the rules file, from 1
+}
--- a/pkg/operator/queries.go
+++ b/pkg/operator/queries.go
@@ -200,14 +200,19 @@
 	// Rules explains the choice of the route. It is nil if the version in force
 	// has no rules file.
 	Rules *rules.Explanation `json:"rules,omitempty"`
+	// Caller says which team the call belongs to. It is nil if no route matches, or if
+	// the version in force has no teams.
+	Caller *Caller `json:"caller,omitempty"`
 	// Upstreams are the nodes of the upstreams of the route's services.
 	Upstreams []fleet.Member `json:"upstreams,omitempty"`
 }
 
 // Explain returns how the configuration in force handles a call with the given
-// method and URL. It returns ErrNoConfiguration if none is in force, and another
-// error if the URL is not absolute or the store cannot be read.
-func (q *Queries) Explain(ctx context.Context, method, address string) (Explanation, error) {
+// method and URL. team is the name of the team, or the digest of its key or at least
+// eight digits of that, or empty for a call without a key. Explain returns
+// ErrNoConfiguration if no configuration is in force, and another error if the URL is
+// not absolute, there is no such team, or the store cannot be read.
+func (q *Queries) Explain(ctx context.Context, method, address, team string) (Explanation, error) {
 	u, err := url.Parse(address)
 	if err != nil || u.Host == "" {
 		return Explanation{}, merry.Errorf("URL %q is not accepted (accepted: absolute URL, such as http://api.example/status/42)", address)
@@ -224,6 +229,10 @@
 	if err != nil {
 		return Explanation{}, err
 	}
+	caller, err := findTeam(s, team)
+	if err != nil {
+		return Explanation{}, err
+	}
 	explanation := Explanation{Version: c.Version}
 	if text, err := q.Version(ctx, c.Version); err == nil {
 		if f, faults := rules.Parse("rules", []byte(text.Text)); len(faults) == 0 {
@@ -236,6 +245,7 @@
 		return explanation, nil
 	}
 	explanation.Route = match.Route
+	explanation.Caller = explainCaller(s, match.Route, caller)
 	members, err := q.Store.Nodes(ctx)
 	if err != nil {
 		return explanation, err
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -10,13 +10,33 @@
 // check reports a file without statements and the faults that involve more than
 // one line.
 func (p *parser) check() {
-	if len(p.faults) == 0 && len(p.services) == 0 && len(p.rules) == 0 {
-		p.fault(1, "", "the file holds no statement", "service, rule")
+	if len(p.faults) == 0 && len(p.services) == 0 && len(p.rules) == 0 && len(p.teams) == 0 {
+		p.fault(1, "", "the file holds no statement", acceptedStatements)
 	}
 	p.checkServices()
 	p.checkRuleNames()
 	p.checkMatches()
 	p.checkFloors()
+	p.checkTeams()
+}
+
+// checkTeams reports teams with the name of an earlier one, and keys that are stated
+// twice.
+func (p *parser) checkTeams() {
+	lines, keys := make(map[string]int, len(p.teams)), make(map[string]int, len(p.teams))
+	for _, t := range p.teams {
+		p.checkUnique(lines, teamWord, t.value.Name, t.value.Line)
+		if !t.valid {
+			continue
+		}
+		for _, d := range t.value.Keys {
+			if first, ok := keys[d]; ok {
+				p.fault(t.value.Line, keyField, fmt.Sprintf("the key with the digest %s is already stated in line %d", shortDigest(d), first), "a key that is stated once")
+				continue
+			}
+			keys[d] = t.value.Line
+		}
+	}
 }
 
 func (p *parser) checkServices() {
--- a/pkg/rules/compile.go
+++ b/pkg/rules/compile.go
@@ -20,8 +20,18 @@
 			Name: r.Name, Host: r.Match.Host, Prefix: strings.TrimSuffix(r.Match.Path, "/") + "/", Methods: r.Match.Methods,
 			MatchSegments: true, Idempotent: r.Idempotent, Timeout: r.Deadline, TargetLatency: r.LatencyTarget, Rank: r.Rank,
 			MaxAttempts: r.Retries + 1, Split: []config.Share{{Service: r.Service, Weight: 1}},
-			Floor: r.Floor, Weight: r.Weight, MaxInFlight: r.MaxInFlight, Prefer: r.Prefer, AskedBy: r.AskedBy,
+			Floor: r.Floor, Weight: r.Weight, MaxInFlight: r.MaxInFlight, Prefer: r.Prefer, Public: r.Public, AskedBy: r.AskedBy,
 		})
 	}
+	for i := range f.Teams {
+		t := &f.Teams[i]
+		team := config.Team{Name: t.Name, Rank: t.Rank, Rate: t.Rate, Burst: t.Burst, AskedBy: t.AskedBy}
+		for _, digits := range t.Keys {
+			var d config.KeyDigest
+			_ = d.UnmarshalText([]byte(digits)) // Parse accepts valid digests only
+			team.Keys = append(team.Keys, d)
+		}
+		c.Teams = append(c.Teams, team)
+	}
 	return c
 }
--- a/pkg/rules/diff.go
+++ b/pkg/rules/diff.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -20,7 +22,7 @@
 // Change is one statement that differs between two files.
 type Change struct {
 	Kind      Kind          `json:"kind"`
-	Statement string        `json:"statement"` // "service" or "rule"
+	Statement string        `json:"statement"` // "service", "rule" or "team"
 	Name      string        `json:"name"`
 	Line      int           `json:"line"`     // in the newer file; in the older one if removed
 	AskedBy   string        `json:"asked_by"` // of the same line
@@ -106,13 +108,16 @@
 	if f == nil {
 		return nil
 	}
-	all := make([]entry, 0, len(f.Services)+len(f.Rules))
+	all := make([]entry, 0, len(f.Services)+len(f.Rules)+len(f.Teams))
 	for i := range f.Services {
 		all = append(all, serviceEntry(&f.Services[i]))
 	}
 	for i := range f.Rules {
 		all = append(all, ruleEntry(&f.Rules[i]))
 	}
+	for i := range f.Teams {
+		all = append(all, teamEntry(&f.Teams[i]))
+	}
 	return all
 }
 
@@ -126,7 +131,7 @@
 }
 
 func ruleEntry(r *model.Rule) entry {
-	methods, target, idempotent := "*", "none", "no"
+	methods, target, idempotent, public := "*", "none", "no", "no"
 	if len(r.Match.Methods) > 0 {
 		methods = strings.Join(r.Match.Methods, ",")
 	}
@@ -136,6 +141,9 @@
 	if r.Idempotent {
 		idempotent = "yes"
 	}
+	if r.Public {
+		public = "yes"
+	}
 	return entry{statement: "rule", name: r.Name, askedBy: r.AskedBy, reason: r.Reason, line: r.Line, fields: []FieldChange{
 		{Field: "method", After: methods},
 		{Field: "host", After: r.Match.Host},
@@ -150,11 +158,38 @@
 		{Field: "retries", After: fmt.Sprint(r.Retries)},
 		{Field: "inflight", After: fmt.Sprint(r.MaxInFlight)},
 		{Field: "prefer", After: string(r.Prefer)},
+		{Field: "public", After: public},
 		{Field: "asked by", After: r.AskedBy},
 		{Field: "reason", After: orNone(r.Reason)},
 	}}
 }
 
+func teamEntry(t *model.Team) entry {
+	rank := "none"
+	if t.Rank != nil {
+		rank = fmt.Sprint(*t.Rank)
+	}
+	keys := make([]string, len(t.Keys))
+	for i, d := range t.Keys {
+		keys[i] = shortDigest(d)
+	}
+	slices.Sort(keys) // their order has no meaning
+	return entry{statement: teamWord, name: t.Name, askedBy: t.AskedBy, reason: t.Reason, line: t.Line, fields: []FieldChange{
+		{Field: "rank", After: rank},
+		{Field: "rate", After: strconv.FormatFloat(t.Rate, 'f', -1, 64)},
+		{Field: "burst", After: strconv.FormatFloat(t.Burst, 'f', -1, 64)},
+		{Field: "keys", After: strings.Join(keys, ",")},
+		{Field: "asked by", After: t.AskedBy},
+		{Field: "reason", After: orNone(t.Reason)},
+	}}
+}
+
+// shortDigest returns the first digits of the digest of a key. They are enough to
+// tell all keys of a file apart.
+func shortDigest(digits string) string { return digits[:min(len(digits), shortDigestDigits)] }
+
+const shortDigestDigits = 16
+
 func orNone(s string) string {
 	if s == "" {
 		return "none"
--- a/pkg/rules/fields.go
+++ b/pkg/rules/fields.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"encoding/hex"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -18,6 +19,7 @@
 	maxWeight      = 1000    // relative to the other rules of the rank
 	maxRetries     = 5       // of one call
 	maxInFlight    = 100_000 // calls of one rule at one node
+	maxRate        = 1e6     // requests per second, and requests of a burst
 	// maxDuration is the longest target and deadline. It limits how long a call
 	// can occupy a slot.
 	maxDuration = 10 * time.Minute
@@ -62,6 +64,47 @@
 		return number(v, 0, maxInFlight, &r.MaxInFlight)
 	}},
 	{"prefer", false, "zone, region, any", setPrefer},
+	{"public", false, "yes, no", func(r *model.Rule, v string) bool {
+		r.Public = v == "yes"
+		return v == "yes" || v == "no"
+	}},
+}
+
+// keyField is the only field that a statement may state more than once.
+const keyField = "key"
+
+// digestPrefix precedes the digest of a key.
+const digestPrefix = "sha256:"
+
+var teamFields = []field[model.Team]{
+	{"rank", false, "a whole number from 0 (most urgent) to 7", func(t *model.Team, v string) bool {
+		var n int
+		ok := number(v, 0, int(model.MaxRank), &n)
+		t.Rank = new(model.Rank(n))
+		return ok
+	}},
+	{"rate", false, "a number from 0 (no limit) to 1000000", func(t *model.Team, v string) bool { return decimal(v, maxRate, &t.Rate) }},
+	{"burst", false, "a number from 0 to 1000000", func(t *model.Team, v string) bool { return decimal(v, maxRate, &t.Burst) }},
+	{keyField, true, "sha256: and 64 hexadecimal digits in lower case, as \"lentilctl teams digest\" prints", func(t *model.Team, v string) bool {
+		digits, found := strings.CutPrefix(v, digestPrefix)
+		t.Keys = append(t.Keys, digits)
+		return found && len(digits) == hex.EncodedLen(len(config.KeyDigest{})) && strings.Trim(digits, "0123456789abcdef") == ""
+	}},
+}
+
+// decimal parses decimal digits with an optional fraction. It rejects signs, leading
+// zeros and exponents.
+func decimal(v string, high float64, x *float64) bool {
+	whole, fraction, found := strings.Cut(v, ".")
+	if whole == "" || len(whole) > 1 && whole[0] == '0' || strings.Trim(whole+fraction, "0123456789") != "" || found && fraction == "" {
+		return false
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || f > high {
+		return false
+	}
+	*x = f
+	return true
 }
 
 // number parses decimal digits. It rejects signs and leading zeros, so that a
--- a/pkg/rules/file.go
+++ b/pkg/rules/file.go
@@ -14,6 +14,7 @@
 type File struct {
 	Services []model.Service // in file order
 	Rules    []model.Rule    // in file order
+	Teams    []model.Team    // in file order
 }
 
 // Fault is one error in a rules file. A file with any fault is rejected.
--- a/pkg/rules/parse.go
+++ b/pkg/rules/parse.go
@@ -27,6 +27,7 @@
 	faults   []Fault
 	services []parsed[model.Service]
 	rules    []parsed[model.Rule]
+	teams    []parsed[model.Team]
 }
 
 // parsed is a statement; valid says that its own line has no fault.
@@ -55,6 +56,9 @@
 	return p.file(), nil
 }
 
+// acceptedStatements are the words with which a statement starts.
+const acceptedStatements = "service, rule, team"
+
 // lines parses every line, up to MaxFaults faults.
 func (p *parser) lines(text []byte) {
 	line := 0
@@ -111,8 +115,10 @@
 		s.service(comment)
 	case "rule":
 		s.rule(comment)
+	case teamWord:
+		s.team(comment)
 	default:
-		p.fault(n, "", fmt.Sprintf("unknown statement %s", quote(words[0])), "service, rule")
+		p.fault(n, "", fmt.Sprintf("unknown statement %s", quote(words[0])), acceptedStatements)
 	}
 }
 
@@ -134,6 +140,7 @@
 	f := &File{
 		Services: make([]model.Service, len(p.services)),
 		Rules:    make([]model.Rule, len(p.rules)),
+		Teams:    make([]model.Team, len(p.teams)),
 	}
 	for i, s := range p.services {
 		f.Services[i] = s.value
@@ -141,6 +148,9 @@
 	for i, r := range p.rules {
 		f.Rules[i] = r.value
 	}
+	for i, t := range p.teams {
+		f.Teams[i] = t.value
+	}
 	return f
 }
 
--- a/pkg/rules/statement.go
+++ b/pkg/rules/statement.go
@@ -48,6 +48,29 @@
 	s.rules = append(s.rules, parsed[model.Rule]{value: v, valid: len(s.faults) == before})
 }
 
+// teamWord starts the statement of a team.
+const teamWord = "team"
+
+func (s statement) team(comment string) {
+	before := len(s.faults)
+	v := model.Team{Name: s.name(), Line: s.line}
+	parseFields(s, teamFields, &v)
+	if v.Burst > 0 && v.Rate == 0 {
+		s.fault(s.line, "burst", "a burst without a rate has no effect", "rate and burst, rate alone, or neither")
+	}
+	v.AskedBy, v.Reason = s.askedBy(comment)
+	s.teams = append(s.teams, parsed[model.Team]{value: v, valid: len(s.faults) == before})
+}
+
+// quoteWord formats a word of the statement for a message. In the statement of a team
+// the word may be a key, which is not shown.
+func (s statement) quoteWord(word string) string {
+	if s.words[0] == teamWord {
+		return "(not shown, as it may be a key)"
+	}
+	return quote(word)
+}
+
 const acceptedName = "1 to 63 characters of a-z, 0-9 and -"
 
 // name returns the name of the statement, or "" if it has no valid one.
@@ -87,7 +110,7 @@
 		name, value, found := strings.Cut(word, "=")
 		if !found {
 			if i > 0 {
-				s.fault(s.line, "", fmt.Sprintf("%s is not of the form field=value", quote(word)), fieldNames(fields))
+				s.fault(s.line, "", fmt.Sprintf("%s is not of the form field=value", s.quoteWord(word)), fieldNames(fields))
 			}
 			continue
 		}
@@ -106,15 +129,20 @@
 			continue
 		}
 		switch {
-		case seen[i]:
+		case seen[i] && name != keyField:
 			s.fault(s.line, name, fmt.Sprintf("field %s is stated twice", name), "one value")
 		case !f.set(t, value):
-			s.fault(s.line, name, fmt.Sprintf("value %s is not accepted", quote(value)), f.accepted)
+			if name != keyField {
+				value = quote(value)
+			} else {
+				value = s.quoteWord(value)
+			}
+			s.fault(s.line, name, fmt.Sprintf("value %s is not accepted", value), f.accepted)
 		}
 		seen[i] = true
 		return
 	}
-	s.fault(s.line, "", fmt.Sprintf("unknown field %s", quote(name)), fieldNames(fields))
+	s.fault(s.line, "", fmt.Sprintf("unknown field %s", s.quoteWord(name)), fieldNames(fields))
 }
 
 func fieldNames[T any](fields []field[T]) string {
