--- a/cmd/lentilctl/dev/dev.go
+++ b/cmd/lentilctl/dev/dev.go
@@ -83,7 +83,11 @@
 	}
 	store := cluster.StoreAddress()
 	fmt.Fprintf(w, "\nstore %s\n\ntry in another terminal:\n", store)
-	fmt.Fprintf(w, "  curl -i -H 'Host: %s' http://%s%s\n", d.Example.Host, cluster.Nodes()[0].Listeners.Calls, d.Example.Path)
+	calls := cluster.Nodes()[0].Listeners.Calls
+	fmt.Fprintf(w, "  curl -i -H 'Host: %s' -H 'Authorization: Bearer %s' http://%s%s\n", d.Example.Host, d.Example.Key, calls, d.Example.Path)
+	fmt.Fprintf(w, "  curl -i -H 'Host: %s' http://%s%s   # no key: 401\n", d.Example.Host, calls, d.Example.Path)
+	fmt.Fprintf(w, "  curl -i -H 'Host: %s' http://%s%s   # public\n", d.Example.Host, calls, d.Example.Public)
+	fmt.Fprintf(w, "  ./bin/lentilctl teams --store %s\n", store)
 	fmt.Fprintf(w, "  EDITOR='sed -i s/%s/%s/' ./bin/lentilctl rules edit --store %s\n", d.Example.Before, d.Example.After, store)
 	fmt.Fprintf(w, "  ./bin/lentilctl status --store %s\n\nCtrl-C stops the deployment.\n", store)
 }
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -214,6 +214,12 @@
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "lentilflow", Name: name, Help: help}, value))
 	}
 	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(a.configHolder.Version()) })
+	gauge("teams", "Teams in the configuration in force.", func() float64 {
+		if s := a.configHolder.Current(); s != nil {
+			return float64(len(s.Teams))
+		}
+		return 0
+	})
 	gauge("config_behind_seconds", "For how long another node has had a newer configuration than this one; 0 if none is known.", func() float64 { return a.gossip.ConfigLag().Total.Seconds() })
 	a.configLag = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: "lentilflow", Name: "config_lag_seconds", Help: "How late versions came into force, after the first node known to have them.", Buckets: lagBuckets,
@@ -254,7 +260,7 @@
 	lag := a.gossip.ConfigUpdated()
 	a.configLag.Observe(lag.Total.Seconds())
 	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source, zap.Duration("behind_for", lag.Total),
-		zap.Duration("known_for", lag.Known), zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
+		zap.Duration("known_for", lag.Known), zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)), zap.Int("teams", len(s.Teams)))
 	a.local.Reconfigure()
 	a.findUpstreamOnce.Do(func() { a.guard.Go("find upstream", a.local.DetectBoot) })
 	a.gateway.ReleaseIfReady()
--- a/pkg/devcluster/deployment.go
+++ b/pkg/devcluster/deployment.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/lentilflow/lentilflow/examples"
+	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/model"
 )
 
@@ -21,7 +22,7 @@
 	Services    []string
 	Slots       int    // of each upstream
 	Connections int    // that each upstream accepts
-	Rules       []byte // example rules file
+	Rules       []byte // example rules file, with teams
 	// Example is a call that the example rules file routes.
 	Example Example
 }
@@ -31,6 +32,9 @@
 type Example struct {
 	Host   string
 	Path   string
+	Team   string // whose call it is
+	Key    string // of the team
+	Public string // path of a call of the same host that needs no key
 	Before string // text in the rules file
 	After  string // text that replaces it
 }
@@ -42,8 +46,13 @@
 		Services:    []string{"acompanha", "agenda", "pecas"},
 		Slots:       15,
 		Connections: 130,
-		Rules:       examples.Bertolucci,
-		Example:     Example{Host: "api.bertolucci.example", Path: "/status/42", Before: "target=50ms", After: "target=40ms"},
+		Rules: withTeams(examples.Bertolucci, "catalogue",
+			team("salons", "", "salons-try-it-out", "Marina Costa: salon owners"),
+			team("depots", "rank=1 rate=5 burst=5 ", "depots-try-it-out", "Ana Prado: depot clerks")),
+		Example: Example{
+			Host: "api.bertolucci.example", Path: "/status/42", Team: "salons", Key: "salons-try-it-out", Public: "/catalogue/1",
+			Before: "target=50ms", After: "target=40ms",
+		},
 	},
 	{
 		Name:        "haneul",
@@ -51,11 +60,33 @@
 		Services:    []string{"catalog", "ordering", "engraving"},
 		Slots:       12,
 		Connections: 120,
-		Rules:       examples.Haneul,
-		Example:     Example{Host: "engraving.haneul.example", Path: "/designs/7", Before: "target=250ms", After: "target=240ms"},
+		Rules: withTeams(examples.Haneul, "catalog-images",
+			team("shops", "", "shops-try-it-out", "Jung Hana: shop managers"),
+			team("partners", "rank=3 rate=5 burst=5 ", "partners-try-it-out", "Lee Min-jun: resellers")),
+		Example: Example{
+			Host: "engraving.haneul.example", Path: "/designs/7", Team: "shops", Key: "shops-try-it-out", Public: "/images/1",
+			Before: "target=250ms", After: "target=240ms",
+		},
 	},
 }
 
+// withTeams returns a copy of a rules file in which a rule is public, with the
+// statements of teams at its end.
+func withTeams(text []byte, publicRule string, teams ...string) []byte {
+	lines := strings.Split(string(text), "\n")
+	for i, line := range lines {
+		if strings.HasPrefix(line, "rule "+publicRule+" ") {
+			lines[i] = strings.Replace(line, " idempotent=", " public=yes idempotent=", 1)
+		}
+	}
+	return []byte(strings.Join(lines, "\n") + "\n# Teams, with the digests of their keys.\n" + strings.Join(teams, ""))
+}
+
+// team returns the statement of a team. fields ends with a space unless it is empty.
+func team(name, fields, key, askedBy string) string {
+	return "team " + name + " " + fields + "key=sha256:" + config.DigestOfKey(key).Hex() + "   # " + askedBy + "\n"
+}
+
 // Find returns the deployment with the given name, or an error if there is none.
 func Find(name string) (Deployment, error) {
 	for _, d := range deployments {
