Test teams with real processes, and withdraw keys in the random soak

The soak's versions add and withdraw keys; callers use keys that are valid, withdrawn, not valid yet or unknown, and every response is compared with the teams of the version that decided it, every run with the key of its request. A 401 for a key that was withdrawn between two attempts now states that version.

The scan found that a folded line behind Host put a key into the log of a 404.

--- a/pkg/gateway/log.go
+++ b/pkg/gateway/log.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"regexp"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -121,11 +122,22 @@
 		}
 	}
 	if c.route == nil {
-		f = append(f, zap.String("host", c.x.Request.Host), zap.String("path", c.x.Request.URL.Path))
+		f = append(f, zap.String("host", loggedHost(c.x.Request.Host)), zap.String("path", c.x.Request.URL.Path))
 	}
 	g.callLog.Info("call refused", f...)
 }
 
+// loggedHost returns the host of a request for the log. A Host field that is no host
+// name or address may contain another line of the request, and so a key.
+func loggedHost(host string) string {
+	if strings.ContainsFunc(host, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("-._:[]", r)
+	}) {
+		return "(not a host name)"
+	}
+	return host
+}
+
 func (g *Gateway) logRetry(c *call, r *Refusal) {
 	dropped, ok := g.callLog.decisions.allow()
 	if !ok {
--- a/pkg/gateway/team.go
+++ b/pkg/gateway/team.go
@@ -131,7 +131,7 @@
 	if t, ok := s.Match(req.Method, req.Host, req.URL.Path); ok && t.Public {
 		return nil
 	}
-	c.identity.fault = keyWithdrawn
+	c.identity.fault, c.version = keyWithdrawn, s.Version // which has decided
 	return newRefusal(model.UnknownKey)
 }
 
--- a/pkg/gateway/team_test.go
+++ b/pkg/gateway/team_test.go
@@ -417,6 +417,7 @@
 			status, _, body := get(t, p.caller.address, "/key/", "Authorization: Bearer "+testKey("bozi"))
 			is.Equal(status, c.status)
 			is.Equal(strings.Contains(body, `"run":"not_run"`), status == http.StatusUnauthorized)
+			is.Equal(strings.Contains(body, `"version":2`), status != http.StatusOK) // it decided
 			is.True(!strings.Contains(p.upstream.String()+p.atRemote.String()+body, keyMark))
 		})
 	}
@@ -538,7 +539,7 @@
 		p.remote.upstream.enqueue(sheds, runsAndCloses, answersMalformed)
 		nc, err := net.Dial("tcp", p.caller.address)
 		is.NoErr(err)
-		_, err = fmt.Fprintf(nc, "GET /key/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n\r\nAuthorization: Bearer %s\r\n\r\n", strings.Join(lines, "\r\n"), key)
+		_, err = fmt.Fprintf(nc, "GET /key/ HTTP/1.1\r\nConnection: close\r\nHost: h\r\n%s\r\n\r\nAuthorization: Bearer %s\r\n\r\n", strings.Join(lines, "\r\n"), key)
 		is.NoErr(err)
 		is.NoErr(nc.(*net.TCPConn).CloseWrite())
 		text, err := io.ReadAll(nc)
--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -22,6 +22,7 @@
 	headerInstance  = "X-Instance-Id"
 	headerNotRun    = "X-Not-Executed"
 	headerCaller    = "X-Caller-Service"
+	headerTeam      = "X-Tenant"
 	headerRateLimit = "Server-Limit"
 	headerLeaving   = "Server-Leaving"
 	// HeaderFurther is a header field with a URL that the upstream requests
@@ -73,6 +74,8 @@
 	Method   string
 	Target   string // path and query, as received
 	Caller   string // service of the caller
+	Team     string // name of the team, "" without one
+	Header   http.Header
 	Body     string
 	Deadline string // time left to the deadline in milliseconds, as received
 	Start    time.Time
@@ -219,7 +222,7 @@
 	}
 	defer u.releaseSlot()
 	run := Run{
-		Boot: u.ID, ID: r.Header.Get(headerID), Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get(headerCaller),
+		Boot: u.ID, ID: r.Header.Get(headerID), Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get(headerCaller), Team: strings.Join(r.Header.Values(headerTeam), ","), Header: r.Header.Clone(),
 		Body: string(body), Deadline: r.Header.Get(headerDeadline), Start: time.Now(),
 	}
 	u.ledger.add(run)
--- a/test/soak_checks_test.go
+++ b/test/soak_checks_test.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		v, err := strconv.ParseUint(o.header.Get("Lentilflow-Version"), 10, 64)
-		key := fmt.Sprint(o.node, o.nonIdempotent, o.generation)
+		key := fmt.Sprint(o.node, o.nonIdempotent, o.changesKeys, o.generation) // one caller, which sends one request after the other
 		if err != nil {
 			continue
 		}
--- a/test/soak_configuration_test.go
+++ b/test/soak_configuration_test.go
@@ -20,6 +20,7 @@
 // held.
 func (s *soak) newestConfiguration() *config.Configuration {
 	c := baseConfiguration(s.version)
+	addTeams(c)
 	if s.version == 1 { // the first one
 		return c
 	}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -50,9 +50,10 @@
 //     bandwidth, blackholed in one direction, or cut within a stream.
 //   - Upstreams lose, truncate or repeat responses, fail, slow down, drain and
 //     restart, state a rate limit, and state that they leave.
-//   - Configurations follow each other quickly.
+//   - Configurations follow each other quickly. They add and withdraw keys of teams.
 //
-// Callers keep their connections. The responses that callers received are checked
+// Callers keep their connections. Some have keys that are withdrawn, not valid yet or
+// unknown, or none. The responses that callers received are checked
 // against the runs that the upstreams recorded in one ledger.
 //
 //	LENTILFLOW_SOAK_SEEDS=1-50 LENTILFLOW_SOAK_TIME=10s LENTILFLOW_SOAK_NODES=150 make soak
@@ -106,6 +107,8 @@
 type observed struct {
 	response
 	nonIdempotent bool
+	key, path     string // key is "" without one
+	changesKeys   bool   // sent by the caller that uses several keys
 	node          string
 	generation    int64 // of the node process, increased before each stop and after each end
 	sameProcess   bool  // the same process ran during the whole request
@@ -139,7 +142,7 @@
 		generations: make(map[string]*atomic.Int64), links: make(map[string]*links), busy: make(map[string]*atomic.Bool), drainTimes: make(map[string]time.Time),
 		limits: make(map[string]statedLimit), resumed: make(map[string]func()),
 	}
-	s.put(baseConfiguration(1))
+	s.put(s.newestConfiguration())
 	for range 3 { // a zone with relays
 		for _, service := range services {
 			s.addNode(zones[0], service)
@@ -162,7 +165,7 @@
 	for _, n := range s.nodes {
 		s.disturbances = append(s.disturbances, disturbance{node: n.name, to: time.Now()})
 	}
-	stop := s.startCallers()
+	stop, stopKeys := s.startCallers(), s.startKeyCallers(seed)
 	endRestores, endSilences := s.startRestores(seed), s.startSilences(seed)
 	duration := soakDuration
 	if text := os.Getenv("LENTILFLOW_SOAK_TIME"); text != "" {
@@ -185,9 +188,12 @@
 	})
 	s.awaitSameFleet(soakRecoveryTimeout)
 	stop()
+	stopKeys()
 	time.Sleep(500 * time.Millisecond) // requests whose callers gave up end
 	violations := checkSoak(s.observations, s.ledger.Runs(), s.drainTimes)
 	violations = append(violations, s.lagViolations()...)
+	violations = append(violations, checkKeys(s.observations, s.ledger.Runs())...)
+	violations = append(violations, s.keysInLogs()...)
 	violations = append(violations, checkLimits(s.ledger.Runs(), s.limits)...)
 	for _, violation := range append(violations, checkLeaving(s.observations, s.ledger.Runs())...) {
 		t.Error(violation)
@@ -229,12 +235,12 @@
 						return
 					default:
 					}
-					o := observed{nonIdempotent: nonIdempotent, node: n.name, generation: generation.Load(), sentAt: time.Now()}
+					o := observed{nonIdempotent: nonIdempotent, key: steadyTeam, path: "/status/1", node: n.name, generation: generation.Load(), sentAt: time.Now()}
+					method := http.MethodGet
 					if nonIdempotent {
-						o.response = caller.send(http.MethodPost, "/bookings/1", 2*time.Second)
-					} else {
-						o.response = caller.send(http.MethodGet, "/status/1", 2*time.Second)
+						method, o.path = http.MethodPost, "/bookings/1"
 					}
+					o.response = caller.send(method, o.path, 2*time.Second, bearer(steadyTeam)...)
 					o.receivedAt = time.Now()
 					o.sameProcess = generation.Load() == o.generation
 					s.mu.Lock()
@@ -399,7 +405,7 @@
 func (s *soak) allNodesServe() bool {
 	for _, n := range s.nodes {
 		c := newCaller(n)
-		r := c.send(http.MethodGet, "/status/1", time.Second)
+		r := c.send(http.MethodGet, "/status/1", time.Second, bearer(steadyTeam)...)
 		c.client.CloseIdleConnections()
 		if !r.served() {
 			return false
