--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -96,31 +96,31 @@
 	// nil if that is not known.
 	StoreSilence func() time.Duration
 
-	startTime        time.Time
-	beaconTrigger    chan struct{}
-	compressMu       sync.Mutex
-	compressedFrom   *config.Configuration // from which compressedConfig was made
-	compressedConfig []byte
-	startNanos       int64
-	sequence         atomic.Uint64
-	storeUnavailable atomic.Bool
-	settled          atomic.Bool
-	handedOver       sync.Map // of fleet.Member: the nodes to which the departures were handed over
-	syncTrigger      chan struct{}
-	catchUpTrigger   chan struct{}
-	configLag        catchup.Tracker
-	configSince      atomic.Pointer[time.Time] // when the version in force came into force at some node
-	fleetLag         catchup.Tracker
-	announcer        catchup.Announcer // of the version of the configuration
-	forwarder        catchup.Announcer // of a version that this node knows of and does not have
-	silence          silence
-	forwardsKnown    atomic.Bool // the next datagram states a version that this node does not have
-	mu               sync.Mutex
-	lastStates       map[model.NodeID]stateOrder
-	zone             *relay.Zone
-	zoneNodes        rankedNodes
-	pendingStates    []State                         // to be forwarded in the zone
-	zoneVersions     map[model.NodeID]config.Version // of the nodes of the zone that send beacons
+	startTime         time.Time
+	beaconTrigger     chan struct{}
+	compressMu        sync.Mutex
+	compressionSource *config.Configuration // from which compressedConfig was made
+	compressedConfig  []byte
+	startNanos        int64
+	sequence          atomic.Uint64
+	storeUnavailable  atomic.Bool
+	settled           atomic.Bool
+	handedOver        sync.Map // of fleet.Member: the nodes to which the departures were handed over
+	syncTrigger       chan struct{}
+	catchUpTrigger    chan struct{}
+	configLag         catchup.Tracker
+	configSince       atomic.Pointer[time.Time] // when the version in force came into force at some node
+	fleetLag          catchup.Tracker
+	announcer         catchup.Announcer // of the version of the configuration
+	forwarder         catchup.Announcer // of a version that this node knows of and does not have
+	silence           silence
+	forwardsKnown     atomic.Bool // the next datagram states a version that this node does not have
+	mu                sync.Mutex
+	lastStates        map[model.NodeID]stateOrder
+	zone              *relay.Zone
+	zoneNodes         rankedNodes
+	pendingStates     []State                         // to be forwarded in the zone
+	zoneVersions      map[model.NodeID]config.Version // of the nodes of the zone that send beacons
 }
 
 // stateOrder identifies the newest state that was received of a node. started
--- a/pkg/gossip/transport.go
+++ b/pkg/gossip/transport.go
@@ -61,7 +61,7 @@
 func (n *Node) compressConfiguration(c *config.Configuration) []byte {
 	n.compressMu.Lock()
 	defer n.compressMu.Unlock()
-	if n.compressedFrom == c {
+	if n.compressionSource == c {
 		return n.compressedConfig
 	}
 	plain, err := json.Marshal(c)
@@ -75,7 +75,7 @@
 	if err != nil {
 		n.Log.Error("configuration cannot be sent to other nodes", zap.Uint64("version", uint64(c.Version)), zap.Error(err))
 	}
-	n.compressedFrom, n.compressedConfig = c, body
+	n.compressionSource, n.compressedConfig = c, body
 	return body
 }
 
