Show operators the use of limits, and tell denied callers better when to return

lentilctl teams use sums what the nodes report: use, refusals, and the nodes that hold the share of each limit. Retry-After follows the number of nodes that the holder has denied a token, not the number of all nodes: a caller of one node of 18 was told 4.5 s for a limit of 5 a second.

--- a/cmd/lentilctl/teams/teams.go
+++ b/cmd/lentilctl/teams/teams.go
@@ -19,6 +19,7 @@
 // Command groups the subcommands for teams.
 type Command struct {
 	List   List   `cmd:"" default:"withargs" help:"List the teams of the version in force."`
+	Use    Use    `cmd:"" help:"List the teams with a limit, with their use, their refusals and the nodes that hold their share."`
 	Digest Digest `cmd:"" help:"Read a key from standard input and print its digest, for the field key of a team in the rules file."`
 }
 
--- a/pkg/devcluster/cluster.go
+++ b/pkg/devcluster/cluster.go
@@ -43,6 +43,9 @@
 	// nodes of a development deployment stop together.
 	drainAnnounce = 100 * time.Millisecond
 	drainFinish   = 3 * time.Second
+	// quotaOverage and quotaTolerance let teams with small limits use them whole.
+	quotaOverage   = 0.1
+	quotaTolerance = 20
 	// serviceTime is how long an upstream runs a request.
 	serviceTime = 5 * time.Millisecond
 	// pollInterval is the pause between two requests for the status while waiting.
@@ -236,6 +239,7 @@
 	}
 	s.Upstream = settings.Upstream{Service: service, Address: at(upstreamPort)}
 	s.Store.Address = settings.Address(address(c.StorePort))
+	s.Quota.Overage, s.Quota.Tolerance = quotaOverage, quotaTolerance
 	s.Drain = settings.Drain{Announce: settings.Duration(drainAnnounce), Finish: settings.Duration(drainFinish)}
 	return &s
 }
--- a/pkg/quota/client.go
+++ b/pkg/quota/client.go
@@ -97,6 +97,9 @@
 	answeredAt  time.Duration
 	deniedUntil time.Duration // 0 if the last answer was no denial
 	weight      weight        // of the holder that has answered, 0 if it does not know the team
+	// contenders is how many nodes the holder has promised a token before this one, when
+	// it has denied one last.
+	contenders float64
 }
 
 // asker sends asks. If this node is the holder itself, it returns the answer.
@@ -252,9 +255,14 @@
 	return Decision{Exceeded, min(t.refusedUntil-now, maxRetryAfter)}
 }
 
-// tokenRate returns the tokens per second that this node may expect.
+// tokenRate returns the tokens per second that this node may expect: what it got lately,
+// or its part if the nodes that were denied a token get the same.
 func (t *teamState) tokenRate() float64 {
-	return max(t.grantRate, t.limit.Rate/float64(t.nodes), minRate)
+	contenders := 1.0
+	for i := range t.areas {
+		contenders = max(contenders, t.areas[i].contenders)
+	}
+	return max(t.grantRate, t.limit.Rate/min(contenders, float64(t.nodes)), minRate)
 }
 
 // fail returns the decision on a request that has waited for too long or cannot wait:
@@ -417,6 +425,7 @@
 			a.weight = 0
 		}
 		if int(g.granted) < p.wanted {
+			a.contenders = g.retry.Seconds() * t.limit.Rate * float64(holderWeight) / float64(unit)
 			if i > 0 {
 				g.retry = max(g.retry, t.holdOff())
 			}
--- a/pkg/quota/weight.go
+++ b/pkg/quota/weight.go
@@ -17,6 +17,9 @@
 // classOf returns the class of a team.
 func classOf(team uint64) uint8 { return uint8(team>>56) % Classes }
 
+// ClassOf returns the class of the team with the given name, from 0 to Classes-1.
+func ClassOf(name string) int { return int(classOf(Hash(name))) }
+
 // score orders nodes as holders of a class, by rendezvous hashing.
 func score(class uint8, node uint64) uint64 {
 	// The finalizer of splitmix64, which mixes all bits of its input.
