Settle joining nodes while others join, and play the soak with a limited team

Holders report which nodes count a joining node, by the fleets that they have known themselves, instead of which nodes know exactly the same fleet. A node that may use its weight delegates it at once.

--- a/pkg/agent/quota.go
+++ b/pkg/agent/quota.go
@@ -28,6 +28,9 @@
 	// quotaLogInterval is the shortest time between two log lines about refused requests
 	// of teams.
 	quotaLogInterval = 10 * time.Second
+	// quotaChangeInterval is the time between two checks whether the share of the node has
+	// changed, for the log.
+	quotaChangeInterval = time.Second
 	// maxNamedTeams is the number of teams that have metrics of their own: those with
 	// the highest limits.
 	maxNamedTeams = 20
@@ -133,23 +136,36 @@
 	return nil
 }
 
-// logQuotas logs the refusals of teams, all teams together in one line.
+// logQuotas logs the refusals of teams, all teams together in one line in
+// quotaLogInterval, and changes of the share that the node may use.
 func (a *Agent) logQuotas(ctx context.Context) error {
 	var last quota.Refusals
-	for ctx.Err() == nil {
-		sleep.For(ctx, quotaLogInterval)
+	var usable, settled bool
+	for nextRefusals := time.Now(); ctx.Err() == nil; {
+		sleep.For(ctx, quotaChangeInterval)
 		if !a.quotas.node.Limited() {
 			continue
 		}
-		now := a.quotas.node.Refusals()
-		exceeded, unavailable := now.Exceeded-last.Exceeded, now.Unavailable-last.Unavailable
-		last = now
-		if exceeded+unavailable > 0 {
-			s := a.quotas.node.State()
-			a.log.Info("requests beyond the limits of their teams, or whose limit was not available, were refused",
-				zap.Uint64("exceeded", exceeded), zap.Uint64("unavailable", unavailable), zap.String("most_refused_team", now.MostRefused),
-				zap.Float64("own_weight", s.Weight), zap.Bool("settled", s.Settled), zap.Float64s("holds", s.Holds))
+		s := a.quotas.node.State()
+		if (s.Weight > 0) != usable || s.Settled != settled {
+			usable, settled = s.Weight > 0, s.Settled
+			a.log.Info("share of this node in the limits of teams has changed", zap.Float64("weight", s.Weight), zap.Bool("settled", s.Settled),
+				zap.Int("nodes", s.Nodes))
+		}
+		if now := time.Now(); now.After(nextRefusals) {
+			last, nextRefusals = a.logRefusals(last, s), now.Add(quotaLogInterval)
 		}
 	}
 	return nil
 }
+
+// logRefusals logs the refusals since last, if there are any, and returns all.
+func (a *Agent) logRefusals(last quota.Refusals, s *model.QuotaState) quota.Refusals {
+	now := a.quotas.node.Refusals()
+	if exceeded, unavailable := now.Exceeded-last.Exceeded, now.Unavailable-last.Unavailable; exceeded+unavailable > 0 {
+		a.log.Info("requests beyond the limits of their teams, or whose limit was not available, were refused",
+			zap.Uint64("exceeded", exceeded), zap.Uint64("unavailable", unavailable), zap.String("most_refused_team", now.MostRefused),
+			zap.Float64("own_weight", s.Weight), zap.Bool("settled", s.Settled), zap.Float64s("holds", s.Holds))
+	}
+	return now
+}
--- a/pkg/quota/census.go
+++ b/pkg/quota/census.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -103,9 +105,6 @@
 	case c.since == 0:
 		c.since = now
 	}
-	if digest != c.digest {
-		clear(c.reports) // they compare with the fleet before
-	}
 	c.digest, c.present, c.loaded = digest, len(present), true
 }
 
@@ -152,16 +151,11 @@
 // isMember reports whether this node is in the fleet that it knows.
 func (c *census) isMember() bool { return c.since != 0 }
 
-// observe records the report of the holder of an area. fleet is what the request said
-// that it responds to.
-func (c *census) observe(area string, r report, fleet uint64, now time.Duration) {
-	if fleet == c.digest {
-		c.reports[area] = dated{r, now}
-	}
-}
+// observe records the report of the holder of an area.
+func (c *census) observe(area string, r report, now time.Duration) { c.reports[area] = dated{r, now} }
 
 // weight returns the share of every limit that this node is entitled to. It settles
-// the node if the reports of all areas show that every node knows the same fleet.
+// the node if the reports of all areas show that every node counts it.
 func (c *census) weight(now time.Duration) weight {
 	if !c.isMember() {
 		return 0
@@ -177,16 +171,16 @@
 		if now-r.at > c.reportLife {
 			continue
 		}
-		all.same ^= r.same
-		all.sameSettled += r.sameSettled
-		all.sames += r.sames
+		all.counting ^= r.counting
+		all.countingSettled += r.countingSettled
+		all.nodes += r.nodes
 		all.settled += r.settled
 	}
 	switch {
-	case all.same == c.digest:
+	case all.counting == c.digest:
 		c.settled = true
 	case all.settled == 0 && now-c.since >= bootstrapAfter:
-		c.settled = c.present-int(all.sames) <= max(1, c.present/bootstrapShare)
+		c.settled = c.present-int(all.nodes) <= max(1, c.present/bootstrapShare)
 	}
 	if c.settled {
 		return full
@@ -195,5 +189,42 @@
 	// The others may not know of it, and count as settled nodes that have given up
 	// nothing. No settled node is reported twice: a holder reports it after a lease, when
 	// the holder before no longer does.
-	return weight(uint64(full) * uint64(all.sameSettled) / uint64(max(n-1, int(all.sameSettled))))
+	return weight(uint64(full) * uint64(all.countingSettled) / uint64(max(n-1, int(all.countingSettled))))
+}
+
+const (
+	// knownFleets is the number of fleets that are remembered of each node that delegates,
+	// and keptFleets that of this node. While nodes join or leave, nodes know different
+	// fleets.
+	knownFleets = 3
+	keptFleets  = 8
+)
+
+// fleets are the last fleets that this node has known, the newest first. It is immutable.
+type fleets []knownFleet
+
+// knownFleet has the hashes of the nodes of a fleet, sorted.
+type knownFleet struct {
+	digest uint64
+	nodes  []uint64
+}
+
+// include reports whether the fleet with a digest is known and has a node.
+func (f fleets) include(digest, node uint64) bool {
+	for i := range f {
+		if f[i].digest == digest {
+			_, ok := slices.BinarySearch(f[i].nodes, node)
+			return ok
+		}
+	}
+	return false
+}
+
+// with returns the fleets with a new one. It returns f if that is the newest already.
+func (f fleets) with(digest uint64, present map[uint64]model.UpstreamNodeState) fleets {
+	if len(f) > 0 && f[0].digest == digest {
+		return f
+	}
+	next := fleets{{digest, slices.Sorted(maps.Keys(present))}}
+	return append(next, f[:min(len(f), keptFleets-1)]...)
 }
--- a/pkg/quota/datagram.go
+++ b/pkg/quota/datagram.go
@@ -99,12 +99,12 @@
 // report is what a holder knows about the nodes that send it requests of a class, for
 // a sender that is not settled.
 type report struct {
-	// same identifies the nodes that know the same fleet as the asker: the exclusive or
-	// of their hashes.
-	same uint64
-	// sames is their number, sameSettled that of the settled ones among them, and settled
-	// that of all settled nodes.
-	sames, sameSettled, settled uint16
+	// counting identifies the nodes that count the asker, because they know a fleet with
+	// it: the exclusive or of their hashes.
+	counting uint64
+	// nodes is their number, countingSettled that of the settled ones among them, and
+	// settled that of all settled nodes.
+	nodes, countingSettled, settled uint16
 }
 
 // Sizes of the encodings, in bytes.
@@ -154,9 +154,9 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(a.clock))
 	b = binary.BigEndian.AppendUint32(b, uint32(a.weight))
 	if a.flags&flagReport != 0 {
-		b = binary.BigEndian.AppendUint64(b, a.report.same)
-		b = binary.BigEndian.AppendUint16(b, a.report.sames)
-		b = binary.BigEndian.AppendUint16(b, a.report.sameSettled)
+		b = binary.BigEndian.AppendUint64(b, a.report.counting)
+		b = binary.BigEndian.AppendUint16(b, a.report.nodes)
+		b = binary.BigEndian.AppendUint16(b, a.report.countingSettled)
 		b = binary.BigEndian.AppendUint16(b, a.report.settled)
 	}
 	b = append(b, byte(len(a.teams)))
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -34,11 +34,10 @@
 	process   uint32
 	number    uint32 // of the newest request
 	weight    weight
-	until     time.Duration // of the weight
-	present   time.Duration // until when the node counts in reports
-	keep      time.Duration // until when number is needed to reject late requests
-	fleet     uint64
-	since     time.Duration // when the node has first sent fleet
+	until     time.Duration           // of the weight
+	present   time.Duration           // until when the node counts in reports
+	keep      time.Duration           // until when number is needed to reject late requests
+	fleets    [knownFleets]fleetSince // that the node has sent, the newest first
 	lease     time.Duration
 	unsettled bool
 	// unsettledProcess is the last process of the node that was not settled, 0 if it has
@@ -47,6 +46,32 @@
 	from             netip.AddrPort
 }
 
+// fleetSince is a fleet that a node has sent, and when it has first done so.
+type fleetSince struct {
+	digest uint64
+	since  time.Duration
+}
+
+// observeFleet records the fleet that the node knows.
+func (d *delegation) observeFleet(digest uint64, now time.Duration) {
+	if d.fleets[0].digest != digest {
+		copy(d.fleets[1:], d.fleets[:])
+		d.fleets[0] = fleetSince{digest, now}
+	}
+}
+
+// counts reports whether the node counts another one, and since when, as far as the
+// fleets that it has sent are known here.
+func (d *delegation) counts(other uint64, fleets fleets) (since time.Duration, ok bool) {
+	for _, f := range d.fleets {
+		if f.digest == 0 || !fleets.include(f.digest, other) {
+			break
+		}
+		since, ok = f.since, true
+	}
+	return since, ok
+}
+
 // observeSettled records whether the node calls itself settled. If it does although the
 // process before did not, it has read its own row and nobody else may know of it: then
 // it counts as not settled, and contradicted is true.
@@ -211,6 +236,7 @@
 	limits limits
 	bounds Bounds
 	areas  int
+	fleets fleets
 }
 
 // serve applies a request and fills in the answer: the weight, the grants, the report
@@ -237,7 +263,7 @@
 	}
 	if r.flags&flagUnsettled != 0 {
 		a.flags |= flagReport
-		a.report = c.report(r.fleet, now)
+		a.report = c.report(r.sender, t.fleets, now)
 	}
 }
 
@@ -250,15 +276,16 @@
 	}
 	d := c.delegations[r.sender]
 	if d == nil {
-		d = &delegation{process: r.process, number: r.number - 1, fleet: r.fleet, since: now}
+		d = &delegation{process: r.process, number: r.number - 1}
 		c.delegations[r.sender] = d
 	}
 	if d.process == r.process && int32(r.number-d.number) <= 0 {
 		return false // late or duplicated
 	}
-	if d.fleet != r.fleet || d.process != r.process {
-		d.fleet, d.since = r.fleet, now
+	if d.process != r.process {
+		d.fleets = [knownFleets]fleetSince{}
 	}
+	d.observeFleet(r.fleet, now)
 	before := d.weight
 	d.process, d.number, d.from, d.lease = r.process, r.number, from, r.lease
 	contradicted = d.observeSettled(r)
@@ -320,24 +347,25 @@
 // minRate bounds the time to the next token, in tokens per second.
 const minRate = 1.0 / 60
 
-// report returns what a node that is not settled needs to know. fleet is the one that
-// it knows. The mutex is held.
-func (c *class) report(fleet uint64, now time.Duration) (r report) {
+// report returns what the node asker, which is not settled, needs to know. The mutex is
+// held.
+func (c *class) report(asker uint64, known fleets, now time.Duration) (r report) {
 	for id, d := range c.delegations {
 		if d.present <= now {
 			continue
 		}
-		// A settled node has had more weight before it knew this fleet, and delegations of
-		// it may be valid for a lease.
-		same := d.fleet == fleet && (d.unsettled || now-d.since >= d.lease+margin(d.lease))
-		if same {
-			r.same ^= id
-			r.sames++
+		since, counting := d.counts(asker, known)
+		// A node had more weight before it counted the asker, and delegations of that may
+		// be valid for a lease.
+		counting = counting && (d.unsettled && d.weight == 0 || now-since >= d.lease+margin(d.lease))
+		if counting {
+			r.counting ^= id
+			r.nodes++
 		}
 		if !d.unsettled {
 			r.settled++
-			if same {
-				r.sameSettled++
+			if counting {
+				r.countingSettled++
 			}
 		}
 	}
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -70,7 +70,8 @@
 	fleetSize   atomic.Uint32
 	size        atomic.Uint32 // nodes that may have a weight
 	areaVersion atomic.Uint32
-	heardAt     atomic.Int64 // time of the last datagram of another node
+	fleets      atomic.Pointer[fleets] // that this node has known
+	heardAt     atomic.Int64           // time of the last datagram of another node
 	counters    counters
 
 	activeMu sync.Mutex
@@ -86,17 +87,16 @@
 	// usableAt is when this node may use its weight. What the process before has
 	// delegated may be valid for a lease after the start; and other nodes, which may
 	// know of more nodes than the first fleet has, need some time to say so.
-	usableAt    time.Duration
-	fleetNumber uint32 // of the first request with the current fleet
-	lastTick    time.Duration
-	nextRenew   time.Duration
-	nextProbe   time.Duration
-	nextSweep   time.Duration
-	draining    bool
-	left        bool
-	scratch     scratch
-	datagrams   [][]byte // to be sent when the mutex is released
-	receivers   []netip.AddrPort
+	usableAt  time.Duration
+	lastTick  time.Duration
+	nextRenew time.Duration
+	nextProbe time.Duration
+	nextSweep time.Duration
+	draining  bool
+	left      bool
+	scratch   scratch
+	datagrams [][]byte // to be sent when the mutex is released
+	receivers []netip.AddrPort
 }
 
 // scratch is memory of Handle, which is not called concurrently.
@@ -128,6 +128,7 @@
 		n.shards[i].teams = make(map[uint64]*teamState)
 	}
 	n.areaVersion.Store(1)
+	n.fleets.Store(&fleets{})
 }
 
 // SetFleet replaces the known nodes, which include this one once its row is known. It
@@ -145,6 +146,8 @@
 		n.usableAt = now + minLease
 	}
 	n.census.update(present, n.FirstStart, now)
+	known := n.fleets.Load().with(n.census.digest, present)
+	n.fleets.Store(&known)
 	n.nextRenew = 0
 	if n.routing.sameNodes(n.peers, peers) {
 		n.routing.setStates(peers)
@@ -159,7 +162,6 @@
 		n.lease = leaseOf(n.routing.areas[0].size)
 	}
 	n.census.reportLife = n.lease
-	n.fleetNumber = n.number.Load() + 1
 	if !slices.Equal(areas, n.routing.names()) {
 		n.areaVersion.Add(1)
 	}
@@ -280,11 +282,13 @@
 // respond. The mutex is held.
 func (n *Node) renew(now time.Duration) {
 	if r, ok := n.localReport(now); ok {
-		n.census.observe(n.routing.areas[0].name, r, n.census.digest, now)
+		n.census.observe(n.routing.areas[0].name, r, now)
 	}
 	n.size.Store(uint32(min(n.census.size(now), math.MaxUint16)))
+	before := n.weight
 	n.weight = n.ownWeight(now)
 	for class := range n.entitlements {
+		n.entitlements[class].urgent = n.entitlements[class].urgent || n.weight != before
 		n.renewClass(uint8(class), now)
 	}
 	if now < n.nextProbe {
@@ -310,7 +314,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(now)
-	return c.report(n.census.digest, now), true
+	return c.report(n.self, *n.fleets.Load(), now), true
 }
 
 // probe sends a request to candidates that do not respond, so that they are used again
@@ -390,7 +394,9 @@
 	n.holder.classes[r.class].serve(r, netip.AddrPort{}, true, n.terms(), now, &a)
 }
 
-func (n *Node) terms() terms { return terms{n.Limit, n.Bounds, int(n.areaCount.Load())} }
+func (n *Node) terms() terms {
+	return terms{n.Limit, n.Bounds, int(n.areaCount.Load()), *n.fleets.Load()}
+}
 
 // request prepares a request to another node and returns its number. The mutex is held.
 func (n *Node) request(k kind, class uint8, to *contact, flags uint8, w weight, teams []want, now time.Duration) uint32 {
@@ -549,7 +555,7 @@
 	} else if e.holder == a.sender && now >= e.until && n.weight > 0 && !draining {
 		n.request(kindDelegation, a.class, c, 0, n.weight, nil, now) // the first with an echo
 	}
-	if a.flags&flagReport != 0 && int32(a.number-n.fleetNumber) >= 0 {
+	if a.flags&flagReport != 0 {
 		n.observeReport(c, a, now)
 	}
 	return true
@@ -559,7 +565,7 @@
 func (n *Node) observeReport(c *contact, a *answer, now time.Duration) {
 	for i := range n.routing.areas {
 		if target, self := n.routing.target(0, i, !n.draining, now); !self && target == c && a.class == 0 {
-			n.census.observe(n.routing.areas[i].name, a.report, n.census.digest, now)
+			n.census.observe(n.routing.areas[i].name, a.report, now)
 			return
 		}
 	}
--- a/test/quota_test.go
+++ b/test/quota_test.go
@@ -68,7 +68,7 @@
 }
 
 // mostInWindow returns the largest number of requests that were sent and arrived at an
-// upstream in one window. A request that arrived at several counts as often.
+// upstream in one window. Of a request that arrived again, the first time counts.
 func (c *cluster) mostInWindow(requests []quotaRequest) int {
 	sent := make(map[string]time.Time, len(requests))
 	for _, r := range requests {
@@ -77,8 +77,9 @@
 	type interval struct{ from, to time.Time }
 	var runs []interval
 	for _, run := range c.ledger.Runs() {
-		if at, ok := sent[run.ID]; ok {
+		if at, ok := sent[run.ID]; ok { // the runs are in the order of their start
 			runs = append(runs, interval{at, run.Start})
+			delete(sent, run.ID)
 		}
 	}
 	most := 0
--- a/test/soak_teams_test.go
+++ b/test/soak_teams_test.go
@@ -69,6 +69,7 @@
 	for team, digests := range keys {
 		c.Teams = append(c.Teams, config.Team{Name: team, Keys: digests, Rank: new(model.Rank(len(digests)))})
 	}
+	addLimitedTeam(c)
 	for i := range c.Routes {
 		c.Routes[i].Public = strings.HasPrefix(publicPath, c.Routes[i].Prefix)
 	}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -53,7 +53,7 @@
 //   - Configurations follow each other quickly. They add and withdraw keys of teams.
 //
 // Callers keep their connections. Some have keys that are withdrawn, not valid yet or
-// unknown, or none. The responses that callers received are checked
+// unknown, or none. One team sends three times its limit. The responses that callers received are checked
 // against the runs that the upstreams recorded in one ledger.
 //
 //	LENTILFLOW_SOAK_SEEDS=1-50 LENTILFLOW_SOAK_TIME=10s LENTILFLOW_SOAK_NODES=150 make soak
@@ -165,7 +165,7 @@
 	for _, n := range s.nodes {
 		s.disturbances = append(s.disturbances, disturbance{node: n.name, to: time.Now()})
 	}
-	stop, stopKeys := s.startCallers(), s.startKeyCallers(seed)
+	stop, stopKeys, stopLimited := s.startCallers(), s.startKeyCallers(seed), s.sendAtRate(keyMark+limitedTeam, limitedSent)
 	endRestores, endSilences := s.startRestores(seed), s.startSilences(seed)
 	duration := soakDuration
 	if text := os.Getenv("LENTILFLOW_SOAK_TIME"); text != "" {
@@ -189,11 +189,13 @@
 	s.awaitSameFleet(soakRecoveryTimeout)
 	stop()
 	stopKeys()
+	limited := stopLimited()
 	time.Sleep(500 * time.Millisecond) // requests whose callers gave up end
 	violations := checkSoak(s.observations, s.ledger.Runs(), s.drainTimes)
 	violations = append(violations, s.lagViolations()...)
 	violations = append(violations, checkKeys(s.observations, s.ledger.Runs())...)
 	violations = append(violations, s.keysInLogs()...)
+	violations = append(violations, s.checkQuota(limited)...)
 	violations = append(violations, checkLimits(s.ledger.Runs(), s.limits)...)
 	for _, violation := range append(violations, checkLeaving(s.observations, s.ledger.Runs())...) {
 		t.Error(violation)
