--- a/pkg/quota/bench_test.go
+++ b/pkg/quota/bench_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -136,3 +137,24 @@
 		holder.Handle(datagram, from)
 	}
 }
+
+// BenchmarkSetFleet measures a change of the largest fleet, during which the mutex of the
+// node is held.
+func BenchmarkSetFleet(b *testing.B) {
+	n := testNode(b, nil)
+	var fleets [2][]Peer
+	for i := range 2800 {
+		p := Peer{
+			Name: model.NodeID(fmt.Sprint("node-", i)), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7600),
+			Location: model.Location{Region: model.Region(fmt.Sprint("region-", i%2)), AvailabilityZone: model.AvailabilityZone(fmt.Sprint("zone-", i%7))},
+		}
+		fleets[0] = append(fleets[0], p)
+		if i > 0 {
+			fleets[1] = append(fleets[1], p)
+		}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		n.SetFleet(fleets[i%2])
+	}
+}
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -151,12 +151,17 @@
 	n.nextRenew = 0
 	if n.routing.sameNodes(n.peers, peers) {
 		n.routing.setStates(peers)
-		n.peers = peers
-		return
+	} else {
+		n.setRoutes(peers)
 	}
+	n.peers = peers
+	n.updateWeight(now) // at once, because requests state the new fleet from now on
+}
+
+// setRoutes determines the areas and their holders from the fleet. The mutex is held.
+func (n *Node) setRoutes(peers []Peer) {
 	areas := n.routing.names()
 	n.routing.update(n.Location, peers)
-	n.peers = peers
 	n.lease = minLease
 	if len(n.routing.areas) > 0 {
 		n.lease = leaseOf(n.routing.areas[0].size)
@@ -278,17 +283,26 @@
 	return w
 }
 
+// updateWeight determines the weight that this node may delegate. If it has changed, it is
+// to be delegated anew. The mutex is held.
+func (n *Node) updateWeight(now time.Duration) {
+	n.size.Store(uint32(min(n.census.size(now), math.MaxUint16)))
+	before := n.weight
+	if n.weight = n.ownWeight(now); n.weight != before {
+		for class := range n.entitlements {
+			n.entitlements[class].urgent = true
+		}
+	}
+}
+
 // renew delegates the weight of this node in every class, and probes nodes that do not
 // respond. The mutex is held.
 func (n *Node) renew(now time.Duration) {
 	if r, ok := n.localReport(now); ok {
 		n.census.observe(n.routing.areas[0].name, r, now)
 	}
-	n.size.Store(uint32(min(n.census.size(now), math.MaxUint16)))
-	before := n.weight
-	n.weight = n.ownWeight(now)
+	n.updateWeight(now)
 	for class := range n.entitlements {
-		n.entitlements[class].urgent = n.entitlements[class].urgent || n.weight != before
 		n.renewClass(uint8(class), now)
 	}
 	if now < n.nextProbe {
@@ -546,7 +560,7 @@
 	n.census.hear(a.nodes, now)
 	if a.flags&flagNotSettled != 0 {
 		n.census.settled = false
-		n.weight = n.ownWeight(now)
+		n.updateWeight(now)
 	}
 	e := &n.entitlements[a.class]
 	if e.holder == a.sender && (draining && e.process == a.process || e.revoked != 0 && a.number == e.revoked) {
--- a/pkg/quota/routing.go
+++ b/pkg/quota/routing.go
@@ -124,9 +124,7 @@
 	for name, members := range byArea {
 		a := area{name: name, size: len(members), self: name == ownName}
 		for class := range a.order {
-			byScore := func(x, y *contact) int { return cmp.Compare(score(uint8(class), y.id), score(uint8(class), x.id)) }
-			ordered := slices.SortedFunc(slices.Values(members), byScore)
-			a.order[class] = slices.Clone(ordered[:min(len(ordered), candidates)])
+			a.order[class] = best(uint8(class), members)
 		}
 		r.areas = append(r.areas, a)
 	}
@@ -141,6 +139,26 @@
 	})
 }
 
+// best returns the candidates for the holder of a class, best first.
+func best(class uint8, members []*contact) []*contact {
+	found := make([]*contact, 0, candidates+1)
+	var scores [candidates + 1]uint64
+	for _, c := range members {
+		s, at := score(class, c.id), len(found)
+		for at > 0 && scores[at-1] < s {
+			at--
+		}
+		if at == candidates {
+			continue
+		}
+		found = slices.Insert(found, at, c)
+		copy(scores[at+1:], scores[at:])
+		scores[at] = s
+		found = found[:min(len(found), candidates)]
+	}
+	return found
+}
+
 // sameNodes reports whether two lists, which are sorted by name, differ at most in the
 // states of the nodes.
 func (r *routing) sameNodes(before, after []Peer) bool {
