--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -378,6 +378,9 @@
 		return
 	}
 	work := time.Duration(sim.clock.logNormal(float64(a.kind.Work), a.kind.WorkSpread) * faults.slowdown / n.speed())
+	if a.kind.TailShare > 0 && sim.clock.rnd.Float64() < a.kind.TailShare {
+		work = time.Duration(float64(work) * a.kind.TailFactor)
+	}
 	n.makeInnerCalls(a, a.kind.InnerCalls, func(failed bool) {
 		if failed {
 			n.release(a, admission.Completed)
--- a/pkg/play/heavy.go
+++ b/pkg/play/heavy.go
@@ -41,13 +41,15 @@
 	}
 }
 
-// flagScenario is a flag platform with 75 VMs, whose reads call another service.
+// flagScenario is a flag platform with 75 VMs, whose reads call another service. Its
+// upstreams are slow for moments, and some of its requests take much longer than others.
 func flagScenario() Scenario {
 	ms, s := time.Millisecond, time.Second
 	speeds := []float64{1 / 0.6, 1, 1 / 1.4}
 	const load = 1.2 // as for the dispatch mesh
 	return Scenario{
 		Name: "flag platform", Zones: 6, Length: 30 * s, Amplitude: 0.5, Period: 17 * s, CallerRetries: 1,
+		Hiccups:   0.15,
 		ZoneLoads: []float64{0.86, 1.1, 0.92, 1.08, 0.97, 1.08},
 		Services: []Service{
 			{Name: "flag-api", Slots: 6, UpstreamsByZone: []int{9, 8, 8, 8, 7, 8}, Speeds: speeds},
@@ -55,11 +57,11 @@
 		},
 		Kinds: []RequestKind{
 			{Name: "read", Service: "flag-api", Rank: 1, Idempotent: true, LatencyTarget: 400 * ms, Deadline: 1500 * ms, Timeout: 800 * ms, Worth: 1, LateWorth: 0.1,
-				Work: 85 * ms, WorkSpread: 0.6, Rate: 900 * load / 6, InnerCalls: []InnerCalls{{Kind: "rule fetch", Times: 1, Share: 0.7}}},
+				Work: 85 * ms, WorkSpread: 0.6, TailShare: 0.03, TailFactor: 7, Rate: 900 * load / 6, InnerCalls: []InnerCalls{{Kind: "rule fetch", Times: 1, Share: 0.7}}},
 			{Name: "toggle", Service: "flag-api", Rank: 0, LatencyTarget: 500 * ms, Deadline: 2 * s, Timeout: s, Worth: 1.5, LateWorth: 0.5,
-				Work: 110 * ms, WorkSpread: 0.6, Rate: 425 * load / 6},
+				Work: 110 * ms, WorkSpread: 0.6, TailShare: 0.03, TailFactor: 7, Rate: 425 * load / 6},
 			{Name: "export", Service: "rule-store", Rank: 2, Idempotent: true, LatencyTarget: 800 * ms, Deadline: 3 * s, Timeout: 1500 * ms, Worth: 0.6, LateWorth: 0.3,
-				Work: 220 * ms, WorkSpread: 0.6, Rate: 289 * load / 6},
+				Work: 220 * ms, WorkSpread: 0.6, TailShare: 0.03, TailFactor: 7, Rate: 289 * load / 6},
 			{Name: "rule fetch", Service: "rule-store", Rank: 1, Idempotent: true, LatencyTarget: 120 * ms, Deadline: 300 * ms, Work: 26 * ms, WorkSpread: 0.5},
 		},
 		Faults: []Fault{
--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -39,6 +39,7 @@
 	picker      *balance.Picker
 	budgets     map[string]*retry.Budget     // by service
 	callerTimes map[string]*retry.CallerTime // by request kind
+	hiccup      bool                         // the upstream is slow for a moment
 	queued      map[*admission.Waiter]*attempt
 	limits      admission.Limits
 	// startScheduled says that startQueued will run when the rate limit permits the
@@ -91,6 +92,9 @@
 // current time.
 func (n *node) activeFaults() faultEffect {
 	e := faultEffect{slowdown: 1}
+	if n.hiccup {
+		e.slowdown = hiccupFactor
+	}
 	for i := range n.sim.scenario.Faults {
 		f := &n.sim.scenario.Faults[i]
 		if !f.active(n.sim.clock.now) || f.Service != "" && f.Service != n.service.Name {
--- a/pkg/play/play.go
+++ b/pkg/play/play.go
@@ -52,10 +52,23 @@
 			sim.clock.after(f.To, sim.updateRateLimits)
 		}
 	}
+	if scenario.Hiccups > 0 {
+		sim.drawHiccups()
+	}
 	sim.clock.run()
 	return sim.stats.result()
 }
 
+// drawHiccups draws the upstreams that are slow until the next call.
+func (sim *simulation) drawHiccups() {
+	for _, n := range sim.nodes {
+		n.hiccup = sim.clock.rnd.Float64() < sim.scenario.Hiccups
+	}
+	if sim.clock.now < sim.scenario.Length {
+		sim.clock.after(hiccupLength, sim.drawHiccups)
+	}
+}
+
 func (sim *simulation) updateRateLimits() {
 	for _, n := range sim.nodes {
 		n.updateRateLimit()
--- a/pkg/play/scenario.go
+++ b/pkg/play/scenario.go
@@ -16,6 +16,9 @@
 	Services []Service
 	Kinds    []RequestKind
 	Faults   []Fault
+	// Hiccups is the share of the upstreams whose service times are hiccupFactor times as
+	// long. Every hiccupLength, others are drawn.
+	Hiccups float64
 	// ZoneLoads are factors of the request rates in the zones, all 1 if empty.
 	ZoneLoads []float64
 	// Amplitude and Period are those of the sine wave that the request rates
@@ -61,11 +64,18 @@
 	LateWorth     float64       // of a later response within the deadline
 	Work          time.Duration // mean service time at speed 1, without inner calls
 	WorkSpread    float64       // standard deviation of the logarithm of the service time
-	DownloadBytes float64       // mean size of the response of a download in bytes, 0 for other requests
-	Rate          float64       // requests per second from the callers of each zone, 0 for inner calls
+	TailShare     float64       // share of the requests whose service time is longer by TailFactor
+	TailFactor    float64
+	DownloadBytes float64 // mean size of the response of a download in bytes, 0 for other requests
+	Rate          float64 // requests per second from the callers of each zone, 0 for inner calls
 	InnerCalls    []InnerCalls
 }
 
+const (
+	hiccupLength = 600 * time.Millisecond
+	hiccupFactor = 2.5
+)
+
 // inner reports whether only upstreams make requests of the kind.
 func (k *RequestKind) inner() bool { return k.Rate == 0 }
 
