--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -148,9 +148,13 @@
 	choice.Stats.Begin(sim.clock.now)
 	start := sim.clock.now
 	delay := latency(choice.Distance)
+	sim.stats.attempts[choice.Distance]++
 	sim.clock.after(delay, func() {
 		target.arrive(&attempt{kind: c.kind, team: c.team, deadline: c.deadline, due: c.due, maxWait: c.maxWait, done: func(r *refusal) {
 			sim.clock.after(delay, func() {
+				if r != nil && r.unreached {
+					sim.stats.refused[choice.Distance]++
+				}
 				c.recordOutcome(&choice, target, start, r)
 				c.finishAttempt(r)
 			})
--- a/pkg/play/play.go
+++ b/pkg/play/play.go
@@ -172,6 +172,8 @@
 	zones    []tally
 	windows  []tally
 	total    tally
+	// attempts and refused are those of Result.
+	attempts, refused [model.OtherRegion + 1]int
 }
 
 func newStatistics(scenario *Scenario) statistics {
@@ -225,6 +227,9 @@
 	// each window of 2 s.
 	Accounts map[string]Account
 	Windows  map[string][]Account
+	// Attempts counts the attempts of all calls by the distance of the chosen upstream,
+	// and Refused those of them that a node refused.
+	Attempts, Refused [model.OtherRegion + 1]int
 }
 
 // Account counts the outcomes of the requests of one kind. Charged is the sum of
@@ -292,6 +297,7 @@
 	r := Result{
 		EarnedShare: s.total.earnedShare(), WorstKind: 1, WorstZone: 1, Kinds: make(map[string]float64),
 		Teams: make(map[int]float64), Accounts: make(map[string]Account), Windows: make(map[string][]Account),
+		Attempts: s.attempts, Refused: s.refused,
 	}
 	if s.total.requests > 0 {
 		r.ServedShare = s.total.served / s.total.requests
--- a/tools/play/main.go
+++ b/tools/play/main.go
@@ -63,6 +63,10 @@
 		m.WorstKind += r.WorstKind / n
 		m.WorstZone += r.WorstZone / n
 		m.ServedShare += r.ServedShare / n
+		for d := range r.Attempts {
+			m.Attempts[d] += r.Attempts[d] / seeds
+			m.Refused[d] += r.Refused[d] / seeds
+		}
 		for kind, share := range r.Kinds {
 			m.Kinds[kind] += share / n
 			m.Accounts[kind] = m.Accounts[kind].Plus(r.Accounts[kind])
@@ -81,6 +85,8 @@
 			r := meanResult(scenario, policy, seeds)
 			fmt.Printf("  %-40s earned %.4f  worst windows %.4f  worst kind %.3f  worst zone %.3f  served %.4f  worth %.4f  charged %.4f  refused again %.4f\n",
 				v.Name, r.EarnedShare, r.WorstWindows, r.WorstKind, r.WorstZone, r.ServedShare, r.Worth(), scenario.ChargedShare(&r), scenario.RefusedAgainShare(&r))
+			fmt.Printf("    attempts in the zone %d, in the region %d, in other regions %d; refused %d %d %d\n",
+				r.Attempts[0], r.Attempts[1], r.Attempts[2], r.Refused[0], r.Refused[1], r.Refused[2])
 			for _, k := range scenario.Kinds {
 				a, ok := r.Accounts[k.Name]
 				if !ok {
