Share the starts of a rule's calls among teams by their rates

A team that sent several times its usual traffic took slots from the others in proportion to what it asked for. Waiting calls of one rule are now taken by start-time fair queuing among teams, weighted with their rates (a team without one: the mean rate); the expected wait of a call and the choice of the call that is dropped follow the same shares. Refusals are counted by team, in 16 classes, so that those of one team do not limit the calls of others at the node of the caller.

The tests of earlier decisions switch off the later ones that have the same effect.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -34,10 +34,13 @@
 
 // Call holds the properties of a call on which admission depends.
 type Call struct {
-	Rank     model.Rank    // above model.MaxRank it counts as model.MaxRank
-	Rule     string        // name of the rule; calls of one rule share a queue
-	Weight   int           // weight among the rules of one rank, at least 1
-	Deadline time.Duration // time of the deadline, on the clock of the Core
+	Rank   model.Rank // above model.MaxRank it counts as model.MaxRank
+	Rule   string     // name of the rule; calls of one rule share a queue
+	Weight int        // weight among the rules of one rank, at least 1
+	Team   string     // name of the team, "" if it has none; the teams of a rule share its starts
+	// TeamWeight is the weight of the team among the teams of a rule, 0 stands for 1.
+	TeamWeight float64
+	Deadline   time.Duration // time of the deadline, on the clock of the Core
 	// Due is the time at which the response misses its latency target, on the
 	// same clock; 0 if there is no target.
 	Due time.Duration
@@ -210,13 +213,13 @@
 }
 
 // evictionCandidate returns the waiting call that is dropped to make room for w,
-// or nil. It is the newest call of the rule with the most waiting calls, in the
-// least urgent rank in which w may displace a call. Ranks with no more waiting
+// or nil. It is the newest call of the team that exceeds its share most, of the rule
+// with the most waiting calls, in the least urgent rank in which w may displace a call. Ranks with no more waiting
 // calls than floor slots are left out. Of the other ranks, w may displace a call
 //   - of a less urgent rank,
 //   - of a more urgent rank, if w is within the floor of its own rank,
 //   - of its own rank, if the other rule then still has at least as many waiting
-//     calls as the rule of w.
+//     calls as the rule of w, or of its own rule, if that holds for the teams.
 func (c *Core) evictionCandidate(w *Waiter) *Waiter {
 	r := int(w.Rank)
 	protected := c.ranks[r].waiting < c.floorSlots(w.Rank)
@@ -227,9 +230,11 @@
 		longest := c.ranks[q].longestFlow()
 		switch {
 		case q > r, q < r && protected:
-			return longest.tail
+			return longest.last()
 		case q == r && longest.waiting > c.ranks[r].waitingOf(w.Rule)+1:
-			return longest.tail
+			return longest.last()
+		case q == r && longest.head.Rule == w.Rule:
+			return longest.lastOfOtherTeam(&w.Call)
 		}
 	}
 	return nil
--- a/pkg/admission/doc.go
+++ b/pkg/admission/doc.go
@@ -7,7 +7,7 @@
 // the slots of an unused floor. Within a rank, the rules share the service time
 // by weight ("worth" in the rules file); weights do not change the order of
 // ranks. Within a rule, calls that can still meet their latency target go before
-// those that have missed it.
+// those that have missed it, and teams share the starts by their weights.
 //
 // Under a rate limit that the upstream states, calls also wait for a token bucket.
 // The floors are then shares of the starts, and the rules of a rank share the
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -93,6 +93,10 @@
 	waiter *Waiter
 }
 
+// Overtook reports whether the call started before an older one, because its team had
+// received less of its share.
+func (s Slot) Overtook() bool { return s.waiter.overtook }
+
 // Acquire admits a call. It waits for a slot at most until the deadline or until
 // ctx ends. due is the time at which the response misses its latency target, the
 // zero time without a target. c.Deadline and c.Due are ignored.
@@ -103,7 +107,7 @@
 // queue, CallerGone if ctx was cancelled, and Overloaded in all other cases.
 func (g *Gate) Acquire(ctx context.Context, c Call, deadline, due time.Time) (Slot, *Refusal) {
 	w := g.pool.Get().(*Waiter)
-	w.Call, w.late = c, false
+	w.Call, w.late, w.overtook = c, false, false
 	w.Deadline, w.Due = deadline.Sub(g.start), 0
 	if !due.IsZero() {
 		w.Due = max(due.Sub(g.start), 1)
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -20,6 +20,8 @@
 	Call
 	started    time.Duration
 	late       bool // RemoveLate took it out of its queue
+	share      *teamShare
+	overtook   bool // it started before an older call of a team that had received more of its share
 	flow       *flow
 	prev, next *Waiter
 	ready      chan bool // used by Gate only; true if the call is admitted
@@ -32,6 +34,7 @@
 	weight      int     // weight that the newest call of the rule stated
 	virtualTime float64 // nanoseconds of service time, divided by the weight of the rule
 	serviceTime average
+	teams       teamShares
 }
 
 // rankQueue shares the service time of one rank among its rules in proportion to
@@ -58,6 +61,7 @@
 		f.tail.next, w.prev = w, f.tail
 	}
 	f.tail, w.flow = w, f
+	f.teams.push(w)
 	f.waiting++
 	f.weight = max(w.Weight, 1)
 	q.waiting++
@@ -85,8 +89,7 @@
 	q.flows = kept
 }
 
-// pop takes a call of the flow that has received the least of its share: the
-// first call that can still meet its latency target, or else the first one. If
+// pop takes a call of the flow that has received the least of its share. If
 // the load exceeds the slots, every call in a plain queue would miss its target.
 // Calls that have missed it therefore wait for the others. defaultTime is the
 // service time of a flow without samples. With byStarts every call costs the
@@ -99,13 +102,8 @@
 			best = f
 		}
 	}
-	w := best.head
-	for v := best.head; v != nil; v = v.next {
-		if best.meetsTarget(v, now) {
-			w = v
-			break
-		}
-	}
+	w := best.first(now)
+	best.teams.charge(w.share)
 	q.virtualTime = best.virtualTime
 	cost := best.cost(defaultTime)
 	if byStarts {
@@ -219,7 +217,7 @@
 func (q *rankQueue) workAhead(now time.Duration, w *Call, defaultTime time.Duration) float64 {
 	ownFlow, weight := 0.0, float64(max(w.Weight, 1))
 	if f, ok := q.flows[w.Rule]; ok {
-		ownFlow = float64(f.callsAhead(now, w)) * f.cost(defaultTime)
+		ownFlow = f.callsAhead(now, w) * f.cost(defaultTime)
 	}
 	sum := ownFlow
 	for _, f := range q.active {
@@ -232,27 +230,13 @@
 	return sum
 }
 
-// callsAhead returns how many calls of the flow go before a new one.
-func (f *flow) callsAhead(now time.Duration, w *Call) int {
-	if !f.meetsTarget(&Waiter{Call: *w}, now) {
-		return f.waiting
-	}
-	n := 0
-	for v := f.head; v != nil; v = v.next {
-		if f.meetsTarget(v, now) {
-			n++
-		}
-	}
-	return n
-}
-
 // callsAhead is the expected number of calls of this rank that start before a new
 // call w: the calls of the same flow that go before it, and of every other flow
 // as many as its weight entitles it to meanwhile.
 func (q *rankQueue) callsAhead(now time.Duration, w *Call) float64 {
 	own, weight := 0.0, float64(max(w.Weight, 1))
 	if f, ok := q.flows[w.Rule]; ok {
-		own = float64(f.callsAhead(now, w))
+		own = f.callsAhead(now, w)
 	}
 	sum := own
 	for _, f := range q.active {
@@ -296,7 +280,8 @@
 	} else {
 		f.tail = w.prev
 	}
-	w.prev, w.next, w.flow = nil, nil, nil
+	w.share.waiting--
+	w.prev, w.next, w.flow, w.share = nil, nil, nil, nil
 	f.waiting--
 	q.waiting--
 	if f.head == nil {
--- a/pkg/admission/rate.go
+++ b/pkg/admission/rate.go
@@ -153,7 +153,7 @@
 			protected = 1
 		}
 		if c.ranks[q].waiting > protected {
-			w := c.ranks[q].longestFlow().tail
+			w := c.ranks[q].longestFlow().last()
 			c.Remove(w)
 			return w
 		}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -193,7 +193,10 @@
 
 // loadPolicy returns the decisions under heavy load that the settings switch on.
 func loadPolicy(l *settings.HeavyLoad) gateway.LoadPolicy {
-	return gateway.LoadPolicy{ReturningLate: l.ReturningLate == "yes", InnerFirst: l.InnerFirst == "yes", QueueLimit: l.QueueLimit == "yes", RefuseLate: l.RefuseLate == "yes"}
+	return gateway.LoadPolicy{
+		ReturningLate: l.ReturningLate == "yes", InnerFirst: l.InnerFirst == "yes", QueueLimit: l.QueueLimit == "yes", RefuseLate: l.RefuseLate == "yes",
+		TeamShares: l.TeamShares == "yes",
+	}
 }
 
 const (
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -117,7 +117,7 @@
 		sent = 0
 		for i := range n {
 			now += time.Millisecond
-			if c, res := p.Pick(Request{Candidates: nodes, From: localLocation, Rank: 3, Now: now, Seed: uint64(i)}); res == Picked {
+			if c, res := p.Pick(Request{Candidates: nodes, From: localLocation, Class: 3, Now: now, Seed: uint64(i)}); res == Picked {
 				sent++
 				c.Stats.Begin(now)
 				c.Stats.End(now, 3, o, time.Millisecond)
@@ -132,7 +132,7 @@
 	if n := run(1000, Accepted); n < 990 {
 		t.Fatalf("%d of 1000 calls were sent after the load fell, want at least 990", n)
 	}
-	if _, res := p.Pick(Request{Candidates: nodes, From: localLocation, Rank: 0, Now: now}); res != Picked {
+	if _, res := p.Pick(Request{Candidates: nodes, From: localLocation, Class: 0, Now: now}); res != Picked {
 		t.Fatal("refusals of rank 3 throttled a call of rank 0")
 	}
 }
@@ -205,7 +205,7 @@
 func TestBackoffFromBusyUpstreams(t *testing.T) {
 	p, nodes := NewPicker(), testNodes()
 	request := func(now time.Duration, route string) Request {
-		return Request{Candidates: nodes, From: localLocation, Prefer: model.PreferZone, Rank: 1, Service: "s", Route: route, Now: now, Seed: uint64(now)}
+		return Request{Candidates: nodes, From: localLocation, Prefer: model.PreferZone, Class: 1, Service: "s", Route: route, Now: now, Seed: uint64(now)}
 	}
 	picked := map[model.Distance]int{}
 	busy := 0
--- a/pkg/balance/picker.go
+++ b/pkg/balance/picker.go
@@ -11,7 +11,7 @@
 const (
 	// acceptHeadroom is K of client-side throttling (Site Reliability
 	// Engineering, O'Reilly 2016, chapter 21): upstreams are sent up to K times
-	// as many calls of a rank as they accepted. The excess calls detect that the
+	// as many calls of a class as they accepted. The excess calls detect that the
 	// load has fallen. With 1.25, slots stayed idle under a flood.
 	acceptHeadroom = 2
 	// statsIdleTimeout is how long the Stats of an unused upstream are kept. It is
@@ -29,7 +29,7 @@
 const (
 	Picked     Result = iota
 	NoUpstream        // no upstream is left for the call
-	Overloaded        // the upstreams at every distance refuse calls of this rank now
+	Overloaded        // the upstreams at every distance refuse calls of this class now
 	Busy              // the call would wait too long at every upstream; one of the nearest is chosen
 )
 
@@ -38,7 +38,7 @@
 	Candidates    []model.UpstreamNode // nodes of the service
 	From          model.Location       // of this node
 	Prefer        model.Preference
-	Rank          model.Rank // at most model.MaxRank
+	Class         Class // of the call
 	Service       string
 	Route         string
 	IgnoreBackoff bool // any queue time is acceptable, so backoffs do not apply
@@ -194,8 +194,8 @@
 		usable++
 		c := &s.sets[tier(distance, r.Prefer)]
 		stats := p.Stats(candidate.Node, r.Now)
-		c.sent += stats.sent[r.Rank].value(r.Now, acceptHalfLife)
-		c.accepted += stats.accepted[r.Rank].value(r.Now, acceptHalfLife)
+		c.sent += stats.sent[r.Class].value(r.Now, acceptHalfLife)
+		c.accepted += stats.accepted[r.Class].value(r.Now, acceptHalfLife)
 		switch {
 		case stats.suspectedDown(r.Now, rnd.float()):
 			c.failing = append(c.failing, int32(i))
@@ -256,10 +256,10 @@
 	return Choice{Index: int(i), Stats: p.Stats(e.Node, r.Now), Distance: r.From.DistanceTo(e.Location)}
 }
 
-// cost is the load of an upstream, raised by its refusals of this rank.
+// cost is the load of an upstream, raised by its refusals of this class.
 func cost(c Choice, r *Request) float64 {
 	stats := c.Stats
-	sent := stats.sent[r.Rank].value(r.Now, acceptHalfLife)
-	refused := sent - stats.accepted[r.Rank].value(r.Now, acceptHalfLife)
+	sent := stats.sent[r.Class].value(r.Now, acceptHalfLife)
+	refused := sent - stats.accepted[r.Class].value(r.Now, acceptHalfLife)
 	return stats.load(r.Now) * (1 + max(0, refused))
 }
--- a/pkg/balance/stats.go
+++ b/pkg/balance/stats.go
@@ -34,8 +34,24 @@
 	// flight.
 	failurePenalty = 8
 	ranks          = int(model.MaxRank) + 1
+	// teamClasses is the number of classes into which the calls of teams are divided.
+	// Teams of one class are limited together.
+	teamClasses = 16
 )
 
+// Class is a class of calls. How many calls of a class upstreams refused limits further
+// calls of the same class.
+type Class uint8
+
+// ClassOf returns the class of the calls of a rank without a team, or of a team. A rank
+// above model.MaxRank counts as model.MaxRank.
+func ClassOf(rank model.Rank, team string) Class {
+	if team == "" {
+		return Class(min(rank, model.MaxRank))
+	}
+	return Class(ranks + int(xxhash.Sum64String(team)%teamClasses))
+}
+
 // decayed is a value that halves in every half-life. It packs a float32 and
 // the time of its last change in milliseconds into one word, so that it can be
 // read and changed without a lock. The time wraps after 49 days, so the decay is
@@ -83,8 +99,8 @@
 	lastUsed atomic.Int64 // nanoseconds of the picker's clock
 	latency  decayed      // milliseconds
 	failures decayed
-	sent     [ranks]decayed // calls with a response or a refusal, by rank
-	accepted [ranks]decayed // of those, calls that were not refused
+	sent     [ranks + teamClasses]decayed // calls with a response or a refusal, by class
+	accepted [ranks + teamClasses]decayed // of those, calls that were not refused
 	backoffs backoffs
 }
 
@@ -172,14 +188,13 @@
 }
 
 // End records the outcome of a call that Begin counted. The latency is used
-// for accepted calls only. A rank above model.MaxRank counts as model.MaxRank.
-func (s *Stats) End(now time.Duration, rank model.Rank, o Outcome, latency time.Duration) {
+// for accepted calls only.
+func (s *Stats) End(now time.Duration, class Class, o Outcome, latency time.Duration) {
 	s.inFlight.Add(-1)
-	rank = min(rank, model.MaxRank)
 	switch o {
 	case Accepted:
-		s.sent[rank].add(now, acceptHalfLife, 1, math.MaxFloat32)
-		s.accepted[rank].add(now, acceptHalfLife, 1, math.MaxFloat32)
+		s.sent[class].add(now, acceptHalfLife, 1, math.MaxFloat32)
+		s.accepted[class].add(now, acceptHalfLife, 1, math.MaxFloat32)
 		s.failures.update(now, failureHalfLife, func(v float64) float64 { return v / 2 })
 		ms := float64(latency) / float64(time.Millisecond)
 		s.latency.update(now, latencyHalfLife, func(v float64) float64 {
@@ -189,7 +204,7 @@
 			return v + latencyWeight*(ms-v)
 		})
 	case Refused:
-		s.sent[rank].add(now, acceptHalfLife, 1, math.MaxFloat32)
+		s.sent[class].add(now, acceptHalfLife, 1, math.MaxFloat32)
 	case Failed:
 		s.failures.add(now, failureHalfLife, 1, maxFailures)
 	}
--- a/pkg/config/team.go
+++ b/pkg/config/team.go
@@ -122,6 +122,8 @@
 type teamIndex struct {
 	byKey  map[KeyDigest]*Team
 	byName map[string]*Team
+	// meanRate is the mean rate of the teams that have one, 0 if none has.
+	meanRate float64
 }
 
 func indexTeams(teams []Team) teamIndex {
@@ -136,6 +138,7 @@
 			x.byKey[d] = t
 		}
 	}
+	x.meanRate = meanRate(teams)
 	return x
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -414,7 +414,7 @@
 
 func (g *Gateway) pick(c *call, entries []model.UpstreamNode, now time.Duration) (balance.Choice, balance.Result) {
 	return g.Picker.Pick(balance.Request{
-		Candidates: entries, From: g.Self.Location, Prefer: c.route.Prefer, Rank: c.attempt.Rank,
+		Candidates: entries, From: g.Self.Location, Prefer: c.route.Prefer, Class: g.class(c),
 		Service: c.attempt.Service, Route: c.attempt.Route, IgnoreBackoff: c.attempt.MaxWait == 0 || c.relaxed, Download: c.attempt.Download,
 		Exclude: c.excludedNodes, Now: now, Seed: rand.Uint64(),
 	})
@@ -507,5 +507,5 @@
 			g.View.SetServing(entry.Node, false, time.Now())
 		}
 	}
-	choice.Stats.End(now, c.attempt.Rank, outcome, now-began)
+	choice.Stats.End(now, g.class(c), outcome, now-began)
 }
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/balance"
 	"github.com/lentilflow/lentilflow/pkg/config"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/retry"
@@ -21,6 +22,27 @@
 	QueueLimit bool
 	// RefuseLate refuses calls that have become late in a queue (admission.Limits).
 	RefuseLate bool
+	// TeamShares divides the starts of a route's calls among teams by weight.
+	TeamShares bool
+}
+
+// class returns the class of a call in the statistics of upstreams. With shares, teams
+// are refused for different reasons, so the refusals of one do not limit the others.
+func (g *Gateway) class(c *call) balance.Class {
+	team := c.attempt.Team
+	if !g.Load.TeamShares {
+		team = ""
+	}
+	return balance.ClassOf(c.attempt.Rank, team)
+}
+
+// teamOf returns the team of an attempt and its weight for admission.
+func (l *Local) teamOf(att *Attempt) (name string, weight float64) {
+	s := l.Config.Current()
+	if !l.Load.TeamShares || att.Team == "" || s == nil {
+		return "", 1
+	}
+	return att.Team, s.TeamWeight(att.Team)
 }
 
 // queueShare is the share of the latency target that the expected wait of a call may
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -200,10 +200,14 @@
 func (l *Local) acquireSlot(ctx context.Context, att *Attempt) (admission.Slot, *Refusal) {
 	ctx, done := l.waiting.add(ctx, att.ID)
 	defer done()
+	team, weight := l.teamOf(att)
 	slot, refused := l.gate.Acquire(ctx, admission.Call{
-		Rank: att.Rank, Rule: att.Route, Weight: att.Weight, MaxQueueTime: att.MaxWait,
+		Rank: att.Rank, Rule: att.Route, Weight: att.Weight, Team: team, TeamWeight: weight, MaxQueueTime: att.MaxWait,
 	}, att.Deadline, att.Due)
 	if refused == nil {
+		if slot.Overtook() {
+			l.Metrics.countLoadDecision(decisionTeamShare)
+		}
 		return slot, nil
 	}
 	r := newRefusal(refused.Reason)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -36,11 +36,13 @@
 	decisionQueueLimit loadDecision = "queue_limit"
 	// decisionLate is a refusal of a waiting call that has become late.
 	decisionLate loadDecision = "late_in_queue"
+	// decisionTeamShare is the start of a call before an older one of another team.
+	decisionTeamShare loadDecision = "team_share"
 )
 
 // loadDecisions returns every decision under heavy load.
 func loadDecisions() []loadDecision {
-	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate}
+	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate, decisionTeamShare}
 }
 
 // statementKind is what a response states about its upstream.
--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strconv"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/admission"
@@ -107,12 +108,21 @@
 func (c *call) pick(candidates []model.UpstreamNode) (balance.Choice, balance.Result) {
 	sim := c.node.sim
 	return c.node.picker.Pick(balance.Request{
-		Candidates: candidates, From: c.node.upstream.Location, Prefer: model.PreferZone, Rank: sim.rank(c.kind, c.team), Service: c.kind.Service,
+		Candidates: candidates, From: c.node.upstream.Location, Prefer: model.PreferZone, Class: c.class(), Service: c.kind.Service,
 		Route: c.kind.Name, IgnoreBackoff: c.relaxed || c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Exclude: c.excluded,
 		Now: sim.clock.now, Seed: sim.clock.rnd.Uint64(),
 	})
 }
 
+// class returns the class of calls whose refusals limit further calls of this one's.
+func (c *call) class() balance.Class {
+	rank, team := c.node.sim.rank(c.kind, c.team), ""
+	if c.node.sim.policy.TeamShares && c.team > 0 {
+		team = strconv.Itoa(c.team)
+	}
+	return balance.ClassOf(rank, team)
+}
+
 func (c *call) startAttempt() {
 	sim := c.node.sim
 	candidates := c.node.candidates(c.kind.Service)
@@ -190,7 +200,7 @@
 			outcome = balance.Neutral
 		}
 	}
-	choice.Stats.End(sim.clock.now, sim.rank(c.kind, c.team), outcome, sim.clock.now-start)
+	choice.Stats.End(sim.clock.now, c.class(), outcome, sim.clock.now-start)
 }
 
 // finishAttempt ends the call with the outcome of an attempt, or schedules a further
@@ -272,6 +282,9 @@
 	w := &admission.Waiter{Call: admission.Call{
 		Rank: n.sim.rank(a.kind, a.team), Rule: rule, Weight: n.sim.weight(a.kind), Deadline: a.deadline, Due: due, MaxQueueTime: a.maxWait,
 	}}
+	if n.sim.policy.TeamShares && a.team > 0 {
+		w.Team, w.TeamWeight = strconv.Itoa(a.team), float64(n.sim.scenario.Teams)*n.sim.scenario.teamShare(a.team)
+	}
 	a.waiter = w
 	verdict, dropped := n.admission.Arrive(now, w)
 	if dropped != nil {
--- a/pkg/play/heavy.go
+++ b/pkg/play/heavy.go
@@ -81,6 +81,7 @@
 		{"returning callers as new ones", func(p *Policy) { p.ReturningLate = false }},
 		{"calls wait up to their deadline", func(p *Policy) { p.QueueShare = 0 }},
 		{"late calls wait", func(p *Policy) { p.RefuseLate = false }},
+		{"no shares of teams", func(p *Policy) { p.TeamShares = false }},
 		{"calls of upstreams in their own rank", func(p *Policy) { p.InnerWeight = 0 }},
 	}
 }
--- a/pkg/play/play_test.go
+++ b/pkg/play/play_test.go
@@ -141,26 +141,34 @@
 }
 
 // heavyRun simulates the first part of the dispatch mesh's heaviest day with all
-// decisions and with a variant.
-func heavyRun(t *testing.T, variant string, length time.Duration) (with, without Result) {
+// decisions except those that the variants in off switch off, and with another variant in
+// addition.
+func heavyRun(t *testing.T, length time.Duration, variant string, off ...string) (with, without Result) {
 	t.Helper()
-	s, policy := dispatchScenario(), GatewayPolicy()
-	s.Length = length
-	for _, v := range HeavyVariants() {
-		if v.Name == variant {
-			v.Change(&policy)
+	change := func(p Policy, name string) Policy {
+		before := p
+		for _, v := range HeavyVariants() {
+			if v.Name == name {
+				v.Change(&p)
+			}
+		}
+		if p == before {
+			t.Fatalf("no variant %q", name)
 		}
+		return p
 	}
-	if policy == GatewayPolicy() {
-		t.Fatalf("no variant %q", variant)
+	s, policy := dispatchScenario(), GatewayPolicy()
+	s.Length = length
+	for _, name := range off {
+		policy = change(policy, name)
 	}
-	return Run(s, GatewayPolicy(), 1), Run(s, policy, 1)
+	return Run(s, policy, 1), Run(s, change(policy, variant), 1)
 }
 
 // Load: callers that were refused during bursts come back when they can only be served
 // late. Guards against late answers to them that make the answers to new callers late.
 func TestReturningCallersDoNotDelayNewOnes(t *testing.T) {
-	with, without := heavyRun(t, "returning callers as new ones", 18*time.Second)
+	with, without := heavyRun(t, 18*time.Second, "returning callers as new ones")
 	a, b := with.Accounts["lookup"], without.Accounts["lookup"]
 	t.Logf("lookups: %+v, without the decision %+v", a, b)
 	if inTarget := float64(a.InTarget) / float64(a.Requests); inTarget < float64(b.InTarget)/float64(b.Requests)+0.05 {
@@ -174,7 +182,7 @@
 // Load: a burst of audits at a service that running bookings call. Guards against
 // bookings that fail after half of their work because that call waited behind audits.
 func TestCallsOfUpstreamsDoNotWaitBehindNewCalls(t *testing.T) {
-	with, without := heavyRun(t, "calls of upstreams in their own rank", 12*time.Second)
+	with, without := heavyRun(t, 12*time.Second, "calls of upstreams in their own rank")
 	a, b := with.Accounts["booking"], without.Accounts["booking"]
 	t.Logf("bookings: %+v, without the decision %+v", a, b)
 	if failed := float64(a.Failed) / float64(a.Requests); failed > 0.02 || failed > 0.2*float64(b.Failed)/float64(b.Requests) {
@@ -188,8 +196,8 @@
 // Load: all upstreams of a service are busy for seconds. Guards against calls that wait
 // in a queue and are then refused, when their callers have no time left to come back.
 func TestCallsAreRefusedAtOnceOrServed(t *testing.T) {
-	for _, variant := range []string{"calls wait up to their deadline", "late calls wait"} {
-		with, without := heavyRun(t, variant, 18*time.Second)
+	for variant, off := range map[string][]string{"calls wait up to their deadline": {"late calls wait", "no shares of teams"}, "late calls wait": nil} {
+		with, without := heavyRun(t, 18*time.Second, variant, off...)
 		s := dispatchScenario()
 		a, b := s.ChargedShare(&with), s.ChargedShare(&without)
 		t.Logf("charged for holding refused calls: %.3f of the worth, with %q %.3f", a, variant, b)
@@ -203,3 +211,25 @@
 		}
 	}
 }
+
+// Load: the largest team sends 4.6 times its usual traffic. Guards against a burst of one
+// team that others pay for.
+func TestOtherTeamsDoNotPayForABurst(t *testing.T) {
+	with, without := heavyRun(t, 14*time.Second, "no shares of teams")
+	others := func(r *Result) (mean float64) {
+		for team, share := range r.Teams {
+			if team != 1 {
+				mean += share / float64(len(r.Teams)-1)
+			}
+		}
+		return mean
+	}
+	t.Logf("the team with the burst earned %.3f of its worth, others %.3f; without the decision %.3f and %.3f",
+		with.Teams[1], others(&with), without.Teams[1], others(&without))
+	if others(&with) < others(&without)+0.02 {
+		t.Errorf("others earned %.3f of their worth, want more than %.3f", others(&with), others(&without))
+	}
+	if with.Teams[1] < minKindShare*with.EarnedShare {
+		t.Errorf("the team with the burst earned %.3f of its worth", with.Teams[1])
+	}
+}
--- a/pkg/play/policy.go
+++ b/pkg/play/policy.go
@@ -45,6 +45,8 @@
 	QueueShare float64
 	// RefuseLate refuses calls that have become late in a queue.
 	RefuseLate bool
+	// TeamShares divides the starts of a request kind among teams by their usual load.
+	TeamShares bool
 }
 
 // Variant is a named change of a policy.
@@ -77,6 +79,6 @@
 	return Policy{
 		MaxWaitShare: 0.25, DownloadMaxWaitShare: 0.35, LinkWaitShare: 0.42, LinkRetryAfterShare: 0.25, BackOff: true, BackOffLimitedAlone: true, DownloadsInRegion: true,
 		ShortestFirst: true, InTimeFirst: true, ShareWithinRank: true, Retries: true, BudgetShare: 0.75 * 0.2, ReserveShare: 0.7,
-		ReturningLate: true, InnerWeight: 8, QueueShare: 0.25, RefuseLate: true,
+		ReturningLate: true, InnerWeight: 8, QueueShare: 0.25, RefuseLate: true, TeamShares: true,
 	}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -100,6 +100,8 @@
 	// RefuseLate refuses waiting calls that can no longer meet their latency target,
 	// while others can.
 	RefuseLate string `yaml:"refuse_late" default:"yes" enum:"yes,no" unit:"word"`
+	// TeamShares divides the starts of a route's calls among teams by weight.
+	TeamShares string `yaml:"team_shares" default:"yes" enum:"yes,no" unit:"word"`
 }
 
 // Drain limits the duration of a graceful stop.
