--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -19,6 +19,9 @@
 type Waiter struct {
 	Call
 	started    time.Duration
+	late       bool // RemoveLate took it out of its queue
+	share      *teamShare
+	overtook   bool // it started before an older call of a team that had received more of its share
 	flow       *flow
 	prev, next *Waiter
 	ready      chan bool // used by Gate only; true if the call is admitted
@@ -31,6 +34,7 @@
 	weight      int     // weight that the newest call of the rule stated
 	virtualTime float64 // nanoseconds of service time, divided by the weight of the rule
 	serviceTime average
+	teams       teamShares
 }
 
 // rankQueue shares the service time of one rank among its rules in proportion to
@@ -57,6 +61,7 @@
 		f.tail.next, w.prev = w, f.tail
 	}
 	f.tail, w.flow = w, f
+	f.teams.push(w)
 	f.waiting++
 	f.weight = max(w.Weight, 1)
 	q.waiting++
@@ -84,8 +89,7 @@
 	q.flows = kept
 }
 
-// pop takes a call of the flow that has received the least of its share: the
-// first call that can still meet its latency target, or else the first one. If
+// pop takes a call of the flow that has received the least of its share. If
 // the load exceeds the slots, every call in a plain queue would miss its target.
 // Calls that have missed it therefore wait for the others. defaultTime is the
 // service time of a flow without samples. With byStarts every call costs the
@@ -98,13 +102,8 @@
 			best = f
 		}
 	}
-	w := best.head
-	for v := best.head; v != nil; v = v.next {
-		if best.meetsTarget(v, now) {
-			w = v
-			break
-		}
-	}
+	w := best.first(now)
+	best.teams.charge(w.share)
 	q.virtualTime = best.virtualTime
 	cost := best.cost(defaultTime)
 	if byStarts {
@@ -135,6 +134,53 @@
 	return nil
 }
 
+// maxLate is the number of late calls that may wait beside calls that can meet their
+// target. Without a limit, they wait until their deadline or until they are displaced,
+// and are refused when their callers have no time left; with 1, 2, 3 and 6, simulations
+// serve about the same calls.
+const maxLate = 1
+
+// RemoveLate takes a waiting call out of its queue that can no longer meet its latency
+// target, if more than maxLate such calls wait beside a call that can and is at least as
+// urgent. It returns nil if there is none. It must be called after Arrive has queued a
+// call, until it returns nil.
+func (c *Core) RemoveLate(now time.Duration) *Waiter {
+	if !c.limits.RefuseLate {
+		return nil
+	}
+	var first *Waiter // in the least urgent rank
+	total, inTime := 0, false
+	for r := range c.ranks {
+		late, n, anyInTime := c.ranks[r].late(now)
+		if inTime = inTime || anyInTime; inTime && late != nil {
+			first, total = late, total+n
+		}
+	}
+	if total <= maxLate {
+		return nil
+	}
+	c.Remove(first)
+	first.late = true
+	return first
+}
+
+// late returns the first waiting call of the rank that can no longer meet its latency
+// target, the number of such calls, and whether other calls can.
+func (q *rankQueue) late(now time.Duration) (first *Waiter, n int, anyInTime bool) {
+	for _, f := range q.active {
+		for w := f.head; w != nil; w = w.next {
+			if f.meetsTarget(w, now) {
+				anyInTime = true
+				continue
+			}
+			if n++; first == nil {
+				first = w
+			}
+		}
+	}
+	return first, n, anyInTime
+}
+
 // cost is the expected service time of one call, in nanoseconds. It does not
 // decay: a flow that was idle keeps its last estimate. A flow without samples
 // has defaultTime, but at least 1 ms.
@@ -171,7 +217,7 @@
 func (q *rankQueue) workAhead(now time.Duration, w *Call, defaultTime time.Duration) float64 {
 	ownFlow, weight := 0.0, float64(max(w.Weight, 1))
 	if f, ok := q.flows[w.Rule]; ok {
-		ownFlow = float64(f.callsAhead(now, w)) * f.cost(defaultTime)
+		ownFlow = f.callsAhead(now, w) * f.cost(defaultTime)
 	}
 	sum := ownFlow
 	for _, f := range q.active {
@@ -184,27 +230,13 @@
 	return sum
 }
 
-// callsAhead returns how many calls of the flow go before a new one.
-func (f *flow) callsAhead(now time.Duration, w *Call) int {
-	if !f.meetsTarget(&Waiter{Call: *w}, now) {
-		return f.waiting
-	}
-	n := 0
-	for v := f.head; v != nil; v = v.next {
-		if f.meetsTarget(v, now) {
-			n++
-		}
-	}
-	return n
-}
-
 // callsAhead is the expected number of calls of this rank that start before a new
 // call w: the calls of the same flow that go before it, and of every other flow
 // as many as its weight entitles it to meanwhile.
 func (q *rankQueue) callsAhead(now time.Duration, w *Call) float64 {
 	own, weight := 0.0, float64(max(w.Weight, 1))
 	if f, ok := q.flows[w.Rule]; ok {
-		own = float64(f.callsAhead(now, w))
+		own = f.callsAhead(now, w)
 	}
 	sum := own
 	for _, f := range q.active {
@@ -248,7 +280,8 @@
 	} else {
 		f.tail = w.prev
 	}
-	w.prev, w.next, w.flow = nil, nil, nil
+	w.share.waiting--
+	w.prev, w.next, w.flow, w.share = nil, nil, nil, nil
 	f.waiting--
 	q.waiting--
 	if f.head == nil {
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -57,6 +57,7 @@
 	Config       *config.Holder
 	CrashRecords crashguard.Registry
 	Guard        *contain.Guard
+	Load         LoadPolicy
 	// Link paces the downloads that leave this VM and records the other
 	// responses.
 	Link *shaping.Link
@@ -199,14 +200,22 @@
 func (l *Local) acquireSlot(ctx context.Context, att *Attempt) (admission.Slot, *Refusal) {
 	ctx, done := l.waiting.add(ctx, att.ID)
 	defer done()
+	team, weight := l.teamOf(att)
 	slot, refused := l.gate.Acquire(ctx, admission.Call{
-		Rank: att.Rank, Rule: att.Route, Weight: att.Weight, MaxQueueTime: att.MaxWait,
+		Rank: att.Rank, Rule: att.Route, Weight: att.Weight, Team: team, TeamWeight: weight, MaxQueueTime: att.MaxWait,
 	}, att.Deadline, att.Due)
 	if refused == nil {
+		if slot.Overtook() {
+			l.Metrics.countLoadDecision(decisionTeamShare)
+		}
 		return slot, nil
 	}
 	r := newRefusal(refused.Reason)
 	r.RetryAfter, r.ExpectedWait = refused.RetryAfter, refused.QueueTime
+	if refused.Late {
+		r.Decision = decisionLate
+		l.Metrics.countLoadDecision(decisionLate)
+	}
 	if r.Reason == model.CallerGone {
 		r.Reason = endedReason(ctx)
 	}
--- a/pkg/play/play.go
+++ b/pkg/play/play.go
@@ -52,10 +52,23 @@
 			sim.clock.after(f.To, sim.updateRateLimits)
 		}
 	}
+	if scenario.Hiccups > 0 {
+		sim.drawHiccups()
+	}
 	sim.clock.run()
 	return sim.stats.result()
 }
 
+// drawHiccups draws the upstreams that are slow until the next call.
+func (sim *simulation) drawHiccups() {
+	for _, n := range sim.nodes {
+		n.hiccup = sim.clock.rnd.Float64() < sim.scenario.Hiccups
+	}
+	if sim.clock.now < sim.scenario.Length {
+		sim.clock.after(hiccupLength, sim.drawHiccups)
+	}
+}
+
 func (sim *simulation) updateRateLimits() {
 	for _, n := range sim.nodes {
 		n.updateRateLimit()
@@ -159,6 +172,8 @@
 	zones    []tally
 	windows  []tally
 	total    tally
+	// attempts and refused are those of Result.
+	attempts, refused [model.OtherRegion + 1]int
 }
 
 func newStatistics(scenario *Scenario) statistics {
@@ -212,6 +227,9 @@
 	// each window of 2 s.
 	Accounts map[string]Account
 	Windows  map[string][]Account
+	// Attempts counts the attempts of all calls by the distance of the chosen upstream,
+	// and Refused those of them that a node refused.
+	Attempts, Refused [model.OtherRegion + 1]int
 }
 
 // Account counts the outcomes of the requests of one kind. Charged is the sum of
@@ -279,6 +297,7 @@
 	r := Result{
 		EarnedShare: s.total.earnedShare(), WorstKind: 1, WorstZone: 1, Kinds: make(map[string]float64),
 		Teams: make(map[int]float64), Accounts: make(map[string]Account), Windows: make(map[string][]Account),
+		Attempts: s.attempts, Refused: s.refused,
 	}
 	if s.total.requests > 0 {
 		r.ServedShare = s.total.served / s.total.requests
