--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -39,6 +39,7 @@
 	picker      *balance.Picker
 	budgets     map[string]*retry.Budget     // by service
 	callerTimes map[string]*retry.CallerTime // by request kind
+	hiccup      bool                         // the upstream is slow for a moment
 	queued      map[*admission.Waiter]*attempt
 	limits      admission.Limits
 	// startScheduled says that startQueued will run when the rate limit permits the
@@ -58,7 +59,7 @@
 		budgets: make(map[string]*retry.Budget), callerTimes: make(map[string]*retry.CallerTime), queued: make(map[*admission.Waiter]*attempt), parts: make(map[*shaping.Part]*transfer),
 		upstream: model.UpstreamNode{Node: model.NodeID(fmt.Sprint(s.Name, "-", zone, "-", index)), Service: s.Name, Location: location(zone)},
 	}
-	limits := admission.Limits{Slots: s.Slots}
+	limits := admission.Limits{Slots: s.Slots, RefuseLate: sim.policy.RefuseLate}
 	for i := range sim.scenario.Kinds {
 		if k := &sim.scenario.Kinds[i]; k.Service == s.Name {
 			limits.Floors[k.Rank] = rankFloor
@@ -91,6 +92,9 @@
 // current time.
 func (n *node) activeFaults() faultEffect {
 	e := faultEffect{slowdown: 1}
+	if n.hiccup {
+		e.slowdown = hiccupFactor
+	}
 	for i := range n.sim.scenario.Faults {
 		f := &n.sim.scenario.Faults[i]
 		if !f.active(n.sim.clock.now) || f.Service != "" && f.Service != n.service.Name {
