Refuse at once where most requests of a team are denied, and settle nodes more strictly

Retry-After uses the rate at which the node gets tokens, if it gets any.

Settling now takes the nodes into account that have gone, and nodes remember for a minute which ones have joined.

--- a/pkg/quota/census.go
+++ b/pkg/quota/census.go
@@ -45,8 +45,11 @@
 	present int
 	loaded  bool
 	settled bool
-	// count is the number of nodes that may have a weight, until recount.
+	joined  joiners
+	// count is the number of nodes that may have a weight, and all the exclusive or of
+	// their hashes, until recount.
 	count   int
+	all     uint64
 	recount time.Duration
 	since   time.Duration // when this node was first present
 	reports map[string]dated
@@ -78,11 +81,15 @@
 // that it loads has been counted before it was started, unless the whole deployment
 // starts for the first time.
 func (c *census) update(present map[uint64]model.UpstreamNodeState, firstStart bool, now time.Duration) {
-	digest := uint64(0)
+	digest, joined := uint64(0), []uint64(nil)
 	for id, state := range present {
 		digest ^= id
+		if s, known := c.members[id]; c.loaded && (!known || s.expires != 0) {
+			joined = append(joined, id)
+		}
 		c.members[id] = standing{state: state}
 	}
+	c.joined = c.joined.with(joined, now)
 	for id, s := range c.members {
 		if _, ok := present[id]; ok {
 			continue
@@ -124,13 +131,14 @@
 	if now < c.recount {
 		return c.count
 	}
-	c.count, c.recount = 0, math.MaxInt64
-	for _, s := range c.members {
-		switch {
-		case s.expires == 0:
-			c.count++
-		case now < s.expires:
-			c.count++
+	c.count, c.all, c.recount = 0, 0, math.MaxInt64
+	for id, s := range c.members {
+		if s.expires != 0 && now >= s.expires {
+			continue
+		}
+		c.count++
+		c.all ^= id
+		if s.expires != 0 {
 			c.recount = min(c.recount, s.expires)
 		}
 	}
@@ -163,7 +171,7 @@
 	c.hear(0, now)
 	n := max(c.size(now), int(c.heard), int(c.heardBefore))
 	full := unit / weight(n)
-	if c.settled || c.present == 1 {
+	if c.settled || n == 1 {
 		return full
 	}
 	var all report
@@ -176,11 +184,13 @@
 		all.nodes += r.nodes
 		all.settled += r.settled
 	}
-	switch {
-	case all.counting == c.digest:
+	// Nodes that have gone, or that only others know, may have a weight and not count this
+	// one.
+	switch known := c.size(now) == n; {
+	case known && all.counting == c.all:
 		c.settled = true
-	case all.settled == 0 && now-c.since >= bootstrapAfter:
-		c.settled = c.present-int(all.nodes) <= max(1, c.present/bootstrapShare)
+	case known && all.settled == 0 && now-c.since >= bootstrapAfter:
+		c.settled = n-int(all.nodes) <= max(1, n/bootstrapShare)
 	}
 	if c.settled {
 		return full
@@ -200,6 +210,37 @@
 	keptFleets  = 8
 )
 
+// joinMemory is how long it is remembered that a node has joined. It has settled by then,
+// unless nodes behind a cut do not know it.
+const joinMemory = time.Minute
+
+// joiners are the nodes that have joined the fleet while this process was running, and
+// when. It is immutable.
+type joiners map[uint64]time.Duration
+
+// has reports whether a node has joined lately.
+func (j joiners) has(node uint64, now time.Duration) bool {
+	at, ok := j[node]
+	return ok && now-at < joinMemory
+}
+
+// with returns the nodes that have joined lately, and new ones.
+func (j joiners) with(nodes []uint64, now time.Duration) joiners {
+	if len(nodes) == 0 {
+		return j
+	}
+	next := make(joiners, len(nodes))
+	for id, at := range j {
+		if now-at < joinMemory {
+			next[id] = at
+		}
+	}
+	for _, id := range nodes {
+		next[id] = now
+	}
+	return next
+}
+
 // fleets are the last fleets that this node has known, the newest first. It is immutable.
 type fleets []knownFleet
 
--- a/pkg/quota/client.go
+++ b/pkg/quota/client.go
@@ -30,6 +30,9 @@
 	// minDemand is the number of requests within prefetchLife from which a node asks
 	// for tokens ahead of demand. Of fewer, most would expire.
 	minDemand = 3
+	// maxDeniedShare is the part of its requests up to which a team may be denied for
+	// denied requests to wait for a token: one in this many.
+	maxDeniedShare = 5
 	// answerLife is how long an answer counts in the verdict on a request that has waited
 	// until its deadline.
 	answerLife = 2 * time.Second
@@ -184,7 +187,7 @@
 		}
 	}
 	t.refresh()
-	if until, denied := t.deniedUntil(now); denied && until >= deadline {
+	if until, denied := t.deniedUntil(now); denied && (until >= deadline || !t.patient(now)) {
 		return t.exceed(until, now), true
 	}
 	if len(t.waiting) >= maxWaiting {
@@ -248,7 +251,7 @@
 func (t *teamState) exceed(until, now time.Duration) Decision {
 	t.usage.count(Exceeded, now)
 	first := max(until, now+minRetryAfter)
-	t.refusedUntil = max(t.refusedUntil+time.Duration(float64(time.Second)/t.tokenRate()), first)
+	t.refusedUntil = max(t.refusedUntil+time.Duration(float64(time.Second)/t.tokenRate(now)), first)
 	if t.refusedUntil > now+maxRetryAfter {
 		t.refusedUntil = first
 	}
@@ -256,13 +259,17 @@
 }
 
 // tokenRate returns the tokens per second that this node may expect: what it got lately,
-// or its part if the nodes that were denied a token get the same.
-func (t *teamState) tokenRate() float64 {
+// or else its part if all nodes that were denied a token get the same.
+func (t *teamState) tokenRate(now time.Duration) float64 {
+	t.measureGrants(0, now)
+	if t.grantRate > 0 {
+		return max(t.grantRate, minRate)
+	}
 	contenders := 1.0
 	for i := range t.areas {
 		contenders = max(contenders, t.areas[i].contenders)
 	}
-	return max(t.grantRate, t.limit.Rate/min(contenders, float64(t.nodes)), minRate)
+	return max(t.limit.Rate/min(contenders, float64(t.nodes)), minRate)
 }
 
 // fail returns the decision on a request that has waited for too long or cannot wait:
@@ -335,6 +342,15 @@
 	})
 }
 
+// patient reports whether requests wait for a token after a denial. If the team was
+// denied more than a fifth of its requests lately, the next token goes to one of many, and
+// the others would only be refused later.
+func (t *teamState) patient(now time.Duration) bool {
+	t.usage.roll(now)
+	granted, exceeded := t.usage.last[Granted]+t.usage.recent[Granted], t.usage.last[Exceeded]+t.usage.recent[Exceeded]
+	return exceeded*maxDeniedShare <= granted+exceeded
+}
+
 // endDenied ends the requests that cannot wait for the time at which a holder expects
 // a token.
 func (t *teamState) endDenied(now time.Duration) {
@@ -342,8 +358,9 @@
 	if !denied {
 		return
 	}
+	patient := t.patient(now)
 	t.waiting = slices.DeleteFunc(t.waiting, func(w *waiter) bool {
-		if until < w.deadline {
+		if until < w.deadline && patient {
 			return false
 		}
 		w.resolve(t.exceed(until, now))
--- a/pkg/quota/datagram.go
+++ b/pkg/quota/datagram.go
@@ -35,8 +35,11 @@
 	// flagReport marks an answer that has a report.
 	flagReport
 	// flagNotSettled marks an answer to a node that has called itself settled, although
-	// the process of the node before was not.
+	// the process of the node before was not, or the node has joined lately.
 	flagNotSettled
+	// flagStarts marks a request of a process that does not use its weight yet, and counts
+	// as settled because it has found the row of its node.
+	flagStarts
 )
 
 // flagUnknown marks an entry of an answer for a team that the holder does not know
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -237,6 +237,7 @@
 	bounds Bounds
 	areas  int
 	fleets fleets
+	joined joiners
 }
 
 // serve applies a request and fills in the answer: the weight, the grants, the report
@@ -246,6 +247,7 @@
 	defer c.mu.Unlock()
 	c.advance(now)
 	contradicted := c.delegate(r, from, valid, now)
+	contradicted = contradicted || r.flags&flagStarts != 0 && t.joined.has(r.sender, now)
 	a.teams = a.teams[:0]
 	for _, w := range r.teams {
 		if l, ok := t.limits(w.team); ok {
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -71,7 +71,8 @@
 	size        atomic.Uint32 // nodes that may have a weight
 	areaVersion atomic.Uint32
 	fleets      atomic.Pointer[fleets] // that this node has known
-	heardAt     atomic.Int64           // time of the last datagram of another node
+	joined      atomic.Pointer[joiners]
+	heardAt     atomic.Int64 // time of the last datagram of another node
 	counters    counters
 
 	activeMu sync.Mutex
@@ -129,6 +130,7 @@
 	}
 	n.areaVersion.Store(1)
 	n.fleets.Store(&fleets{})
+	n.joined.Store(&joiners{})
 }
 
 // SetFleet replaces the known nodes, which include this one once its row is known. It
@@ -148,6 +150,8 @@
 	n.census.update(present, n.FirstStart, now)
 	known := n.fleets.Load().with(n.census.digest, present)
 	n.fleets.Store(&known)
+	joined := n.census.joined
+	n.joined.Store(&joined)
 	n.nextRenew = 0
 	if n.routing.sameNodes(n.peers, peers) {
 		n.routing.setStates(peers)
@@ -275,7 +279,7 @@
 func (n *Node) ownWeight(now time.Duration) weight {
 	w := n.census.weight(now)
 	switch {
-	case n.left, now < max(n.started+n.lease+margin(n.lease), n.usableAt):
+	case n.left, n.starts(now):
 		return 0
 	case n.census.present > 1 && now-time.Duration(n.heardAt.Load()) > confirmLife && n.StoreSilence() > storeConfirmLife:
 		return 0
@@ -283,6 +287,12 @@
 	return w
 }
 
+// starts reports whether this process may not use the weight of the node yet. The mutex is
+// held.
+func (n *Node) starts(now time.Duration) bool {
+	return now < max(n.started+n.lease+margin(n.lease), n.usableAt)
+}
+
 // updateWeight determines the weight that this node may delegate. If it has changed, it is
 // to be delegated anew. The mutex is held.
 func (n *Node) updateWeight(now time.Duration) {
@@ -309,7 +319,7 @@
 		return
 	}
 	n.nextProbe = now + time.Duration(renewShare*float64(n.lease))
-	if !n.census.settled {
+	if !n.census.settled || n.starts(now) {
 		for area := 1; area < len(n.routing.areas); area++ {
 			if c, _ := n.routing.target(0, area, false, now); c != nil {
 				n.request(kindDelegation, 0, c, flagProbe, 0, nil, now)
@@ -396,8 +406,11 @@
 // delegation returns a request without teams, and without an echo.
 func (n *Node) delegation(class uint8, w weight, now time.Duration) request {
 	r := request{header: n.header(kindDelegation, class, n.number.Add(1)), fleet: n.census.digest, weight: w, lease: n.lease}
-	if !n.census.settled {
+	switch {
+	case !n.census.settled:
 		r.flags |= flagUnsettled
+	case n.starts(now):
+		r.flags |= flagStarts
 	}
 	return r
 }
@@ -409,7 +422,7 @@
 }
 
 func (n *Node) terms() terms {
-	return terms{n.Limit, n.Bounds, int(n.areaCount.Load()), *n.fleets.Load()}
+	return terms{n.Limit, n.Bounds, int(n.areaCount.Load()), *n.fleets.Load(), *n.joined.Load()}
 }
 
 // request prepares a request to another node and returns its number. The mutex is held.
