Refuse at once while holders have no weight, and start to use weights sooner

After a restart of all nodes, requests waited for 0.3 s and then got 503. Holders without a weight now say when they expect one, so that a request which cannot wait for it is refused at once, with a Retry-After that spreads the callers. A process waits for 0.4 s instead of 1 s after its first fleet for others to state how many nodes they know.

--- a/pkg/quota/client.go
+++ b/pkg/quota/client.go
@@ -17,6 +17,9 @@
 	repeatAfter = 150 * time.Millisecond
 	// unavailableRetry is the Retry-After of requests that holders have not answered.
 	unavailableRetry = 500 * time.Millisecond
+	// unavailableTurns is the number of steps in which callers are told to return when
+	// holders have no weight yet, within unavailableRetry.
+	unavailableTurns = 16
 	// remoteHoldOff is the shortest time between a denial of another area and the next
 	// ask to it. It limits the traffic between regions. It is shorter, a share of the
 	// time in which a bucket fills, for teams with a small burst.
@@ -187,8 +190,8 @@
 		}
 	}
 	t.refresh()
-	if until, denied := t.deniedUntil(now); denied && (until >= deadline || !t.patient(now)) {
-		return t.exceed(until, now), true
+	if until, refused, held := t.refusedByAll(now); refused && !t.waits(until, deadline, held, now) {
+		return t.refuse(until, held, now), true
 	}
 	if len(t.waiting) >= maxWaiting {
 		return t.fail(now), true
@@ -229,21 +232,39 @@
 	t.nodes = max(nodes, 1)
 }
 
-// deniedUntil returns when the first holder expects a token, and whether holders of
-// most of the quota have denied a token until then.
-func (t *teamState) deniedUntil(now time.Duration) (earliest time.Duration, denied bool) {
+// refusedByAll reports whether every holder has denied a token until a time that is to
+// come, the earliest of these times, and whether they hold most of the quota.
+func (t *teamState) refusedByAll(now time.Duration) (until time.Duration, refused, held bool) {
 	sum := weight(0)
 	for i := range t.areas {
 		a := &t.areas[i]
 		if now >= a.deniedUntil {
-			return 0, false
+			return 0, false, false
 		}
 		sum += a.weight
-		if earliest == 0 || a.deniedUntil < earliest {
-			earliest = a.deniedUntil
+		if until == 0 || a.deniedUntil < until {
+			until = a.deniedUntil
 		}
 	}
-	return earliest, sum >= unit/2
+	return until, until != 0, sum >= unit/2
+}
+
+// waits reports whether a request that all holders have refused waits until the next token
+// is expected.
+func (t *teamState) waits(until, deadline time.Duration, held bool, now time.Duration) bool {
+	return until < deadline && (!held || t.patient(now))
+}
+
+// refuse returns the decision on a request that does not wait for the next token.
+func (t *teamState) refuse(until time.Duration, held bool, now time.Duration) Decision {
+	if held {
+		return t.exceed(until, now)
+	}
+	// Holders have no weight yet. Callers that return at the same time would find the
+	// buckets empty.
+	t.usage.count(Unavailable, now)
+	turn := time.Duration(t.usage.total[Unavailable]%unavailableTurns) * unavailableRetry / unavailableTurns
+	return Decision{Unavailable, max(until-now, unavailableRetry/2) + turn}
 }
 
 // exceed returns the decision on a denied request. The requests that this node denies
@@ -354,16 +375,15 @@
 // endDenied ends the requests that cannot wait for the time at which a holder expects
 // a token.
 func (t *teamState) endDenied(now time.Duration) {
-	until, denied := t.deniedUntil(now)
-	if !denied {
+	until, refused, held := t.refusedByAll(now)
+	if !refused {
 		return
 	}
-	patient := t.patient(now)
 	t.waiting = slices.DeleteFunc(t.waiting, func(w *waiter) bool {
-		if until < w.deadline && patient {
+		if t.waits(until, w.deadline, held, now) {
 			return false
 		}
-		w.resolve(t.exceed(until, now))
+		w.resolve(t.refuse(until, held, now))
 		return true
 	})
 }
--- a/pkg/quota/holder.go
+++ b/pkg/quota/holder.go
@@ -238,6 +238,9 @@
 	areas  int
 	fleets fleets
 	joined joiners
+	// usable is when this node begins to delegate its weight. The others do so at about
+	// the same time if all have restarted.
+	usable time.Duration
 }
 
 // serve applies a request and fills in the answer: the weight, the grants, the report
@@ -251,7 +254,7 @@
 	a.teams = a.teams[:0]
 	for _, w := range r.teams {
 		if l, ok := t.limits(w.team); ok {
-			a.teams = append(a.teams, c.ask(w, l, t.bounds.plan(l, t.areas), now))
+			a.teams = append(a.teams, c.ask(w, l, t.bounds.plan(l, t.areas), t.usable, now))
 		} else {
 			a.teams = append(a.teams, grant{team: w.team, retry: noWeightRetry, flags: flagUnknown})
 		}
@@ -310,11 +313,12 @@
 }
 
 // ask grants tokens of one team. The mutex is held.
-func (c *class) ask(w want, l Limit, p plan, now time.Duration) grant {
+func (c *class) ask(w want, l Limit, p plan, usable, now time.Duration) grant {
 	g := grant{team: w.team}
 	if c.weight == 0 {
 		if w.wanted > 0 {
-			g.retry = noWeightRetry
+			// After a restart of this node alone, the others delegate to it again sooner.
+			g.retry = min(max(noWeightRetry, usable+noWeightRetry/2-now), MaxWait)
 		}
 		return g
 	}
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -30,6 +30,9 @@
 	// changes responds every 29 s.
 	confirmLife      = 10 * time.Second
 	storeConfirmLife = 31 * time.Second
+	// hearTime is how long a process that has got its first fleet waits for other nodes to
+	// state how many nodes they know: for one renewal and its answer.
+	hearTime = 400 * time.Millisecond
 	// teamLife is how long the state of a team that sends no requests is kept.
 	teamLife = 5 * time.Minute
 	// teamShards is the number of parts of the table of teams.
@@ -72,6 +75,7 @@
 	areaVersion atomic.Uint32
 	fleets      atomic.Pointer[fleets] // that this node has known
 	joined      atomic.Pointer[joiners]
+	usableFrom  atomic.Int64 // when this process may use the weight of the node
 	heardAt     atomic.Int64 // time of the last datagram of another node
 	counters    counters
 
@@ -145,7 +149,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.census.loaded {
-		n.usableAt = now + minLease
+		n.usableAt = now + hearTime
 	}
 	n.census.update(present, n.FirstStart, now)
 	known := n.fleets.Load().with(n.census.digest, present)
@@ -290,7 +294,9 @@
 // starts reports whether this process may not use the weight of the node yet. The mutex is
 // held.
 func (n *Node) starts(now time.Duration) bool {
-	return now < max(n.started+n.lease+margin(n.lease), n.usableAt)
+	from := max(n.started+n.lease+margin(n.lease), n.usableAt)
+	n.usableFrom.Store(int64(from))
+	return now < from
 }
 
 // updateWeight determines the weight that this node may delegate. If it has changed, it is
@@ -422,7 +428,7 @@
 }
 
 func (n *Node) terms() terms {
-	return terms{n.Limit, n.Bounds, int(n.areaCount.Load()), *n.fleets.Load(), *n.joined.Load()}
+	return terms{n.Limit, n.Bounds, int(n.areaCount.Load()), *n.fleets.Load(), *n.joined.Load(), time.Duration(n.usableFrom.Load())}
 }
 
 // request prepares a request to another node and returns its number. The mutex is held.
