Compare five upstreams for an attempt instead of two

Two random choices often missed the better upstreams of a zone of three to nine. The statistics are those of the node alone, so nodes do not choose the same one at the same time.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -278,3 +278,41 @@
 		t.Fatalf("no upstream of the region is serving: result %d, want one of another region", res)
 	}
 }
+
+// Guards against attempts that go to slow upstreams although the node knows faster ones
+// in the zone.
+func TestMoreChoicesFindFasterUpstreams(t *testing.T) {
+	const nodesOfZone, slow = 6, 4
+	shares := map[int]float64{}
+	for _, choices := range []int{0, 5} {
+		p := NewPicker()
+		var nodes []model.UpstreamNode
+		for i := range nodesOfZone {
+			n := model.UpstreamNode{Node: model.NodeID(fmt.Sprint(i)), Location: localLocation}
+			latency := 100 * time.Millisecond
+			if i < slow {
+				latency = 200 * time.Millisecond
+			}
+			s := p.Stats(n.Node, 0)
+			s.Begin(0)
+			s.End(0, 0, Accepted, latency)
+			nodes = append(nodes, n)
+		}
+		for seed := range uint64(1000) {
+			c, res := p.Pick(Request{Candidates: nodes, From: localLocation, Choices: choices, Seed: seed})
+			if res != Picked {
+				t.Fatalf("result %d", res)
+			}
+			if c.Further && choices == 0 {
+				t.Fatal("more than two upstreams were compared")
+			}
+			if c.Index >= slow {
+				shares[choices] += 0.001
+			}
+		}
+	}
+	t.Logf("share of the two fast upstreams: %.2f of two choices, %.2f of five", shares[0], shares[5])
+	if shares[0] > 0.65 || shares[5] < 0.8 { // 1-(4/6)^2 = 0.56, 1-(4/6)^5 = 0.87
+		t.Errorf("shares %v", shares)
+	}
+}
--- a/pkg/balance/picker.go
+++ b/pkg/balance/picker.go
@@ -49,6 +49,7 @@
 	// few and say little about a link, whose load only the node of the upstream
 	// knows.
 	Download bool
+	Choices  int            // random candidates that are compared, 0 stands for 2
 	Exclude  []model.NodeID // upstreams that this call has tried
 	Now      time.Duration  // on a monotonic clock
 	Seed     uint64         // seed of this choice
@@ -59,6 +60,8 @@
 	Index    int
 	Stats    *Stats
 	Distance model.Distance
+	// Further says that it was better than the best of the first two candidates.
+	Further bool
 }
 
 // Picker chooses upstreams by the statistics of this node. It is safe for
@@ -139,14 +142,14 @@
 			refused = true
 			continue
 		}
-		return p.betterOfTwo(&r, c.available, &rnd), Picked
+		return p.bestOfSome(&r, c.available, &rnd), Picked
 	}
 	if refused {
 		return Choice{}, Overloaded
 	}
 	for i := range s.sets[:s.usableTiers] {
 		if c := &s.sets[i]; len(c.backedOff) > 0 {
-			return p.betterOfTwo(&r, c.backedOff, &rnd), Busy
+			return p.bestOfSome(&r, c.backedOff, &rnd), Busy
 		}
 	}
 	return p.lastResort(s, &r, &rnd)
@@ -157,12 +160,12 @@
 func (p *Picker) lastResort(s *scratch, r *Request, rnd *splitMix64) (Choice, Result) {
 	for i := range s.sets[:s.usableTiers] {
 		if c := s.sets[i].notServing; len(c) > 0 {
-			return p.betterOfTwo(r, c, rnd), Picked
+			return p.bestOfSome(r, c, rnd), Picked
 		}
 	}
 	for i := range s.sets[:s.usableTiers] {
 		if c := s.sets[i].failing; len(c) > 0 {
-			return p.betterOfTwo(r, c, rnd), Picked
+			return p.bestOfSome(r, c, rnd), Picked
 		}
 	}
 	return Choice{}, NoUpstream
@@ -237,18 +240,24 @@
 	return max(0, (sent-acceptHeadroom*accepted)/(sent+1))
 }
 
-// betterOfTwo compares two random candidates (Mitzenmacher, "The Power of Two
-// Choices in Randomized Load Balancing", 2001).
-func (p *Picker) betterOfTwo(r *Request, candidates []int32, rnd *splitMix64) Choice {
-	a := p.choice(r, candidates[rnd.intN(len(candidates))])
+// minChoices is the number of candidates that are compared by default.
+const minChoices = 2
+
+// bestOfSome compares a few random candidates (Mitzenmacher, "The Power of Two Choices
+// in Randomized Load Balancing", 2001).
+func (p *Picker) bestOfSome(r *Request, candidates []int32, rnd *splitMix64) Choice {
+	best := p.choice(r, candidates[rnd.intN(len(candidates))])
 	if len(candidates) == 1 {
-		return a
+		return best
 	}
-	b := p.choice(r, candidates[rnd.intN(len(candidates))])
-	if cost(b, r) < cost(a, r) {
-		return b
+	for i := 1; i < max(r.Choices, minChoices); i++ {
+		c := p.choice(r, candidates[rnd.intN(len(candidates))])
+		if c.Index != best.Index && cost(c, r) < cost(best, r) {
+			best = c
+			best.Further = i >= minChoices
+		}
 	}
-	return a
+	return best
 }
 
 func (p *Picker) choice(r *Request, i int32) Choice {
--- a/pkg/gateway/boot_statement.go
+++ b/pkg/gateway/boot_statement.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
 
@@ -75,6 +76,19 @@
 	return s, ok
 }
 
+// anyLimited reports whether one of the upstreams states a rate limit.
+func (r *remoteStatements) anyLimited(entries []model.UpstreamNode) bool {
+	if r.byAddress.Load() == nil {
+		return false
+	}
+	for i := range entries {
+		if s, ok := r.get(entries[i].Address); ok && s.Limited {
+			return true
+		}
+	}
+	return false
+}
+
 // observe applies a response to a request that was sent at sentAt. text is its
 // Lentilflow-Upstream field, "" if it has none. A response without a statement
 // removes the last one only if its request was sent after that one was known,
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -395,6 +395,9 @@
 		c.unreachedAttempts = noFurtherAttempt // every node would refuse it
 		return r
 	}
+	if choice.Further {
+		g.Metrics.countLoadDecision(decisionFurther)
+	}
 	entry := &entries[choice.Index]
 	c.triedNodes = append(c.triedNodes, entry.Node)
 	c.excludedNodes = append(c.excludedNodes, entry.Node)
@@ -416,7 +419,7 @@
 	return g.Picker.Pick(balance.Request{
 		Candidates: entries, From: g.Self.Location, Prefer: c.route.Prefer, Class: g.class(c),
 		Service: c.attempt.Service, Route: c.attempt.Route, IgnoreBackoff: c.attempt.MaxWait == 0 || c.relaxed, Download: c.attempt.Download,
-		Exclude: c.excludedNodes, Now: now, Seed: rand.Uint64(),
+		Choices: g.choices(entries), Exclude: c.excludedNodes, Now: now, Seed: rand.Uint64(),
 	})
 }
 
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -24,6 +24,22 @@
 	RefuseLate bool
 	// TeamShares divides the starts of a route's calls among teams by weight.
 	TeamShares bool
+	// MoreChoices compares manyChoices upstreams instead of two.
+	MoreChoices bool
+}
+
+// manyChoices is the number of upstreams that are compared for an attempt. Every node
+// has statistics of its own, so nodes do not choose the same upstream at the same time.
+const manyChoices = 5
+
+// choices returns the number of upstreams that are compared for an attempt. Upstreams
+// with a rate limit respond fast because they get few calls, so with more choices they
+// would get more attempts than they accept.
+func (g *Gateway) choices(entries []model.UpstreamNode) int {
+	if !g.Load.MoreChoices || g.Local.stated.limited.Load() || g.Remote.statements.anyLimited(entries) {
+		return 0
+	}
+	return manyChoices
 }
 
 // class returns the class of a call in the statistics of upstreams. With shares, teams
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -38,11 +38,13 @@
 	decisionLate loadDecision = "late_in_queue"
 	// decisionTeamShare is the start of a call before an older one of another team.
 	decisionTeamShare loadDecision = "team_share"
+	// decisionFurther is the choice of an upstream other than the better of two.
+	decisionFurther loadDecision = "further_choice"
 )
 
 // loadDecisions returns every decision under heavy load.
 func loadDecisions() []loadDecision {
-	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate, decisionTeamShare}
+	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate, decisionTeamShare, decisionFurther}
 }
 
 // statementKind is what a response states about its upstream.
--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -109,7 +109,7 @@
 	sim := c.node.sim
 	return c.node.picker.Pick(balance.Request{
 		Candidates: candidates, From: c.node.upstream.Location, Prefer: model.PreferZone, Class: c.class(), Service: c.kind.Service,
-		Route: c.kind.Name, IgnoreBackoff: c.relaxed || c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Exclude: c.excluded,
+		Route: c.kind.Name, IgnoreBackoff: c.relaxed || c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Choices: sim.choices(c.kind.Service), Exclude: c.excluded,
 		Now: sim.clock.now, Seed: sim.clock.rnd.Uint64(),
 	})
 }
--- a/pkg/play/heavy.go
+++ b/pkg/play/heavy.go
@@ -82,6 +82,7 @@
 		{"calls wait up to their deadline", func(p *Policy) { p.QueueShare = 0 }},
 		{"late calls wait", func(p *Policy) { p.RefuseLate = false }},
 		{"no shares of teams", func(p *Policy) { p.TeamShares = false }},
+		{"two choices", func(p *Policy) { p.Choices = 0 }},
 		{"calls of upstreams in their own rank", func(p *Policy) { p.InnerWeight = 0 }},
 	}
 }
--- a/pkg/play/node.go
+++ b/pkg/play/node.go
@@ -144,6 +144,16 @@
 	return share
 }
 
+// choices returns the number of upstreams of a service that are compared.
+func (sim *simulation) choices(service string) int {
+	for _, n := range sim.nodesByService[service] {
+		if n.limits.RateLimited {
+			return 0
+		}
+	}
+	return sim.policy.Choices
+}
+
 // callerTime returns what the node has learned about the callers of a request kind.
 func (n *node) callerTime(kind string) *retry.CallerTime {
 	t, ok := n.callerTimes[kind]
--- a/pkg/play/play_test.go
+++ b/pkg/play/play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"sync"
 	"testing"
 	"time"
 )
@@ -233,3 +234,32 @@
 		t.Errorf("the team with the burst earned %.3f of its worth", with.Teams[1])
 	}
 }
+
+// Load: a service is short of slots, and its upstreams have different speeds. Guards
+// against attempts that go to slow or busy upstreams although better ones are known.
+func TestMoreChoicesServeMore(t *testing.T) {
+	s, two := dispatchScenario(), GatewayPolicy()
+	s.Length = 14 * time.Second
+	two.Choices = 0
+	const seeds = 4
+	results := make([]Result, 2*seeds)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() {
+			policy := GatewayPolicy()
+			if i >= seeds {
+				policy = two
+			}
+			results[i] = Run(s, policy, uint64(i%seeds))
+		})
+	}
+	wg.Wait()
+	with, without := 0.0, 0.0
+	for i := range seeds {
+		with, without = with+results[i].EarnedShare/seeds, without+results[seeds+i].EarnedShare/seeds
+	}
+	t.Logf("earned %.3f, with two choices %.3f", with, without)
+	if with <= without {
+		t.Errorf("earned %.3f, want more than %.3f", with, without)
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -102,6 +102,8 @@
 	RefuseLate string `yaml:"refuse_late" default:"yes" enum:"yes,no" unit:"word"`
 	// TeamShares divides the starts of a route's calls among teams by weight.
 	TeamShares string `yaml:"team_shares" default:"yes" enum:"yes,no" unit:"word"`
+	// MoreChoices compares five random upstreams for an attempt instead of two.
+	MoreChoices string `yaml:"more_choices" default:"yes" enum:"yes,no" unit:"word"`
 }
 
 // Drain limits the duration of a graceful stop.
