--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -84,6 +84,7 @@
 	local        *gateway.Local
 	gateway      *gateway.Gateway
 	gossip       *gossip.Node
+	quotas       *quotas
 	budgets      *gateway.Budgets
 	crashRecords *crashguard.MemoryRegistry
 	// heldDepartures holds the departures of this node's upstream and of others;
@@ -165,6 +166,9 @@
 		Guard: a.guard,
 	}
 	a.gossip.Init(time.Now())
+	a.quotas = newQuotas(s, &a.self, a.gossip.SendDatagram, c.Platform.StoreSilence)
+	a.gossip.OnQuotaDatagram = a.quotas.node.Handle
+	c.Metrics.MustRegister(a.quotas.node.Collector(a.quotas.namedTeams))
 	a.departureSaver = &recovery.Saver{
 		Node: a.self.Node, Held: a.heldDepartures, Store: a.recoveryStore, Replicate: a.gossip.Replicate, Guard: a.guard, Log: c.Log,
 	}
@@ -178,7 +182,7 @@
 	a.gateway = gateway.New(&gateway.Gateway{
 		Names: names, Self: a.self, Config: a.configHolder, View: a.fleetView, Local: a.local,
 		Remote: gateway.NewRemote(a.self.Node, names, a.configHolder), Picker: balance.NewPicker(), Budgets: a.budgets,
-		Metrics: metrics, Log: c.Log, OnNewerConfig: a.gossip.NoteNewerConfig, Load: loadPolicy(&s.Load),
+		Metrics: metrics, Log: c.Log, OnNewerConfig: a.gossip.NoteNewerConfig, Quota: a.quotas.node, Load: loadPolicy(&s.Load),
 	})
 	a.callServer, a.peerServer = a.gateway.CallServer(), a.gateway.PeerServer()
 	a.messageEcho, a.reportEcho, a.readinessEcho = a.newEcho(), a.newEcho(), a.newEcho()
@@ -222,6 +226,12 @@
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "lentilflow", Name: name, Help: help}, value))
 	}
 	gauge("config_version", "Version of the configuration in force.", func() float64 { return float64(a.configHolder.Version()) })
+	gauge("teams", "Teams in the configuration in force.", func() float64 {
+		if s := a.configHolder.Current(); s != nil {
+			return float64(len(s.Teams))
+		}
+		return 0
+	})
 	gauge("config_behind_seconds", "For how long another node has had a newer configuration than this one; 0 if none is known.", func() float64 { return a.gossip.ConfigLag().Total.Seconds() })
 	a.configLag = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: "lentilflow", Name: "config_lag_seconds", Help: "How late versions came into force, after the first node known to have them.", Buckets: lagBuckets,
@@ -262,8 +272,9 @@
 	lag := a.gossip.ConfigUpdated()
 	a.configLag.Observe(lag.Total.Seconds())
 	a.log.Info("configuration is in force", zap.Uint64("version", uint64(v)), source, zap.Duration("behind_for", lag.Total),
-		zap.Duration("known_for", lag.Known), zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)))
+		zap.Duration("known_for", lag.Known), zap.Int("routes", len(s.Routes)), zap.Int("services", len(s.Services)), zap.Int("teams", len(s.Teams)))
 	a.local.Reconfigure()
+	a.quotas.reconfigure(s)
 	a.findUpstreamOnce.Do(func() { a.guard.Go("find upstream", a.local.DetectBoot) })
 	a.gateway.ReleaseIfReady()
 }
