Keep a slot free for calls that upstreams make

Under load, a short call of a running request waited until one of a few long calls ended, and the request with its slot waited too. Attempts of such calls carry the field Lentilflow-Inner, which nodes of earlier releases ignore.

--- a/pkg/admission/core.go
+++ b/pkg/admission/core.go
@@ -30,6 +30,8 @@
 	// RefuseLate refuses waiting calls that can no longer meet their latency target,
 	// except maxLate of them, while calls wait that can.
 	RefuseLate bool
+	// ReserveForInner keeps a slot free for calls that upstreams make, if many arrive.
+	ReserveForInner bool
 }
 
 // Call holds the properties of a call on which admission depends.
@@ -41,6 +43,8 @@
 	// TeamWeight is the weight of the team among the teams of a rule, 0 stands for 1.
 	TeamWeight float64
 	Deadline   time.Duration // time of the deadline, on the clock of the Core
+	// Inner says that an upstream makes the call while it runs another one.
+	Inner bool
 	// Due is the time at which the response misses its latency target, on the
 	// same clock; 0 if there is no target.
 	Due time.Duration
@@ -72,6 +76,8 @@
 	ranks        [Ranks]rankQueue
 	running      int
 	waiting      int
+	innerWaiting int
+	inner        innerCalls
 }
 
 // NewCore returns an idle Core.
@@ -118,6 +124,10 @@
 func (c *Core) Arrive(now time.Duration, w *Waiter) (d Decision, dropped *Waiter) {
 	w.Rank = min(w.Rank, model.MaxRank)
 	free := c.waiting == 0 && c.mayStart(now)
+	if w.Inner {
+		c.inner.add(now)
+		free = c.innerWaiting == 0 && c.slotFree(now)
+	}
 	if c.cannotFinish(now, w, free) {
 		return DeadlineUnreachable, nil
 	}
@@ -139,12 +149,20 @@
 	}
 	c.ranks[w.Rank].push(w)
 	c.waiting++
+	if w.Inner {
+		c.innerWaiting++
+	}
 	return Queued, dropped
 }
 
-// mayStart reports whether a call may start now: a slot is free, and the rate
-// limit permits it.
-func (c *Core) mayStart(now time.Duration) bool { return c.running < c.Limit() && c.rate.ready(now) }
+// mayStart reports whether any call may start now: a slot is free that is not reserved,
+// and the rate limit permits it.
+func (c *Core) mayStart(now time.Duration) bool {
+	return c.running < c.Limit()-c.reserved(now) && c.rate.ready(now)
+}
+
+// slotFree reports whether a call that an upstream makes may start now.
+func (c *Core) slotFree(now time.Duration) bool { return c.running < c.Limit() && c.rate.ready(now) }
 
 // cannotFinish estimates whether the call cannot finish before its deadline. An
 // idle upstream gets every call whose deadline has not passed, so that the
@@ -186,6 +204,9 @@
 		work += c.ranks[q].totalWork(mean)
 	}
 	slots := c.Limit()
+	if !w.Inner {
+		slots -= c.reserved(now)
+	}
 	for q := int(r) + 1; q < Ranks; q++ {
 		if c.ranks[q].waiting > 0 {
 			slots -= c.floorSlots(model.Rank(q)) // taken by the floors of less urgent ranks
@@ -261,12 +282,21 @@
 // longer finish before its deadline. Next returns nil if no call waits or no
 // slot is free.
 func (c *Core) Next(now time.Duration) (w *Waiter, admitted bool) {
-	if c.waiting == 0 || !c.mayStart(now) {
+	if c.waiting == 0 || !c.slotFree(now) {
 		return nil, false
 	}
-	r := c.nextRank()
-	w = c.ranks[r].pop(now, c.serviceTimes.mean(now), c.rate.limited)
+	r, innerOnly := c.nextRank(), !c.mayStart(now)
+	if innerOnly {
+		var ok bool
+		if r, ok = c.innerRank(); !ok {
+			return nil, false
+		}
+	}
+	w = c.ranks[r].pop(now, c.serviceTimes.mean(now), c.rate.limited, innerOnly)
 	c.waiting--
+	if w.Inner {
+		c.innerWaiting--
+	}
 	if w.Deadline <= now+c.requiredTime(now, &w.Call) {
 		return w, false // it would occupy a slot and not finish before its deadline
 	}
@@ -293,7 +323,18 @@
 	return model.Rank(first)
 }
 
+// innerRank returns the most urgent rank in which a call waits that an upstream makes.
+func (c *Core) innerRank() (r model.Rank, ok bool) {
+	for r := range c.ranks {
+		if c.ranks[r].anyInner() {
+			return model.Rank(r), true
+		}
+	}
+	return 0, false
+}
+
 func (c *Core) start(now time.Duration, w *Waiter) {
+	w.reserved = c.running >= c.Limit()-c.reserved(now)
 	c.running++
 	c.ranks[w.Rank].running++
 	w.started = now
@@ -319,6 +360,9 @@
 func (c *Core) Remove(w *Waiter) {
 	c.ranks[w.Rank].remove(w)
 	c.waiting--
+	if w.Inner {
+		c.innerWaiting--
+	}
 }
 
 // Outcome is how an admitted call ended.
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -97,6 +97,10 @@
 // received less of its share.
 func (s Slot) Overtook() bool { return s.waiter.overtook }
 
+// Reserved reports whether the call got a slot that was kept free for calls that
+// upstreams make.
+func (s Slot) Reserved() bool { return s.waiter.reserved }
+
 // Acquire admits a call. It waits for a slot at most until the deadline or until
 // ctx ends. due is the time at which the response misses its latency target, the
 // zero time without a target. c.Deadline and c.Due are ignored.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -21,6 +21,7 @@
 	started    time.Duration
 	late       bool // RemoveLate took it out of its queue
 	share      *teamShare
+	reserved   bool // it started in a slot that was kept free
 	overtook   bool // it started before an older call of a team that had received more of its share
 	flow       *flow
 	prev, next *Waiter
@@ -93,10 +94,14 @@
 // the load exceeds the slots, every call in a plain queue would miss its target.
 // Calls that have missed it therefore wait for the others. defaultTime is the
 // service time of a flow without samples. With byStarts every call costs the
-// same: under a rate limit a start is what is scarce, not the time in a slot.
-func (q *rankQueue) pop(now, defaultTime time.Duration, byStarts bool) *Waiter {
+// same: under a rate limit a start is what is scarce, not the time in a slot. With
+// innerOnly only the calls that upstreams make are considered, of which there is one.
+func (q *rankQueue) pop(now, defaultTime time.Duration, byStarts, innerOnly bool) *Waiter {
 	var best *flow
 	for _, f := range q.active {
+		if innerOnly && !f.head.Inner {
+			continue
+		}
 		if best == nil || f.virtualTime < best.virtualTime ||
 			f.virtualTime == best.virtualTime && f.head.Rule < best.head.Rule {
 			best = f
@@ -191,6 +196,12 @@
 	return float64(max(defaultTime, time.Millisecond))
 }
 
+// anyInner reports whether a call waits that an upstream makes. All calls of a rule are
+// alike in this respect.
+func (q *rankQueue) anyInner() bool {
+	return slices.ContainsFunc(q.active, func(f *flow) bool { return f.head.Inner })
+}
+
 // longestFlow returns the flow with the most waiting calls, nil if no call waits.
 func (q *rankQueue) longestFlow() *flow {
 	var longest *flow
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -199,7 +199,7 @@
 func loadPolicy(l *settings.HeavyLoad) gateway.LoadPolicy {
 	return gateway.LoadPolicy{
 		ReturningLate: l.ReturningLate == "yes", InnerFirst: l.InnerFirst == "yes", QueueLimit: l.QueueLimit == "yes", RefuseLate: l.RefuseLate == "yes",
-		TeamShares: l.TeamShares == "yes", MoreChoices: l.MoreChoices == "yes",
+		TeamShares: l.TeamShares == "yes", MoreChoices: l.MoreChoices == "yes", ReserveForInner: l.InnerReserve == "yes",
 	}
 }
 
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -28,6 +28,8 @@
 	Route      string
 	Weight     int // relative share among the routes of the rank, at least 1
 	Idempotent bool
+	// Inner says that an upstream makes the call while it runs another one.
+	Inner bool
 	// Due is when the latency target of the route is missed, the zero time if
 	// the route has none.
 	Due time.Time
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -273,7 +273,7 @@
 		RequestID: req.Header.Get(g.Names.RequestID), Method: req.Method, Target: req.RequestURI, Host: req.Host,
 		Header: req.Header, Body: c.x.Body, Rest: c.x.Rest, Length: c.x.Length,
 		Service: t.ChooseService(), Route: t.Name, Team: c.teamName(), Rank: rank, Idempotent: t.Idempotent, Deadline: deadline,
-		MaxWait: maxWait(t), Weight: weight,
+		MaxWait: maxWait(t), Weight: weight, Inner: t.Inner && g.Load.InnerFirst,
 		Download: t.Download, LatencyTarget: t.TargetLatency,
 	}
 	if t.TargetLatency > 0 {
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -26,6 +26,9 @@
 	// headerUpstream says what the upstream has stated about itself, in
 	// responses and, as the sender knows it, in attempts.
 	headerUpstream = "Lentilflow-Upstream"
+	// headerInner is present in attempts of calls that an upstream makes while it runs
+	// another one. Nodes of earlier releases ignore it.
+	headerInner = "Lentilflow-Inner"
 	// headerRoute and headerVersion inform a caller which route of which
 	// version decided its call.
 	headerRoute   = "Lentilflow-Route"
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -26,6 +26,9 @@
 	TeamShares bool
 	// MoreChoices compares manyChoices upstreams instead of two.
 	MoreChoices bool
+	// ReserveForInner keeps a slot free for calls that upstreams make (admission.Limits).
+	// It needs InnerFirst.
+	ReserveForInner bool
 }
 
 // manyChoices is the number of upstreams that are compared for an attempt. Every node
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -202,12 +202,15 @@
 	defer done()
 	team, weight := l.teamOf(att)
 	slot, refused := l.gate.Acquire(ctx, admission.Call{
-		Rank: att.Rank, Rule: att.Route, Weight: att.Weight, Team: team, TeamWeight: weight, MaxQueueTime: att.MaxWait,
+		Rank: att.Rank, Rule: att.Route, Weight: att.Weight, Team: team, TeamWeight: weight, Inner: att.Inner, MaxQueueTime: att.MaxWait,
 	}, att.Deadline, att.Due)
 	if refused == nil {
 		if slot.Overtook() {
 			l.Metrics.countLoadDecision(decisionTeamShare)
 		}
+		if slot.Reserved() {
+			l.Metrics.countLoadDecision(decisionReserved)
+		}
 		return slot, nil
 	}
 	r := newRefusal(refused.Reason)
--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -202,7 +202,7 @@
 // limits returns the slots and the rate limit of a boot, and the floors of the
 // ranks that have a route to its service, or that teams give to its calls.
 func (l *Local) limits(b *upstream.Boot) admission.Limits {
-	limits := admission.Limits{Slots: b.Slots, RefuseLate: l.Load.RefuseLate}
+	limits := admission.Limits{Slots: b.Slots, RefuseLate: l.Load.RefuseLate, ReserveForInner: l.Load.ReserveForInner}
 	if !l.stopping.Load() {
 		limits.RateLimit, limits.RateLimited = l.stated.of(b)
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -40,11 +40,13 @@
 	decisionTeamShare loadDecision = "team_share"
 	// decisionFurther is the choice of an upstream other than the better of two.
 	decisionFurther loadDecision = "further_choice"
+	// decisionReserved is the start of a call of an upstream in a slot kept free for it.
+	decisionReserved loadDecision = "reserved_slot"
 )
 
 // loadDecisions returns every decision under heavy load.
 func loadDecisions() []loadDecision {
-	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate, decisionTeamShare, decisionFurther}
+	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate, decisionTeamShare, decisionFurther, decisionReserved}
 }
 
 // statementKind is what a response states about its upstream.
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -139,6 +139,9 @@
 	},
 		h1.Field{Name: headerCall, Value: f.String()}, h1.Field{Name: headerAttempt, Value: attemptID})
 	o.DialTimeout = dialTimeout(f.remaining)
+	if att.Inner {
+		o.Fields = append(o.Fields, h1.Field{Name: headerInner, Value: flag(true)})
+	}
 	if s, ok := r.statements.get(address); ok {
 		o.Fields = append(o.Fields, h1.Field{Name: headerUpstream, Value: s.String()})
 	}
--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -280,7 +280,7 @@
 		due = 0
 	}
 	w := &admission.Waiter{Call: admission.Call{
-		Rank: n.sim.rank(a.kind, a.team), Rule: rule, Weight: n.sim.weight(a.kind), Deadline: a.deadline, Due: due, MaxQueueTime: a.maxWait,
+		Rank: n.sim.rank(a.kind, a.team), Rule: rule, Weight: n.sim.weight(a.kind), Inner: a.kind.inner() && n.sim.policy.InnerWeight > 0, Deadline: a.deadline, Due: due, MaxQueueTime: a.maxWait,
 	}}
 	if n.sim.policy.TeamShares && a.team > 0 {
 		w.Team, w.TeamWeight = strconv.Itoa(a.team), float64(n.sim.scenario.Teams)*n.sim.scenario.teamShare(a.team)
--- a/pkg/play/heavy.go
+++ b/pkg/play/heavy.go
@@ -83,6 +83,7 @@
 		{"late calls wait", func(p *Policy) { p.RefuseLate = false }},
 		{"no shares of teams", func(p *Policy) { p.TeamShares = false }},
 		{"two choices", func(p *Policy) { p.Choices = 0 }},
+		{"no slot kept for calls of upstreams", func(p *Policy) { p.ReserveForInner = false }},
 		{"calls of upstreams in their own rank", func(p *Policy) { p.InnerWeight = 0 }},
 	}
 }
--- a/pkg/play/policy.go
+++ b/pkg/play/policy.go
@@ -50,6 +50,8 @@
 	// Choices is the number of random upstreams that are compared for an attempt; 0 stands
 	// for 2, as for services with a rate limit.
 	Choices int
+	// ReserveForInner keeps a slot free for calls that upstreams make.
+	ReserveForInner bool
 }
 
 // Variant is a named change of a policy.
@@ -82,6 +84,6 @@
 	return Policy{
 		MaxWaitShare: 0.25, DownloadMaxWaitShare: 0.35, LinkWaitShare: 0.42, LinkRetryAfterShare: 0.25, BackOff: true, BackOffLimitedAlone: true, DownloadsInRegion: true,
 		ShortestFirst: true, InTimeFirst: true, ShareWithinRank: true, Retries: true, BudgetShare: 0.75 * 0.2, ReserveShare: 0.7,
-		ReturningLate: true, InnerWeight: 8, QueueShare: 0.25, RefuseLate: true, TeamShares: true, Choices: 5,
+		ReturningLate: true, InnerWeight: 8, QueueShare: 0.25, RefuseLate: true, TeamShares: true, Choices: 5, ReserveForInner: true,
 	}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -105,6 +105,8 @@
 	TeamShares string `yaml:"team_shares" default:"yes" enum:"yes,no" unit:"word"`
 	// MoreChoices compares five random upstreams for an attempt instead of two.
 	MoreChoices string `yaml:"more_choices" default:"yes" enum:"yes,no" unit:"word"`
+	// InnerReserve keeps a slot free for the calls that upstreams make, if many arrive.
+	InnerReserve string `yaml:"inner_reserve" default:"yes" enum:"yes,no" unit:"word"`
 }
 
 // Quota is what the deployment promises about the requests of a team in every window:
