--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -273,7 +273,7 @@
 		RequestID: req.Header.Get(g.Names.RequestID), Method: req.Method, Target: req.RequestURI, Host: req.Host,
 		Header: req.Header, Body: c.x.Body, Rest: c.x.Rest, Length: c.x.Length,
 		Service: t.ChooseService(), Route: t.Name, Team: c.teamName(), Rank: rank, Idempotent: t.Idempotent, Deadline: deadline,
-		MaxWait: maxWait(t), Weight: weight,
+		MaxWait: maxWait(t), Weight: weight, Inner: t.Inner && g.Load.InnerFirst,
 		Download: t.Download, LatencyTarget: t.TargetLatency,
 	}
 	if t.TargetLatency > 0 {
@@ -398,6 +398,9 @@
 		c.unreachedAttempts = noFurtherAttempt // every node would refuse it
 		return r
 	}
+	if choice.Further {
+		g.Metrics.countLoadDecision(decisionFurther)
+	}
 	entry := &entries[choice.Index]
 	c.triedNodes = append(c.triedNodes, entry.Node)
 	c.excludedNodes = append(c.excludedNodes, entry.Node)
@@ -419,7 +422,7 @@
 	return g.Picker.Pick(balance.Request{
 		Candidates: entries, From: g.Self.Location, Prefer: c.route.Prefer, Class: g.class(c),
 		Service: c.attempt.Service, Route: c.attempt.Route, IgnoreBackoff: c.attempt.MaxWait == 0 || c.relaxed, Download: c.attempt.Download,
-		Exclude: c.excludedNodes, Now: now, Seed: rand.Uint64(),
+		Choices: g.choices(entries), Exclude: c.excludedNodes, Now: now, Seed: rand.Uint64(),
 	})
 }
 
--- a/pkg/play/call.go
+++ b/pkg/play/call.go
@@ -109,7 +109,7 @@
 	sim := c.node.sim
 	return c.node.picker.Pick(balance.Request{
 		Candidates: candidates, From: c.node.upstream.Location, Prefer: model.PreferZone, Class: c.class(), Service: c.kind.Service,
-		Route: c.kind.Name, IgnoreBackoff: c.relaxed || c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Exclude: c.excluded,
+		Route: c.kind.Name, IgnoreBackoff: c.relaxed || c.maxWait == 0, Download: c.kind.DownloadBytes > 0 && sim.policy.DownloadsInRegion, Choices: sim.choices(c.kind.Service), Exclude: c.excluded,
 		Now: sim.clock.now, Seed: sim.clock.rnd.Uint64(),
 	})
 }
@@ -280,7 +280,7 @@
 		due = 0
 	}
 	w := &admission.Waiter{Call: admission.Call{
-		Rank: n.sim.rank(a.kind, a.team), Rule: rule, Weight: n.sim.weight(a.kind), Deadline: a.deadline, Due: due, MaxQueueTime: a.maxWait,
+		Rank: n.sim.rank(a.kind, a.team), Rule: rule, Weight: n.sim.weight(a.kind), Inner: a.kind.inner() && n.sim.policy.InnerWeight > 0, Deadline: a.deadline, Due: due, MaxQueueTime: a.maxWait,
 	}}
 	if n.sim.policy.TeamShares && a.team > 0 {
 		w.Team, w.TeamWeight = strconv.Itoa(a.team), float64(n.sim.scenario.Teams)*n.sim.scenario.teamShare(a.team)
--- a/pkg/play/heavy.go
+++ b/pkg/play/heavy.go
@@ -82,6 +82,8 @@
 		{"calls wait up to their deadline", func(p *Policy) { p.QueueShare = 0 }},
 		{"late calls wait", func(p *Policy) { p.RefuseLate = false }},
 		{"no shares of teams", func(p *Policy) { p.TeamShares = false }},
+		{"two choices", func(p *Policy) { p.Choices = 0 }},
+		{"no slot kept for calls of upstreams", func(p *Policy) { p.ReserveForInner = false }},
 		{"calls of upstreams in their own rank", func(p *Policy) { p.InnerWeight = 0 }},
 	}
 }
