--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -38,11 +38,15 @@
 	decisionLate loadDecision = "late_in_queue"
 	// decisionTeamShare is the start of a call before an older one of another team.
 	decisionTeamShare loadDecision = "team_share"
+	// decisionFurther is the choice of an upstream other than the better of two.
+	decisionFurther loadDecision = "further_choice"
+	// decisionReserved is the start of a call of an upstream in a slot kept free for it.
+	decisionReserved loadDecision = "reserved_slot"
 )
 
 // loadDecisions returns every decision under heavy load.
 func loadDecisions() []loadDecision {
-	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate, decisionTeamShare}
+	return []loadDecision{decisionReturning, decisionInner, decisionQueueLimit, decisionLate, decisionTeamShare, decisionFurther, decisionReserved}
 }
 
 // statementKind is what a response states about its upstream.
