--- a/pkg/quota/census.go
+++ b/pkg/quota/census.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -43,8 +45,11 @@
 	present int
 	loaded  bool
 	settled bool
-	// count is the number of nodes that may have a weight, until recount.
+	joined  joiners
+	// count is the number of nodes that may have a weight, and all the exclusive or of
+	// their hashes, until recount.
 	count   int
+	all     uint64
 	recount time.Duration
 	since   time.Duration // when this node was first present
 	reports map[string]dated
@@ -76,11 +81,15 @@
 // that it loads has been counted before it was started, unless the whole deployment
 // starts for the first time.
 func (c *census) update(present map[uint64]model.UpstreamNodeState, firstStart bool, now time.Duration) {
-	digest := uint64(0)
+	digest, joined := uint64(0), []uint64(nil)
 	for id, state := range present {
 		digest ^= id
+		if s, known := c.members[id]; c.loaded && (!known || s.expires != 0) {
+			joined = append(joined, id)
+		}
 		c.members[id] = standing{state: state}
 	}
+	c.joined = c.joined.with(joined, now)
 	for id, s := range c.members {
 		if _, ok := present[id]; ok {
 			continue
@@ -103,9 +112,6 @@
 	case c.since == 0:
 		c.since = now
 	}
-	if digest != c.digest {
-		clear(c.reports) // they compare with the fleet before
-	}
 	c.digest, c.present, c.loaded = digest, len(present), true
 }
 
@@ -125,13 +131,14 @@
 	if now < c.recount {
 		return c.count
 	}
-	c.count, c.recount = 0, math.MaxInt64
-	for _, s := range c.members {
-		switch {
-		case s.expires == 0:
-			c.count++
-		case now < s.expires:
-			c.count++
+	c.count, c.all, c.recount = 0, 0, math.MaxInt64
+	for id, s := range c.members {
+		if s.expires != 0 && now >= s.expires {
+			continue
+		}
+		c.count++
+		c.all ^= id
+		if s.expires != 0 {
 			c.recount = min(c.recount, s.expires)
 		}
 	}
@@ -152,16 +159,11 @@
 // isMember reports whether this node is in the fleet that it knows.
 func (c *census) isMember() bool { return c.since != 0 }
 
-// observe records the report of the holder of an area. fleet is what the request said
-// that it responds to.
-func (c *census) observe(area string, r report, fleet uint64, now time.Duration) {
-	if fleet == c.digest {
-		c.reports[area] = dated{r, now}
-	}
-}
+// observe records the report of the holder of an area.
+func (c *census) observe(area string, r report, now time.Duration) { c.reports[area] = dated{r, now} }
 
 // weight returns the share of every limit that this node is entitled to. It settles
-// the node if the reports of all areas show that every node knows the same fleet.
+// the node if the reports of all areas show that every node counts it.
 func (c *census) weight(now time.Duration) weight {
 	if !c.isMember() {
 		return 0
@@ -169,7 +171,7 @@
 	c.hear(0, now)
 	n := max(c.size(now), int(c.heard), int(c.heardBefore))
 	full := unit / weight(n)
-	if c.settled || c.present == 1 {
+	if c.settled || n == 1 {
 		return full
 	}
 	var all report
@@ -177,16 +179,18 @@
 		if now-r.at > c.reportLife {
 			continue
 		}
-		all.same ^= r.same
-		all.sameSettled += r.sameSettled
-		all.sames += r.sames
+		all.counting ^= r.counting
+		all.countingSettled += r.countingSettled
+		all.nodes += r.nodes
 		all.settled += r.settled
 	}
-	switch {
-	case all.same == c.digest:
+	// Nodes that have gone, or that only others know, may have a weight and not count this
+	// one.
+	switch known := c.size(now) == n; {
+	case known && all.counting == c.all:
 		c.settled = true
-	case all.settled == 0 && now-c.since >= bootstrapAfter:
-		c.settled = c.present-int(all.sames) <= max(1, c.present/bootstrapShare)
+	case known && all.settled == 0 && now-c.since >= bootstrapAfter:
+		c.settled = n-int(all.nodes) <= max(1, n/bootstrapShare)
 	}
 	if c.settled {
 		return full
@@ -195,5 +199,73 @@
 	// The others may not know of it, and count as settled nodes that have given up
 	// nothing. No settled node is reported twice: a holder reports it after a lease, when
 	// the holder before no longer does.
-	return weight(uint64(full) * uint64(all.sameSettled) / uint64(max(n-1, int(all.sameSettled))))
+	return weight(uint64(full) * uint64(all.countingSettled) / uint64(max(n-1, int(all.countingSettled))))
+}
+
+const (
+	// knownFleets is the number of fleets that are remembered of each node that delegates,
+	// and keptFleets that of this node. While nodes join or leave, nodes know different
+	// fleets.
+	knownFleets = 3
+	keptFleets  = 8
+)
+
+// joinMemory is how long it is remembered that a node has joined. It has settled by then,
+// unless nodes behind a cut do not know it.
+const joinMemory = time.Minute
+
+// joiners are the nodes that have joined the fleet while this process was running, and
+// when. It is immutable.
+type joiners map[uint64]time.Duration
+
+// has reports whether a node has joined lately.
+func (j joiners) has(node uint64, now time.Duration) bool {
+	at, ok := j[node]
+	return ok && now-at < joinMemory
+}
+
+// with returns the nodes that have joined lately, and new ones.
+func (j joiners) with(nodes []uint64, now time.Duration) joiners {
+	if len(nodes) == 0 {
+		return j
+	}
+	next := make(joiners, len(nodes))
+	for id, at := range j {
+		if now-at < joinMemory {
+			next[id] = at
+		}
+	}
+	for _, id := range nodes {
+		next[id] = now
+	}
+	return next
+}
+
+// fleets are the last fleets that this node has known, the newest first. It is immutable.
+type fleets []knownFleet
+
+// knownFleet has the hashes of the nodes of a fleet, sorted.
+type knownFleet struct {
+	digest uint64
+	nodes  []uint64
+}
+
+// include reports whether the fleet with a digest is known and has a node.
+func (f fleets) include(digest, node uint64) bool {
+	for i := range f {
+		if f[i].digest == digest {
+			_, ok := slices.BinarySearch(f[i].nodes, node)
+			return ok
+		}
+	}
+	return false
+}
+
+// with returns the fleets with a new one. It returns f if that is the newest already.
+func (f fleets) with(digest uint64, present map[uint64]model.UpstreamNodeState) fleets {
+	if len(f) > 0 && f[0].digest == digest {
+		return f
+	}
+	next := fleets{{digest, slices.Sorted(maps.Keys(present))}}
+	return append(next, f[:min(len(f), keptFleets-1)]...)
 }
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -30,6 +30,9 @@
 	// changes responds every 29 s.
 	confirmLife      = 10 * time.Second
 	storeConfirmLife = 31 * time.Second
+	// hearTime is how long a process that has got its first fleet waits for other nodes to
+	// state how many nodes they know: for one renewal and its answer.
+	hearTime = 400 * time.Millisecond
 	// teamLife is how long the state of a team that sends no requests is kept.
 	teamLife = 5 * time.Minute
 	// teamShards is the number of parts of the table of teams.
@@ -70,6 +73,9 @@
 	fleetSize   atomic.Uint32
 	size        atomic.Uint32 // nodes that may have a weight
 	areaVersion atomic.Uint32
+	fleets      atomic.Pointer[fleets] // that this node has known
+	joined      atomic.Pointer[joiners]
+	usableFrom  atomic.Int64 // when this process may use the weight of the node
 	heardAt     atomic.Int64 // time of the last datagram of another node
 	counters    counters
 
@@ -86,17 +92,16 @@
 	// usableAt is when this node may use its weight. What the process before has
 	// delegated may be valid for a lease after the start; and other nodes, which may
 	// know of more nodes than the first fleet has, need some time to say so.
-	usableAt    time.Duration
-	fleetNumber uint32 // of the first request with the current fleet
-	lastTick    time.Duration
-	nextRenew   time.Duration
-	nextProbe   time.Duration
-	nextSweep   time.Duration
-	draining    bool
-	left        bool
-	scratch     scratch
-	datagrams   [][]byte // to be sent when the mutex is released
-	receivers   []netip.AddrPort
+	usableAt  time.Duration
+	lastTick  time.Duration
+	nextRenew time.Duration
+	nextProbe time.Duration
+	nextSweep time.Duration
+	draining  bool
+	left      bool
+	scratch   scratch
+	datagrams [][]byte // to be sent when the mutex is released
+	receivers []netip.AddrPort
 }
 
 // scratch is memory of Handle, which is not called concurrently.
@@ -128,6 +133,8 @@
 		n.shards[i].teams = make(map[uint64]*teamState)
 	}
 	n.areaVersion.Store(1)
+	n.fleets.Store(&fleets{})
+	n.joined.Store(&joiners{})
 }
 
 // SetFleet replaces the known nodes, which include this one once its row is known. It
@@ -142,24 +149,32 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.census.loaded {
-		n.usableAt = now + minLease
+		n.usableAt = now + hearTime
 	}
 	n.census.update(present, n.FirstStart, now)
+	known := n.fleets.Load().with(n.census.digest, present)
+	n.fleets.Store(&known)
+	joined := n.census.joined
+	n.joined.Store(&joined)
 	n.nextRenew = 0
 	if n.routing.sameNodes(n.peers, peers) {
 		n.routing.setStates(peers)
-		n.peers = peers
-		return
+	} else {
+		n.setRoutes(peers)
 	}
+	n.peers = peers
+	n.updateWeight(now) // at once, because requests state the new fleet from now on
+}
+
+// setRoutes determines the areas and their holders from the fleet. The mutex is held.
+func (n *Node) setRoutes(peers []Peer) {
 	areas := n.routing.names()
 	n.routing.update(n.Location, peers)
-	n.peers = peers
 	n.lease = minLease
 	if len(n.routing.areas) > 0 {
 		n.lease = leaseOf(n.routing.areas[0].size)
 	}
 	n.census.reportLife = n.lease
-	n.fleetNumber = n.number.Load() + 1
 	if !slices.Equal(areas, n.routing.names()) {
 		n.areaVersion.Add(1)
 	}
@@ -268,7 +283,7 @@
 func (n *Node) ownWeight(now time.Duration) weight {
 	w := n.census.weight(now)
 	switch {
-	case n.left, now < max(n.started+n.lease+margin(n.lease), n.usableAt):
+	case n.left, n.starts(now):
 		return 0
 	case n.census.present > 1 && now-time.Duration(n.heardAt.Load()) > confirmLife && n.StoreSilence() > storeConfirmLife:
 		return 0
@@ -276,14 +291,33 @@
 	return w
 }
 
+// starts reports whether this process may not use the weight of the node yet. The mutex is
+// held.
+func (n *Node) starts(now time.Duration) bool {
+	from := max(n.started+n.lease+margin(n.lease), n.usableAt)
+	n.usableFrom.Store(int64(from))
+	return now < from
+}
+
+// updateWeight determines the weight that this node may delegate. If it has changed, it is
+// to be delegated anew. The mutex is held.
+func (n *Node) updateWeight(now time.Duration) {
+	n.size.Store(uint32(min(n.census.size(now), math.MaxUint16)))
+	before := n.weight
+	if n.weight = n.ownWeight(now); n.weight != before {
+		for class := range n.entitlements {
+			n.entitlements[class].urgent = true
+		}
+	}
+}
+
 // renew delegates the weight of this node in every class, and probes nodes that do not
 // respond. The mutex is held.
 func (n *Node) renew(now time.Duration) {
 	if r, ok := n.localReport(now); ok {
-		n.census.observe(n.routing.areas[0].name, r, n.census.digest, now)
+		n.census.observe(n.routing.areas[0].name, r, now)
 	}
-	n.size.Store(uint32(min(n.census.size(now), math.MaxUint16)))
-	n.weight = n.ownWeight(now)
+	n.updateWeight(now)
 	for class := range n.entitlements {
 		n.renewClass(uint8(class), now)
 	}
@@ -291,7 +325,7 @@
 		return
 	}
 	n.nextProbe = now + time.Duration(renewShare*float64(n.lease))
-	if !n.census.settled {
+	if !n.census.settled || n.starts(now) {
 		for area := 1; area < len(n.routing.areas); area++ {
 			if c, _ := n.routing.target(0, area, false, now); c != nil {
 				n.request(kindDelegation, 0, c, flagProbe, 0, nil, now)
@@ -310,7 +344,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(now)
-	return c.report(n.census.digest, now), true
+	return c.report(n.self, *n.fleets.Load(), now), true
 }
 
 // probe sends a request to candidates that do not respond, so that they are used again
@@ -378,8 +412,11 @@
 // delegation returns a request without teams, and without an echo.
 func (n *Node) delegation(class uint8, w weight, now time.Duration) request {
 	r := request{header: n.header(kindDelegation, class, n.number.Add(1)), fleet: n.census.digest, weight: w, lease: n.lease}
-	if !n.census.settled {
+	switch {
+	case !n.census.settled:
 		r.flags |= flagUnsettled
+	case n.starts(now):
+		r.flags |= flagStarts
 	}
 	return r
 }
@@ -390,7 +427,9 @@
 	n.holder.classes[r.class].serve(r, netip.AddrPort{}, true, n.terms(), now, &a)
 }
 
-func (n *Node) terms() terms { return terms{n.Limit, n.Bounds, int(n.areaCount.Load())} }
+func (n *Node) terms() terms {
+	return terms{n.Limit, n.Bounds, int(n.areaCount.Load()), *n.fleets.Load(), *n.joined.Load(), time.Duration(n.usableFrom.Load())}
+}
 
 // request prepares a request to another node and returns its number. The mutex is held.
 func (n *Node) request(k kind, class uint8, to *contact, flags uint8, w weight, teams []want, now time.Duration) uint32 {
@@ -540,7 +579,7 @@
 	n.census.hear(a.nodes, now)
 	if a.flags&flagNotSettled != 0 {
 		n.census.settled = false
-		n.weight = n.ownWeight(now)
+		n.updateWeight(now)
 	}
 	e := &n.entitlements[a.class]
 	if e.holder == a.sender && (draining && e.process == a.process || e.revoked != 0 && a.number == e.revoked) {
@@ -549,7 +588,7 @@
 	} else if e.holder == a.sender && now >= e.until && n.weight > 0 && !draining {
 		n.request(kindDelegation, a.class, c, 0, n.weight, nil, now) // the first with an echo
 	}
-	if a.flags&flagReport != 0 && int32(a.number-n.fleetNumber) >= 0 {
+	if a.flags&flagReport != 0 {
 		n.observeReport(c, a, now)
 	}
 	return true
@@ -559,7 +598,7 @@
 func (n *Node) observeReport(c *contact, a *answer, now time.Duration) {
 	for i := range n.routing.areas {
 		if target, self := n.routing.target(0, i, !n.draining, now); !self && target == c && a.class == 0 {
-			n.census.observe(n.routing.areas[i].name, a.report, n.census.digest, now)
+			n.census.observe(n.routing.areas[i].name, a.report, now)
 			return
 		}
 	}
