--- a/pkg/standin/store/endpoint.go
+++ b/pkg/standin/store/endpoint.go
@@ -47,6 +47,7 @@
 	away     atomic.Bool
 	conns    sync.Map // of open connections (net.Conn)
 	silent   atomic.Bool
+	system   atomic.Bool
 	silenced sync.Map // of the remote addresses of connections that are silent for good
 	ended    chan struct{}
 }
@@ -61,7 +62,7 @@
 	e := &Endpoint{store: s, listener: l, ended: make(chan struct{})}
 	e.fault.Store(&Fault{})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /-/rows-tx", s.serveCommit)
+	mux.HandleFunc("POST /-/rows-tx", e.serveCommit)
 	mux.HandleFunc("GET /-/rows-get", s.servePage)
 	mux.HandleFunc("GET /-/rows-feed", s.serveFeed)
 	e.server = &http.Server{Handler: e.injectFault(mux), ConnState: func(nc net.Conn, s http.ConnState) {
@@ -95,6 +96,10 @@
 	}
 }
 
+// ForbidOperator makes the endpoint refuse writes to the operator's table with status 403,
+// as the platform does for the system.
+func (e *Endpoint) ForbidOperator() { e.system.Store(true) }
+
 // SetAway closes all connections of the endpoint, and resets the requests that
 // arrive until it is called with false. The fault stays.
 func (e *Endpoint) SetAway(away bool) {
--- a/pkg/standin/store/store.go
+++ b/pkg/standin/store/store.go
@@ -269,7 +269,7 @@
 	return s.newResponse(rows), s.changed, false
 }
 
-func (s *Store) serveCommit(w http.ResponseWriter, r *http.Request) {
+func (e *Endpoint) serveCommit(w http.ResponseWriter, r *http.Request) {
 	var t transaction
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Expect)+len(t.Set)+len(t.Delete) > maxEntries {
 		http.Error(w, "transaction is malformed or has too many entries", http.StatusBadRequest)
@@ -280,8 +280,12 @@
 			http.Error(w, "only the platform may write to table servers", http.StatusForbidden)
 			return
 		}
+		if row.Table == "op" && e.system.Load() {
+			http.Error(w, "only the operator may write to table op", http.StatusForbidden)
+			return
+		}
 	}
-	resp, status := s.commit(&t)
+	resp, status := e.store.commit(&t)
 	writeResponse(w, status, resp)
 }
 
--- a/pkg/standin/upstream/report.go
+++ b/pkg/standin/upstream/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -55,8 +56,8 @@
 	u.sequence++
 	r := report{
 		Address: cmp.Or(u.cfg.AdvertisedAddress, u.addr), Born: u.born,
-		Info:   info{Service: u.cfg.Service, Version: "v1", Zone: u.cfg.Zone, Slots: u.cfg.Slots},
-		Status: status{State: "ready", Sequence: u.sequence, Cold: "0ms"},
+		Info:   info{Service: u.cfg.Service, Version: cmp.Or(u.cfg.Software, "v1"), Zone: u.cfg.Zone, Slots: u.cfg.Slots},
+		Status: status{State: "ready", Sequence: u.sequence, Cold: fmt.Sprintf("%dms", max(u.cfg.WarmUp-time.Since(time.UnixMilli(u.born)), 0).Milliseconds())},
 	}
 	if u.draining {
 		r.Status.State = "draining"
--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -47,6 +48,10 @@
 	AdvertisedAddress string
 	// ServiceTime is how long a run takes.
 	ServiceTime time.Duration
+	// Software is the version in the reports; the default is "v1".
+	Software string
+	// WarmUp is for how long after its start the upstream reports that it is slow.
+	WarmUp time.Duration
 }
 
 // Behaviour is how an upstream responds to the requests that it runs. The zero
@@ -61,6 +66,14 @@
 	// RateLimit is the limit in requests per second that all responses state, 0
 	// for none. The upstream itself does not enforce it.
 	RateLimit float64
+	// BadPart is the part of the requests that get a bad response: a failure, or a run
+	// that takes SlowFactor times as long if that is not 0. If BadPath is set, only
+	// requests whose path begins with it, and if BadRunning is set, only those that run
+	// beside as many others.
+	BadPart    float64
+	SlowFactor float64
+	BadPath    string
+	BadRunning int
 	// Leaving makes all responses state that the upstream leaves, while its
 	// reports still say that it is ready.
 	Leaving bool
@@ -75,6 +88,9 @@
 	Caller   string // service of the caller
 	Body     string
 	Deadline string // time left to the deadline in milliseconds, as received
+	Service  string
+	Software string // version of the upstream
+	Bad      bool   // the response is bad because of Behaviour.BadPart
 	Start    time.Time
 }
 
@@ -211,7 +227,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	b, ok := u.acquireSlot()
+	b, running, ok := u.acquireSlot()
 	if !ok {
 		h.Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -221,6 +237,10 @@
 	run := Run{
 		Boot: u.ID, ID: r.Header.Get(headerID), Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get(headerCaller),
 		Body: string(body), Deadline: r.Header.Get(headerDeadline), Start: time.Now(),
+		Service: u.cfg.Service, Software: cmp.Or(u.cfg.Software, "v1"),
+	}
+	if run.Bad = b.isBad(r.URL.Path, running); run.Bad {
+		b.turnBad(u.cfg.ServiceTime)
 	}
 	u.ledger.add(run)
 	if strings.Contains(r.URL.Path, "/crash") {
@@ -259,16 +279,32 @@
 	return !u.draining && !u.behaviour.Leaving && !u.unhealthy
 }
 
-// acquireSlot occupies a slot and returns the current behaviour. It returns false
-// if all slots are in use.
-func (u *Upstream) acquireSlot() (Behaviour, bool) {
+// acquireSlot occupies a slot and returns the current behaviour and the number of runs. It
+// returns false if all slots are in use.
+func (u *Upstream) acquireSlot() (b Behaviour, running int, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.running >= u.cfg.Slots {
-		return Behaviour{}, false
+		return Behaviour{}, 0, false
 	}
 	u.running++
-	return u.behaviour, true
+	return u.behaviour, u.running, true
+}
+
+// isBad draws whether the request for a path, which runs beside others, gets a bad
+// response.
+func (b *Behaviour) isBad(path string, running int) bool {
+	return b.BadPart > 0 && strings.HasPrefix(path, b.BadPath) && running > b.BadRunning && rand.Float64() < b.BadPart
+}
+
+// turnBad changes the behaviour to that of a bad response. serviceTime is that of the
+// Config.
+func (b *Behaviour) turnBad(serviceTime time.Duration) {
+	if b.SlowFactor == 0 {
+		b.Fail = true
+		return
+	}
+	b.ServiceTime = time.Duration(b.SlowFactor * float64(cmp.Or(b.ServiceTime, serviceTime)))
 }
 
 func (u *Upstream) releaseSlot() {
