Settings of rollouts

rollouts.exposure, rollouts.tolerance and rollouts.rollback are the bounds of the platform; only_ordered is set where the platform states them, so that deployments without rollouts are not affected by versions that upstreams report.

--- a/pkg/agent/reload.go
+++ b/pkg/agent/reload.go
@@ -68,7 +68,7 @@
 	a.budgets.SetLimits(float64(next.Retries.Ratio), float64(next.Retries.Extra))
 	a.drain.Store(&next.Drain)
 	restart := next.Listeners != a.settings.Listeners || next.Upstream != a.settings.Upstream || next.Store != a.settings.Store ||
-		next.Network != a.settings.Network ||
+		next.Network != a.settings.Network || next.Rollouts != a.settings.Rollouts ||
 		next.Name != a.settings.Name || next.Location() != a.settings.Location()
 	a.log.Info("settings reloaded", zap.Bool("signal", signalled), zap.Bool("changed", changed), zap.Bool("needs_restart", restart))
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -18,10 +18,11 @@
 	// FirstStart is "yes" if the whole deployment starts for the first time. The
 	// node then waits until the other nodes have written their rows before it
 	// reads them.
-	FirstStart string  `yaml:"first_start" default:"no" enum:"yes,no" unit:"word"`
-	Retries    Retries `yaml:"retries"`
-	Drain      Drain   `yaml:"drain"`
-	Log        Log     `yaml:"log"`
+	FirstStart string   `yaml:"first_start" default:"no" enum:"yes,no" unit:"word"`
+	Retries    Retries  `yaml:"retries"`
+	Rollouts   Rollouts `yaml:"rollouts"`
+	Drain      Drain    `yaml:"drain"`
+	Log        Log      `yaml:"log"`
 }
 
 // Listeners are the addresses that a node listens on.
@@ -85,6 +86,20 @@
 	Extra int `yaml:"extra" default:"10" min:"0" max:"1000000" unit:"runs"`
 }
 
+// Rollouts limits what a bad software version may do during its rollout.
+type Rollouts struct {
+	// Exposure is the share of the requests of a service, from the order of a rollout to
+	// its time limit, that a bad version may get, and Tolerance a number of further ones.
+	Exposure  Ratio `yaml:"exposure" default:"0.1" unit:"ratio"`
+	Tolerance int   `yaml:"tolerance" default:"0" min:"0" max:"1000000" unit:"requests"`
+	// Rollback is the time after its 50th bad response within which a bad version must get
+	// no more requests.
+	Rollback Duration `yaml:"rollback" default:"5s" min:"1s" max:"10m" unit:"duration"`
+	// OnlyOrdered is "yes" if a version that differs from the one in use gets requests only
+	// because of an order, also before the first order of its service.
+	OnlyOrdered string `yaml:"only_ordered" default:"no" enum:"yes,no" unit:"word"`
+}
+
 // Drain limits the duration of a graceful stop.
 type Drain struct {
 	// Announce is how long new calls are accepted after the node has reported
