Roll versions out: orders, states between nodes, shares of calls, coordinator

Orders are read with the configuration and reach all nodes by datagrams, with a digest in beacons and messages for what is lost. Nodes announce the version of their upstream, refuse attempts that no order allows (version_not_allowed, not run), and count requests while a rollout is running. The coordinator compares both versions, moves the rollout through its phases and writes the status conditionally.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/recovery"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 	"github.com/lentilflow/lentilflow/pkg/settings"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
@@ -38,9 +39,12 @@
 	RecoveryStore() (recovery.Store, recovery.CrashStore)
 	// ConfigSource returns a source that offers the operator's configurations to
 	// h. The source calls onConfig with each version that comes into force and
-	// the position of its row in the store. watchTime returns how long a wait for a
-	// change may take, 0 for as long as the store permits.
-	ConfigSource(h *config.Holder, onConfig func(config.Version, follow.Position), watchTime func() time.Duration) follow.Source
+	// the position of its row in the store, and onOrders with the orders of rollouts that
+	// it reads, before a configuration that it reads with them. watchTime returns how long
+	// a wait for a change may take, 0 for as long as the store permits.
+	ConfigSource(h *config.Holder, onConfig func(config.Version, follow.Position), onOrders func(rollout.Reading), watchTime func() time.Duration) follow.Source
+	// RolloutStore returns where the store keeps the statuses of rollouts.
+	RolloutStore() rollout.Store
 	// ReportEra records that another node has read from the store in an era. If it is
 	// later than the one that the store has stated to this node, the sources that
 	// wait for changes return follow.ErrHistoryLost.
@@ -96,6 +100,13 @@
 	settledNodes   atomic.Int64 // answers of settled nodes since the start
 	guard          *contain.Guard
 	self           fleet.Member
+	rollouts       *rolloutDriver
+	// newcomer says whether the first fleet that this process knew had no row of this
+	// node; nil before that.
+	newcomer atomic.Pointer[bool]
+	// versionsAsked says that other nodes were asked for what they know of rollouts.
+	versionsAsked    atomic.Bool
+	versionsKnownOne sync.Once
 
 	callServer, peerServer *h1.Server
 	messageEcho            *echo.Echo
@@ -154,6 +165,7 @@
 	names := c.Platform.Headers()
 	metrics := gateway.NewMetrics(c.Metrics)
 	link := shaping.NewLink(float64(s.Network.Bandwidth))
+	table := rollout.NewTable(time.Duration(s.Rollouts.Rollback))
 	a.gossip = &gossip.Node{
 		Self: a.self, Config: a.configHolder, View: a.fleetView, Notices: a.crashRecords, Departures: a.heldDepartures, Log: c.Log,
 		Serving:   func() bool { return a.local.Serving() },
@@ -162,7 +174,9 @@
 		OnFleet:   a.onFleetChange,
 		OnEra:     c.Platform.ReportEra,
 		ApplyTime: time.Duration(s.Store.Apply), StoreSilence: c.Platform.StoreSilence,
-		Guard: a.guard,
+		Guard: a.guard, Rollouts: table, Software: func() string { return a.local.Software() },
+		OnRollouts: func(fresh []rollout.State, from model.NodeID) { a.rollouts.onRollouts(fresh, from) },
+		OnCounts:   func(c rollout.Counts) { a.rollouts.onCounts(c) },
 	}
 	a.gossip.Init(time.Now())
 	a.departureSaver = &recovery.Saver{
@@ -174,16 +188,26 @@
 		OnCrash:            a.onCrash,
 		OnSuspectCompleted: a.onCompleted,
 		OnDeparture:        a.onDeparture,
+		Rollouts:           table, OnlyOrdered: s.Rollouts.OnlyOrdered == "yes",
 	}, string(s.Upstream.Address))
 	a.gateway = gateway.New(&gateway.Gateway{
 		Names: names, Self: a.self, Config: a.configHolder, View: a.fleetView, Local: a.local,
 		Remote: gateway.NewRemote(a.self.Node, names, a.configHolder), Picker: balance.NewPicker(), Budgets: a.budgets,
 		Metrics: metrics, Log: c.Log, OnNewerConfig: a.gossip.NoteNewerConfig,
+		Rollouts: table, OnRollouts: a.gossip.OnRollouts,
 	})
+	a.rollouts = &rolloutDriver{
+		Table:  table,
+		Bounds: rollout.Bounds{Exposure: float64(s.Rollouts.Exposure), Tolerance: float64(s.Rollouts.Tolerance), Rollback: time.Duration(s.Rollouts.Rollback)},
+		Store:  c.Platform.RolloutStore(), Self: a.self, Local: a.local, View: a.fleetView, Gossip: a.gossip, Config: a.configHolder, Guard: a.guard, Log: c.Log,
+		OnlyOrdered: s.Rollouts.OnlyOrdered == "yes", FirstStart: s.FirstStart == "yes",
+	}
+	a.rollouts.init(c.Metrics)
 	a.callServer, a.peerServer = a.gateway.CallServer(), a.gateway.PeerServer()
 	a.messageEcho, a.reportEcho, a.readinessEcho = a.newEcho(), a.newEcho(), a.newEcho()
 	a.gossip.RegisterHandlers(a.messageEcho)
 	a.messageEcho.GET(model.StatePath, a.serveState)
+	a.messageEcho.GET(model.RolloutsPath, a.serveRollouts)
 	a.messageEcho.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(c.Metrics, promhttp.HandlerOpts{})))
 	c.Platform.ServeReports(a.reportEcho, reportReceiver{a})
 	c.Platform.ServeReadiness(a.readinessEcho, a.ready)
@@ -227,6 +251,8 @@
 	gauge("jobs_active", "Jobs of other nodes without a complete answer.", func() float64 { return float64(a.peerServer.Active()) })
 	gauge("ready", "1 while the node takes new callers.", func() float64 { return boolFloat(a.ready()) })
 	gauge("upstream_rate_limit", "Requests per second that the upstream of this node states as its limit, -1 without one.", a.local.RateLimit)
+	gauge("rollout_phase", "Phase of the rollout of the service of this node: 0 none, 1 pending, 2 canary, 3 load test, 4 cutover, 5 rolled back, 6 completed.", a.rollouts.Phase)
+	gauge("rollout_share", "Share of the calls of the service of this node that goes to the version that is rolled out.", a.rollouts.Share)
 	gauge("serving", "1 while the upstream of this node takes work.", func() float64 { return boolFloat(a.local.Serving()) })
 }
 
@@ -263,6 +289,7 @@
 // onServingChange informs the other nodes whether the upstream of this node is
 // serving.
 func (a *Agent) onServingChange(serving bool) {
+	a.fleetView.SetSoftware(a.self.Node, a.local.Software())
 	a.fleetView.SetServing(a.self.Node, serving, time.Now())
 	a.guard.Go("announce", func() { a.gossip.Announce(context.Background()) })
 }
--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/recovery"
 	"github.com/lentilflow/lentilflow/pkg/sleep"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
@@ -44,8 +45,10 @@
 // recoverRecords gets back what earlier processes of this node have acknowledged.
 func (a *Agent) recoverRecords(ctx context.Context) error {
 	if a.firstStart() {
+		a.local.SetVersionsKnown(false)
 		a.local.RecoverDepartures(nil, true)
 	} else {
+		a.guard.Go("await versions", func() { a.awaitVersions(ctx) })
 		r := &recovery.Recoverer{
 			Node: a.self.Node, Held: a.heldDepartures, Store: a.recoveryStore, AskOthers: a.askOthers, HasHealthPath: a.local.HasHealthPath,
 			Apply: a.local.RecoverDepartures, OnStoreRead: a.departureSaver.RecordStored, Guard: a.guard, Log: a.log,
@@ -72,8 +75,47 @@
 		sleep.For(ctx, fleetPollInterval)
 	}
 	answers = a.gossip.Recover(ctx)
+	a.versionsAsked.Store(true)
+	if answers.Settled > 0 {
+		a.setVersionsKnown()
+	}
 	if a.settledNodes.Add(int64(answers.Settled)) == 0 {
 		a.recoverCrashes(ctx)
 	}
 	return answers, true
 }
+
+// versionsWait bounds the wait of a node that starts until it knows which software version
+// of its service is in use, from its first configuration on: no other node may know it.
+const versionsWait = 2 * time.Second
+
+// awaitVersions waits until this node can know which version is in use: the store was read,
+// or another node has answered.
+func (a *Agent) awaitVersions(ctx context.Context) {
+	var end time.Time
+	for ctx.Err() == nil {
+		inForce := a.configHolder.Current() != nil
+		if inForce && end.IsZero() {
+			end = time.Now().Add(versionsWait)
+		}
+		if inForce && (a.versionsAsked.Load() || time.Now().After(end)) {
+			a.setVersionsKnown()
+			return
+		}
+		sleep.For(ctx, fleetPollInterval)
+	}
+}
+
+func (a *Agent) setVersionsKnown() {
+	a.versionsKnownOne.Do(func() {
+		newcomer := a.newcomer.Load()
+		a.local.SetVersionsKnown(newcomer != nil && *newcomer)
+	})
+}
+
+// noteRegistration records whether the first fleet that this process knows has the row of
+// this node.
+func (a *Agent) noteRegistration(f *fleet.Snapshot) {
+	_, registered := f.Registered(a.self.Node)
+	a.newcomer.CompareAndSwap(nil, new(!registered))
+}
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -81,7 +81,7 @@
 	a.addStop(ctx, &g, callListener)
 	configFollower := a.follower("configuration", a.platform.ConfigSource(a.configHolder, func(v config.Version, at follow.Position) {
 		a.onConfigInForce(v, zap.Inline(at))
-	}, a.gossip.WatchTime), 0, a.gossip.ConfigSchedule(a.firstStart()))
+	}, a.rollouts.onOrders, a.gossip.WatchTime), 0, a.gossip.ConfigSchedule(a.firstStart()))
 	fleetFollower := a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, Log: a.log, OnChange: a.onFleetChange}, fleetWatchInterval,
 		a.delayFirstRead(a.gossip.FleetSchedule()))
 	configFollower.OnAvailability = func(ok bool) {
@@ -104,6 +104,7 @@
 	a.addLoop(&g, "hand over departures", a.gossip.RunHandOver)
 	a.addLoop(&g, "keep row", a.maintainRow)
 	a.addLoop(&g, "reconcile rows", a.reconcileRows)
+	a.addLoop(&g, "take part in rollouts", a.rollouts.run)
 	a.addLoop(&g, "watch settings", a.watchSettings)
 	a.addLoop(&g, "tidy", a.cleanUp)
 	a.addEcho(&g, a.messageEcho, string(a.settings.Listeners.Messages))
@@ -274,6 +275,7 @@
 func (a *Agent) onFleetChange(removed []model.NodeID) {
 	f := a.fleetView.Current()
 	members := f.Members
+	a.noteRegistration(f)
 	a.gateway.ReleaseIfReady()
 	a.gossip.FleetUpdated()
 	if a.configHolder.Current() == nil {
--- a/pkg/agent/state.go
+++ b/pkg/agent/state.go
@@ -7,10 +7,21 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
 func (a *Agent) serveState(c echo.Context) error { return c.JSON(http.StatusOK, a.State()) }
 
+// serveRollouts responds with what this node knows of rollouts.
+func (a *Agent) serveRollouts(c echo.Context) error {
+	now := time.Now()
+	states := []rollout.State{}
+	for _, v := range a.rollouts.Table.Current().All() {
+		states = append(states, v.Sent(now))
+	}
+	return c.JSON(http.StatusOK, states)
+}
+
 // State returns the current state of this node. It may be called concurrently
 // with Run.
 func (a *Agent) State() model.NodeState {
@@ -32,7 +43,7 @@
 		s.RateLimit = &load.RateLimit
 	}
 	if known {
-		s.Boot, s.Draining = boot.ID, boot.Draining
+		s.Boot, s.Draining, s.Software = boot.ID, boot.Draining, boot.Software
 	}
 	return s
 }
--- a/pkg/fleet/reconcile.go
+++ b/pkg/fleet/reconcile.go
@@ -84,6 +84,7 @@
 			v.rows.unconfirmed[id] = unconfirmed{member: m}
 		} else {
 			delete(v.unavailable, id)
+			delete(v.software, id)
 			v.rows.recordDeparture(m)
 		}
 	}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -93,6 +93,7 @@
 
 	mu          sync.Mutex
 	unavailable map[model.NodeID]unavailability
+	software    map[model.NodeID]string // versions of the software of upstreams, as far as they are known
 	// history holds the newest changes, in order. It is complete after the
 	// position historyStart.
 	history      []Change
@@ -125,7 +126,7 @@
 // NewView returns a view with an empty snapshot of the zero position.
 func NewView() *View {
 	v := &View{
-		unavailable: make(map[model.NodeID]unavailability), newlyUnavailable: make(chan struct{}, 1), rows: newReconciliation(),
+		unavailable: make(map[model.NodeID]unavailability), software: make(map[model.NodeID]string), newlyUnavailable: make(chan struct{}, 1), rows: newReconciliation(),
 	}
 	v.current.Store(&Snapshot{Members: map[model.NodeID]Member{}})
 	return v
@@ -264,6 +265,22 @@
 	return wasUnavailable && old.state == model.Unreachable
 }
 
+// SetSoftware records the version of the software of the upstream beside a node; an empty
+// one is not known.
+func (v *View) SetSoftware(id model.NodeID, software string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.software[id] == software {
+		return
+	}
+	if software == "" {
+		delete(v.software, id)
+	} else {
+		v.software[id] = software
+	}
+	v.republish()
+}
+
 // SetUnreachable records that a connection to a node failed. The node is probed
 // at once, because the cause of the failure may be on this node. It returns
 // false if the node was already unreachable.
@@ -361,7 +378,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Members)) {
 		m := s.Members[id]
-		e := model.UpstreamNode{Node: m.Node, Service: m.Service, Location: m.Location, Address: m.CallAddress}
+		e := model.UpstreamNode{Node: m.Node, Service: m.Service, Location: m.Location, Address: m.CallAddress, Software: v.software[id]}
 		e.State = v.unavailable[id].state
 		s.services[m.Service] = append(s.services[m.Service], e)
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -27,6 +27,9 @@
 	Route      string
 	Weight     int // relative share among the routes of the rank, at least 1
 	Idempotent bool
+	// Rollout is the key of the order that allows the attempt to run on an upstream of the
+	// version that is rolled out, "" for the version in use.
+	Rollout string
 	// Due is when the latency target of the route is missed, the zero time if
 	// the route has none.
 	Due time.Time
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -17,6 +17,7 @@
 	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/retry"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
 const (
@@ -57,11 +58,16 @@
 	Budgets *Budgets
 	Metrics *Metrics
 	Log     *zap.Logger
+	// Rollouts decides which versions of upstreams get a call; nil: all of them.
+	// OnRollouts is called with what a remote node has added to it.
+	Rollouts   *rollout.Table
+	OnRollouts func(fresh []rollout.State, from model.NodeID)
 	// OnNewerConfig is called when the remote node from has a newer configuration
 	// than this node; v is its version. Several calls may run at the same time.
 	OnNewerConfig func(v config.Version, from model.NodeID)
 
 	callLog           *callLog
+	candidateSets     sync.Map // of *candidateSets by service
 	startTime         time.Time
 	refuseEndingAfter atomic.Pointer[time.Time] // nil unless this node is stopping
 	// deadlineCap limits the deadlines of calls, and retriesDisabled prevents
@@ -184,6 +190,7 @@
 	mayHaveRun        bool            // an earlier attempt may have run
 	lastRefusal       *Refusal        // of the previous attempt
 	failedResponse    *failedResponse // response with a server error; a retry may replace it
+	newVersion        bool            // the attempt goes to the version that is rolled out
 	queueTime         time.Duration
 	serviceTime       time.Duration
 	verdict           retry.Verdict
@@ -355,11 +362,15 @@
 		return newRefusal(model.CrashSuspected) // the node of the upstream may have restarted and not know it yet
 	}
 	now := time.Since(g.startTime)
-	entries := g.View.Current().UpstreamNodes(c.attempt.Service)
+	entries, view := g.candidates(c, time.Now())
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(entries) == 1 {
 		c.removeWaitLimit()
 	}
 	choice, found := g.pick(c, entries, now)
+	if found != balance.Picked && c.newVersion && view.Phase != rollout.Cutover {
+		entries = g.stayWithOld(c, view)
+		choice, found = g.pick(c, entries, now)
+	}
 	if found == balance.NoUpstream && c.attempt.MaxWait > 0 {
 		c.removeWaitLimit()
 		choice, found = g.pick(c, entries, now)
@@ -388,6 +399,9 @@
 		}
 		r = g.receive(c, res)
 	}
+	if r != nil && r.Reason == model.VersionNotAllowed {
+		g.learnVersions(entry.Node, r.versions)
+	}
 	c.lastRefusal = r
 	return r
 }
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -25,6 +25,10 @@
 	// headerUpstream says what the upstream has stated about itself, in
 	// responses and, as the sender knows it, in attempts.
 	headerUpstream = "Lentilflow-Upstream"
+	// headerRollout is the key of the order that allows an attempt to run on an upstream
+	// of a new software version. In a refusal it says what the node knows of the version
+	// (versionHint).
+	headerRollout = "Lentilflow-Rollout"
 	// headerRoute and headerVersion inform a caller which route of which
 	// version decided its call.
 	headerRoute   = "Lentilflow-Route"
@@ -152,7 +156,9 @@
 	// NodeUnresponsive says that the node did not respond to a connection
 	// attempt.
 	NodeUnresponsive bool
-	Cause            error // for the log; may be nil
+	// versions is the content of Lentilflow-Rollout of a refusal by a remote node.
+	versions string
+	Cause    error // for the log; may be nil
 }
 
 // newRefusal returns a refusal by a node before an upstream saw the request.
--- a/pkg/gateway/local.go
+++ b/pkg/gateway/local.go
@@ -19,6 +19,7 @@
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 	"github.com/lentilflow/lentilflow/pkg/shaping"
 	"github.com/lentilflow/lentilflow/pkg/upstream"
 )
@@ -60,10 +61,15 @@
 	// Link paces the downloads that leave this VM and records the other
 	// responses.
 	Link *shaping.Link
-	// OnServingChange is called when the upstream starts or stops serving. The
-	// mutex of Local may be held, so it must not call methods of Local that
-	// lock it.
+	// OnServingChange is called when the upstream starts or stops serving, or when the
+	// version of its software becomes known or changes. The mutex of Local may be held,
+	// so it must not call methods of Local that lock it.
 	OnServingChange func(serving bool)
+	// Rollouts decides which versions of the software may run attempts; nil: all of them.
+	// OnlyOrdered says that this holds before the first order too, so that this node must
+	// know the version in use before its upstream is used.
+	Rollouts    *rollout.Table
+	OnlyOrdered bool
 	// OnCrash records a crash and shares it with remote nodes. Several calls of
 	// it may run at the same time.
 	OnCrash func(f crashguard.Fingerprint, c crashguard.Crash)
@@ -90,6 +96,7 @@
 	recoveredOnce sync.Once
 	// recoveryDeadline is until when health checks wait for the first RecoverDepartures.
 	recoveryDeadline atomic.Pointer[time.Time]
+	versions         versionState
 
 	mu          sync.Mutex
 	tracker     upstream.Tracker
@@ -112,7 +119,10 @@
 }
 
 // Serving reports whether the upstream accepts attempts now.
-func (l *Local) Serving() bool { return l.boot.Load() != nil && !l.stopping.Load() }
+func (l *Local) Serving() bool {
+	b := l.boot.Load()
+	return b != nil && !l.stopping.Load() && l.servesVersion(b.Software)
+}
 
 // State returns the load of the upstream and its newest boot; the last result
 // says whether a boot is known.
@@ -146,7 +156,7 @@
 // Run waits for a slot and runs an attempt. The request is sent at most once.
 // Either the response or the refusal is nil.
 func (l *Local) Run(ctx context.Context, att *Attempt) (*Response, *Refusal) {
-	if _, r := l.availableBoot(att.Service); r != nil {
+	if _, r := l.bootFor(att); r != nil {
 		return nil, r
 	}
 	if l.crashSuspected(att) {
@@ -228,7 +238,7 @@
 	}()
 	admitted := time.Now()
 	l.Metrics.observeQueueTime(att.Rank, admitted.Sub(arrived))
-	boot, r := l.availableBoot(att.Service) // it may have left while the attempt waited
+	boot, r := l.bootFor(att) // it may have left while the attempt waited
 	if r == nil && l.crashSuspected(att) {
 		r = newRefusal(model.CrashSuspected)
 	}
@@ -236,6 +246,7 @@
 		return nil, r
 	}
 	res, r := l.exchange(ctx, att, boot)
+	l.countForRollout(att, boot, res, r, time.Since(admitted))
 	if r != nil {
 		outcome = slotOutcome(r)
 		return nil, r
--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -29,6 +29,7 @@
 		return v
 	}
 	l.unreachable = false
+	l.versions.observeWarmUp(r.WarmupRemaining)
 	l.updateBoot(string(v))
 	return v
 }
@@ -188,15 +189,14 @@
 		l.pool.Close()
 	}
 	if (old != nil) == ok && (old == nil || old.ID == b.ID && old.StartedAt == b.StartedAt) {
+		l.updateServing()
 		return
 	}
 	newest, known := l.tracker.Newest()
 	l.Log.Info("upstream changed", zap.String("why", reason), zap.Bool("serving", ok), zap.Bool("known", known),
 		zap.String("boot", newest.ID), zap.Int64("born_ms", newest.StartedAt), zap.Int("slots", newest.Slots),
-		zap.Bool("draining", newest.Draining), zap.Bool("unreachable", l.unreachable))
-	if (old != nil) != ok && !l.stopping.Load() {
-		l.OnServingChange(ok)
-	}
+		zap.Bool("draining", newest.Draining), zap.Bool("unreachable", l.unreachable), zap.String("software", newest.Software))
+	l.updateServing()
 }
 
 // limits returns the slots and the rate limit of a boot, and the floors of the
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -136,6 +136,9 @@
 	o := att.outgoing(func(_ int, h http.Header, _ bool) bool { return h.Get(headerAttempt) == attemptID },
 		h1.Field{Name: headerCall, Value: f.String()}, h1.Field{Name: headerAttempt, Value: attemptID})
 	o.DialTimeout = dialTimeout(f.remaining)
+	if att.Rollout != "" {
+		o.Fields = append(o.Fields, h1.Field{Name: headerRollout, Value: att.Rollout})
+	}
 	if s, ok := r.statements.get(address); ok {
 		o.Fields = append(o.Fields, h1.Field{Name: headerUpstream, Value: s.String()})
 	}
@@ -151,6 +154,7 @@
 		discard(a)
 		cancel()
 		if refusal, ok := parseRefusal(text); ok {
+			refusal.versions = a.Header.Get(headerRollout)
 			return nil, refusal
 		}
 		return nil, &Refusal{Reason: model.UpstreamLost, RunState: model.RunUnknown, Cause: errNotFromNode}
@@ -248,13 +252,14 @@
 	if text := x.Request.Header.Get(headerUpstream); text != "" {
 		g.Local.adoptStatement(x.Request.Header.Get(g.Names.RequestID), text)
 	}
+	order := x.Request.Header.Get(headerRollout)
 	h1.RemoveHopByHopFields(x.Request.Header)
 	stripInternalFields(x.Request.Header)
 	att := &Attempt{
 		RequestID: x.Request.Header.Get(g.Names.RequestID), Method: x.Request.Method, Target: x.Request.RequestURI, Host: x.Request.Host,
 		Header: x.Request.Header, Body: x.Body, Rest: x.Rest, Length: x.Length,
 		Service: f.service, Route: f.route, Rank: f.rank, Weight: f.weight, Idempotent: f.idempotent, MaxWait: f.maxWait,
-		Deadline: x.Arrived.Add(f.remaining), Download: f.download, LatencyTarget: f.latencyTarget, ID: attemptID,
+		Deadline: x.Arrived.Add(f.remaining), Download: f.download, LatencyTarget: f.latencyTarget, ID: attemptID, Rollout: order,
 	}
 	if f.latencyTarget > 0 {
 		att.Due = x.Arrived.Add(f.dueIn)
@@ -286,9 +291,11 @@
 }
 
 func (g *Gateway) sendRefusal(x *h1.Exchange, r *Refusal, attemptID string) {
-	err := x.Reply(&h1.Reply{
-		Status: http.StatusServiceUnavailable, Header: http.Header{headerRefusal: {r.String()}, headerAttempt: {attemptID}},
-	})
+	header := http.Header{headerRefusal: {r.String()}, headerAttempt: {attemptID}}
+	if r.Reason == model.VersionNotAllowed {
+		header[headerRollout] = []string{g.Local.versionHint()}
+	}
+	err := x.Reply(&h1.Reply{Status: http.StatusServiceUnavailable, Header: header})
 	if err != nil && !h1.ClientGone(x.Context()) {
 		g.callLog.Debug("refusal could not be sent to the remote node", zapError(err))
 	}
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -15,6 +15,7 @@
 	"github.com/lentilflow/lentilflow/pkg/follow"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/relay"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
 // Datagram is the message that a node sends to the other nodes of its zone by
@@ -45,6 +46,14 @@
 	StoreSilent bool `json:"store_silent,omitempty"`
 	// States are states of any nodes that the receiver is to apply.
 	States []State `json:"states,omitempty"`
+	// RolloutDigest is that of the sender, as in a Digest. It is set by relays only.
+	RolloutDigest uint64 `json:"rollouts,omitempty"`
+	// Rollouts are states of rollouts. Forwards asks the receiver to send those that are
+	// new to it to its zone.
+	Rollouts []rollout.State `json:"rollout_states,omitempty"`
+	Forwards bool            `json:"forwards,omitempty"`
+	// Counts are those of the upstream of the sender, for a coordinator of its rollout.
+	Counts *rollout.Counts `json:"counts,omitempty"`
 }
 
 // fleetPosition returns the position of the sender's fleet.
@@ -120,6 +129,7 @@
 		d.ConfigVersion, d.ConfigAge, d.MembersDigest = n.Config.Version(), n.configAge(time.Now()), f.Digest
 		d.FleetRevision, d.FleetEra = f.Position.Revision, f.Position.Era
 		d.Announced = config.Version(n.announcer.Announced().Revision)
+		d.RolloutDigest = n.rolloutDigest()
 	}
 	for first := true; first || len(states) > 0; first = false {
 		count := min(len(states), statesPerDatagram)
@@ -192,6 +202,7 @@
 		return
 	}
 	now := time.Now()
+	n.handleRollouts(d)
 	n.observeAnnouncement(d, now)
 	if d.StoreSilent {
 		n.suspectStore(d.From)
@@ -207,6 +218,7 @@
 		n.suspectStore(d.From)
 	}
 	n.announcer.End(versionPosition(d.Announced))
+	n.observeRolloutDigest(d.From, d.RolloutDigest)
 	f := n.View.Current()
 	if d.FleetEra > f.Position.Era {
 		n.OnEra(d.FleetEra)
--- a/pkg/gossip/entries.go
+++ b/pkg/gossip/entries.go
@@ -11,22 +11,25 @@
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/jsonlist"
 	"github.com/lentilflow/lentilflow/pkg/model"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
 var (
-	errStateName   = errors.New("state names no node")
+	errStateName   = errors.New("state names no node, or has a name that is too long")
 	errCrashRecord = errors.New("record of crashes names no request or has a long service name")
 )
 
 func checkMember(m *fleet.Member) error { return m.Check() }
 
 func checkState(s *State) error {
-	if s.Node == "" || len(s.Node) > fleet.MaxNameBytes {
+	if s.Node == "" || len(s.Node) > fleet.MaxNameBytes || len(s.Software) > fleet.MaxNameBytes {
 		return errStateName
 	}
 	return nil
 }
 
+func checkRollout(s *rollout.State) error { return s.Check() }
+
 func checkCrashRecord(r *CrashRecord) error {
 	if r.Fingerprint == (crashguard.Fingerprint{}) || len(r.Service) > fleet.MaxNameBytes {
 		return errCrashRecord
@@ -45,6 +48,14 @@
 	if err != nil {
 		return err
 	}
+	rest, rollouts, err := takeList(rest, "rollout_states", checkRollout, ignored)
+	if err != nil {
+		return err
+	}
+	rest, states, err := takeList(rest, "states", checkState, ignored)
+	if err != nil {
+		return err
+	}
 	fields, err := jsonlist.Fields(rest)
 	if err != nil {
 		return err
@@ -64,7 +75,7 @@
 	if err := u.From.Check(); err != nil {
 		return err
 	}
-	u.Nodes, u.Crashes = nodes, crashes
+	u.Nodes, u.Crashes, u.Rollouts, u.States = nodes, crashes, rollouts, states
 	if u.FleetChange != nil {
 		u.FleetChange.Set = set
 	}
@@ -77,13 +88,20 @@
 	if err != nil {
 		return err
 	}
+	rest, rollouts, err := takeList(rest, "rollout_states", checkRollout, n.logIgnored(""))
+	if err != nil {
+		return err
+	}
 	if err := json.Unmarshal(rest, d); err != nil {
 		return err
 	}
 	if d.From == "" || len(d.From) > fleet.MaxNameBytes {
 		return errStateName
 	}
-	d.States = states
+	d.States, d.Rollouts = states, rollouts
+	if d.Counts != nil {
+		return d.Counts.Check()
+	}
 	return nil
 }
 
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -21,6 +21,7 @@
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/recovery"
 	"github.com/lentilflow/lentilflow/pkg/relay"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
 const (
@@ -68,8 +69,18 @@
 	Departures *recovery.Departures
 	// Serving reports whether this node accepts calls.
 	Serving func() bool
-	Client  *http.Client
-	Log     *zap.Logger
+	// Software returns the version of the software of this node's upstream, "" if it is not
+	// known. Nil means that it never is.
+	Software func() string
+	// Rollouts is what this node knows of rollouts, nil if it takes no part in them.
+	// OnRollouts is called with what other nodes have added, and OnCounts with the counts
+	// that another node sends to this one as a coordinator. Several calls may run at the
+	// same time.
+	Rollouts   *rollout.Table
+	OnRollouts func(fresh []rollout.State, from model.NodeID)
+	OnCounts   func(rollout.Counts)
+	Client     *http.Client
+	Log        *zap.Logger
 	// OnConfig is called when a version from another node is in force. from is the
 	// name of that node.
 	OnConfig func(v config.Version, from string)
@@ -117,6 +128,7 @@
 	forwardsKnown     atomic.Bool // the next datagram states a version that this node does not have
 	mu                sync.Mutex
 	lastStates        map[model.NodeID]stateOrder
+	rolloutLag        rolloutLag
 	zone              *relay.Zone
 	zoneNodes         rankedNodes
 	pendingStates     []State                         // to be forwarded in the zone
@@ -129,6 +141,8 @@
 	started  int64
 	sequence uint64
 	at       time.Time // of the receipt
+	software string
+	serving  bool
 }
 
 // restartGracePeriod is how long after the last state of a node a state with an
@@ -198,10 +212,11 @@
 
 // digestWith returns the digest of this node with the fleet f.
 func (n *Node) digestWith(f *fleet.Snapshot) Digest {
+	s := n.ownState()
 	return Digest{
-		From: n.Self, Serving: n.Serving(), NeedsUpdate: n.needsUpdate(time.Now()),
+		From: n.Self, Serving: s.Serving, NeedsUpdate: n.needsUpdate(time.Now()),
 		ConfigVersion: n.Config.Version(), ConfigAge: n.configAge(time.Now()), FleetRevision: f.Position.Revision, FleetEra: f.Position.Era, MembersDigest: f.Digest,
-		RefusedDigest: n.Notices.RefusedDigest(), Started: n.startNanos, Sequence: n.sequence.Add(1),
+		RefusedDigest: n.Notices.RefusedDigest(), Started: s.Started, Sequence: s.Sequence, Software: s.Software, RolloutDigest: n.rolloutDigest(),
 	}
 }
 
@@ -243,6 +258,9 @@
 	if d.RefusedDigest != u.RefusedDigest {
 		u.Crashes = n.crashRecords(true)
 	}
+	if d.RolloutDigest != u.RolloutDigest {
+		u.Rollouts, u.States = n.rolloutStates(), n.exceptionalStates()
+	}
 	n.updateLag(&d)
 	if u.NeedsUpdate && (d.ConfigVersion > u.ConfigVersion || d.fleetPosition().After(u.fleetPosition())) {
 		n.Guard.Go("ask back", func() { n.syncWith(context.Background(), d.From) })
@@ -283,7 +301,7 @@
 
 // applyDigestState applies the state that the sender of a digest reports.
 func (n *Node) applyDigestState(d Digest) {
-	n.applyStates([]State{{Node: d.From.Node, Serving: d.Serving, Started: d.Started, Sequence: d.Sequence}})
+	n.applyStates([]State{{Node: d.From.Node, Serving: d.Serving, Started: d.Started, Sequence: d.Sequence, Software: d.Software}})
 }
 
 // RemoveNode deletes what is known of a node that has left the fleet.
@@ -342,6 +360,8 @@
 	n.applyDigestState(u.Digest)
 	n.updateLag(&u.Digest)
 	n.mergeCrashes(u.Crashes, m.Node)
+	n.applyStates(u.States)
+	n.mergeRollouts(u.Rollouts, m.Node)
 	n.applyChange(&u, string(m.Node))
 	if len(u.Configuration) > 0 {
 		c := &config.Configuration{}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/follow"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
 // Paths of messages on the message listener.
@@ -33,6 +34,10 @@
 	// RefusedDigest identifies the requests that the sender refuses because they have
 	// crashed upstreams, 0 if there is none.
 	RefusedDigest uint64 `json:"refused,omitempty"`
+	// RolloutDigest identifies what the sender knows of rollouts, 0 if that is nothing.
+	RolloutDigest uint64 `json:"rollouts,omitempty"`
+	// Software is the version of the upstream's software, as in a State.
+	Software string `json:"software,omitempty"`
 	// NeedsUpdate requests the versions that the sender does not have. A node
 	// whose store is available does not set it: it is about to read the same from
 	// there, and a whole configuration has the size of 500 digests.
@@ -71,6 +76,11 @@
 	// Crashes are the records of the requests that the responding node refuses. They
 	// are set if the requesting node refuses others.
 	Crashes []CrashRecord `json:"crash_records,omitempty"`
+	// Rollouts is what the responding node knows of rollouts, and States are those of
+	// nodes whose upstreams have a version that is not in use. They are set if the
+	// requesting node knows something else of rollouts.
+	Rollouts []rollout.State `json:"rollout_states,omitempty"`
+	States   []State         `json:"states,omitempty"`
 }
 
 // CrashRecord holds the crashes of one request, as far as a node knows them.
--- a/pkg/gossip/recovery.go
+++ b/pkg/gossip/recovery.go
@@ -20,6 +20,7 @@
 	"github.com/lentilflow/lentilflow/pkg/jsonlist"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/recovery"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 	"github.com/lentilflow/lentilflow/pkg/sleep"
 )
 
@@ -61,6 +62,9 @@
 	// Crashes are the records of requests that have crashed upstreams, also of those
 	// that are not refused yet.
 	Crashes []CrashRecord `json:"crash_records,omitempty"`
+	// Rollouts and States are those of an Update.
+	Rollouts []rollout.State `json:"rollout_states,omitempty"`
+	States   []State         `json:"states,omitempty"`
 }
 
 // holdings are all departures of the upstream of a node that has recovered them.
@@ -223,6 +227,7 @@
 	now := time.Now()
 	return c.JSON(http.StatusOK, recoverResponse{
 		Settled: n.Settled(), Complete: n.Departures.CompleteFor(r.Node, now), Departures: n.Departures.All(now), Crashes: n.crashRecords(false),
+		Rollouts: n.rolloutStates(), States: n.exceptionalStates(),
 	})
 }
 
@@ -246,6 +251,8 @@
 		}
 		n.Departures.Add(r.Departures, time.Now())
 		n.mergeCrashes(r.Crashes, m.Node)
+		n.applyStates(r.States)
+		n.mergeRollouts(r.Rollouts, m.Node)
 		mu.Lock()
 		defer mu.Unlock()
 		if r.Settled {
@@ -267,10 +274,18 @@
 	if err == nil {
 		rest, crashes, err = takeList(rest, "crash_records", checkCrashRecord, n.logIgnored(from))
 	}
+	var rollouts []rollout.State
+	if err == nil {
+		rest, rollouts, err = takeList(rest, "rollout_states", checkRollout, n.logIgnored(from))
+	}
+	var states []State
+	if err == nil {
+		rest, states, err = takeList(rest, "states", checkState, n.logIgnored(from))
+	}
 	if err == nil {
 		err = json.Unmarshal(rest, &r)
 	}
-	r.Departures, r.Crashes = departures, crashes
+	r.Departures, r.Crashes, r.Rollouts, r.States = departures, crashes, rollouts, states
 	return r, err
 }
 
--- a/pkg/gossip/states.go
+++ b/pkg/gossip/states.go
@@ -23,6 +23,9 @@
 type State struct {
 	Node    model.NodeID `json:"node"`
 	Serving bool         `json:"serving"`
+	// Software is the version of the upstream's software. It is left out if it is not
+	// known, and by nodes of earlier releases.
+	Software string `json:"software,omitempty"`
 	// Started and Sequence order the states of a node, as in a Digest.
 	Started  int64  `json:"started"`
 	Sequence uint64 `json:"sequence"`
@@ -49,7 +52,7 @@
 // datagrams. A node that misses the state gets it from a refusal or from a
 // digest.
 func (n *Node) Announce(ctx context.Context) {
-	s := State{Node: n.Self.Node, Serving: n.Serving(), Started: n.startNanos, Sequence: n.sequence.Add(1)}
+	s := n.ownState()
 	n.forwardStates([]State{s})
 	var zones []fleet.Member // one member for each other zone
 	membersByZone := n.remoteZones()
@@ -68,6 +71,15 @@
 	})
 }
 
+// ownState returns the state of this node.
+func (n *Node) ownState() State {
+	s := State{Node: n.Self.Node, Serving: n.Serving(), Started: n.startNanos, Sequence: n.sequence.Add(1)}
+	if n.Software != nil {
+		s.Software = n.Software()
+	}
+	return s
+}
+
 // remoteZones returns the reachable nodes of the other zones, in the order in
 // which they become relays.
 func (n *Node) remoteZones() map[model.AvailabilityZone][]fleet.Member {
@@ -139,6 +151,7 @@
 		if s.Node == "" || s.Node == n.Self.Node || !n.recordIfNewer(s, now) {
 			continue
 		}
+		n.View.SetSoftware(s.Node, s.Software)
 		if n.View.SetServing(s.Node, s.Serving, now) {
 			n.Log.Info("node is reachable again", zap.String("other", string(s.Node)), zap.Bool("serving", s.Serving))
 		}
@@ -157,6 +170,6 @@
 	if !ok && len(n.lastStates) >= len(n.View.Current().Members)+maxUnknownNodes {
 		return false
 	}
-	n.lastStates[s.Node] = stateOrder{s.Started, s.Sequence, now}
+	n.lastStates[s.Node] = stateOrder{s.Started, s.Sequence, now, s.Software, s.Serving}
 	return true
 }
--- a/pkg/model/reason.go
+++ b/pkg/model/reason.go
@@ -28,6 +28,7 @@
 	UpstreamUnreachable Reason = "upstream_unreachable" // no connection to the upstream or its node
 	UpstreamLost        Reason = "upstream_lost"        // the call was sent, but no valid response arrived
 	UpstreamShed        Reason = "upstream_shed"        // the upstream responded that it did not run the call
+	VersionNotAllowed   Reason = "version_not_allowed"  // no order allows the software version of the upstream to run the call
 	CrashSuspected      Reason = "crash_suspected"      // the request may crash upstreams (package crashguard)
 	NodeDraining        Reason = "draining"             // the node is draining
 	BadRequest          Reason = "bad_request"          // the request is not valid
@@ -52,6 +53,7 @@
 	UpstreamUnreachable: http.StatusBadGateway,
 	UpstreamLost:        http.StatusBadGateway,
 	UpstreamShed:        http.StatusServiceUnavailable,
+	VersionNotAllowed:   http.StatusServiceUnavailable,
 	CrashSuspected:      http.StatusServiceUnavailable,
 	NodeDraining:        http.StatusServiceUnavailable,
 	BadRequest:          http.StatusBadRequest,
--- a/pkg/model/upstream_node.go
+++ b/pkg/model/upstream_node.go
@@ -23,4 +23,6 @@
 	Service  string
 	Location Location
 	Address  string // host:port for calls of other nodes
+	// Software is the version of the upstream's software, "" if it is not known.
+	Software string
 }
--- a/pkg/model/version.go
+++ b/pkg/model/version.go
@@ -58,6 +58,8 @@
 	// Boot is the newest boot of the upstream, empty if none is known.
 	Boot     string `json:"boot,omitempty"`
 	Draining bool   `json:"draining,omitempty"`
+	// Software is the version of the upstream's software, empty if it is not known.
+	Software string `json:"software,omitempty"`
 	// Slots is how many calls the upstream runs at a time, as it states, and
 	// Limit how many calls the node lets run now.
 	Slots int `json:"slots"`
@@ -72,3 +74,6 @@
 
 // StatePath is where the message listener of a node serves its NodeState.
 const StatePath = "/v1/state"
+
+// RolloutsPath is where it serves what it knows of rollouts.
+const RolloutsPath = "/v1/rollouts"
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -34,6 +34,7 @@
 	model.UpstreamUnreachable: "The upstream cannot be reached",
 	model.UpstreamLost:        "The connection to the upstream was lost",
 	model.UpstreamShed:        "The upstream sheds load",
+	model.VersionNotAllowed:   "No order allows the software version of the upstream to run the request",
 	model.CrashSuspected:      "The request is suspected to crash upstreams",
 	model.NodeDraining:        "The node is leaving",
 	model.BadRequest:          "The request is not valid",
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -75,7 +75,7 @@
 func retryableElsewhere(r model.Reason) bool {
 	switch r {
 	case model.Overloaded, model.DeadlineUnreachable, model.UpstreamUnreachable, model.UpstreamLost,
-		model.UpstreamShed, model.NodeDraining, model.NoConfiguration, model.NoUpstream:
+		model.UpstreamShed, model.NodeDraining, model.NoConfiguration, model.NoUpstream, model.VersionNotAllowed:
 		return true
 	}
 	return false
--- a/pkg/rollout/counts.go
+++ b/pkg/rollout/counts.go
@@ -130,6 +130,9 @@
 // service is running. It is safe for concurrent use.
 type Recorder struct {
 	At follow.Position // of the order
+	// ColdUntil is when upstreams cease to count as cold. An upstream that is cold for most
+	// of the time of the order has to be judged all the same.
+	ColdUntil time.Time
 
 	mu       sync.Mutex
 	software string
@@ -138,8 +141,8 @@
 }
 
 // NewRecorder returns a recorder for an order.
-func NewRecorder(at follow.Position) *Recorder {
-	return &Recorder{At: at, routes: make(map[string]*routeTotal)}
+func NewRecorder(at follow.Position, coldUntil time.Time) *Recorder {
+	return &Recorder{At: at, ColdUntil: coldUntil, routes: make(map[string]*routeTotal)}
 }
 
 // Record counts one request that an upstream of a version has run for a service time. An
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -316,3 +316,20 @@
 	}
 	return f
 }
+
+// Heard reports whether the counts of a node are current.
+func (e *Evidence) Heard(id model.NodeID, now time.Time) bool {
+	s := e.sources[id]
+	return s != nil && now.Sub(s.heard) <= freshTime
+}
+
+// Software returns the versions that upstreams have, as far as their nodes have sent it.
+func (e *Evidence) Software(now time.Time) map[model.NodeID]string {
+	versions := make(map[model.NodeID]string, len(e.sources))
+	for id, s := range e.sources {
+		if now.Sub(s.heard) <= freshTime {
+			versions[id] = s.latest.Software
+		}
+	}
+	return versions
+}
--- a/pkg/rollout/state.go
+++ b/pkg/rollout/state.go
@@ -175,11 +175,11 @@
 	switch {
 	case !s.HasOrder() && !t.HasOrder():
 		// Nodes that have determined the version in use at different times keep the
-		// earlier result.
-		if s.From == t.From {
+		// earlier result, unless it was determined anew.
+		if s.From == t.From && s.Sequence == t.Sequence {
 			return false
 		}
-		return cmp.Or(cmp.Compare(s.Age, t.Age), cmp.Compare(t.From, s.From)) > 0
+		return cmp.Or(cmp.Compare(s.Sequence, t.Sequence), cmp.Compare(s.Age, t.Age), cmp.Compare(t.From, s.From)) > 0
 	case !s.HasOrder() || !t.HasOrder():
 		return s.HasOrder()
 	case !so.same(&to):
--- a/pkg/rollout/table.go
+++ b/pkg/rollout/table.go
@@ -120,24 +120,6 @@
 	return fresh
 }
 
-// Forget removes the version in use of a service for which there was no order.
-func (t *Table) Forget(service string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old := t.current.Load()
-	v := old.views[service]
-	if v == nil || v.HasOrder() {
-		return
-	}
-	next := &Snapshot{views: make(map[string]*View, len(old.views)), digest: old.digest ^ v.digest()}
-	for name, o := range old.views {
-		if name != service {
-			next.views[name] = o
-		}
-	}
-	t.current.Store(next)
-}
-
 // merged returns what is known after a state has arrived, or nil if it says nothing new.
 func (t *Table) merged(before *View, s State, now time.Time) *View {
 	began, phaseBegan, heard := now.Add(-s.Age.Duration()), now.Add(-s.PhaseAge.Duration()), now.Add(-s.Silence.Duration())
--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -43,6 +43,8 @@
 	StartedAt int64
 	Slots     int  // requests that it processes concurrently
 	Draining  bool // it gets no further requests
+	// Software is the version of its software, "" until a report states it.
+	Software string
 }
 
 // Same reports whether b and o are the same boot. A boot without a start is
@@ -195,7 +197,7 @@
 	t.olderStartReports, t.unverified = 0, nil
 	t.newestStart = r.StartedAt
 	before, known := t.boot, t.hasBoot
-	next := Boot{ID: r.ID, StartedAt: r.StartedAt, Slots: r.Slots, Draining: r.Draining || same && t.boot.Draining}
+	next := Boot{ID: r.ID, StartedAt: r.StartedAt, Slots: r.Slots, Draining: r.Draining || same && t.boot.Draining, Software: r.Software}
 	t.boot, t.hasBoot, t.sequence = next, true, r.Sequence
 	if known && before == next {
 		return Confirmed
