--- a/pkg/agent/rollouts.go
+++ b/pkg/agent/rollouts.go
@@ -306,22 +306,19 @@
 }
 
 // coordinators returns the reachable nodes of the service in the order in which they
-// coordinate: those beside old upstreams, or all if there are none.
+// coordinate.
 func (d *rolloutDriver) coordinators(v *rollout.View) []model.NodeID {
-	var old, all []model.NodeID
+	var old, fresh []model.NodeID
 	for _, n := range d.View.Current().UpstreamNodes(v.Service) {
-		if n.State == model.Unreachable && n.Node != d.Self.Node {
-			continue
-		}
-		all = append(all, n.Node)
-		if n.Software != v.To {
+		switch {
+		case n.State == model.Unreachable && n.Node != d.Self.Node:
+		case n.Software == v.To:
+			fresh = append(fresh, n.Node)
+		default:
 			old = append(old, n.Node)
 		}
 	}
-	if len(old) == 0 {
-		old = all
-	}
-	return rollout.Coordinators(v.Order(), old)
+	return rollout.Coordinators(v.Order(), old, fresh)
 }
 
 // sendCounts records and sends the counts of this node. The mutex is held.
@@ -347,11 +344,10 @@
 	var old []model.NodeID
 	for _, n := range d.View.Current().UpstreamNodes(v.Service) {
 		switch {
-		case n.State == model.Unreachable:
 		case slices.Contains(ready, n.Node):
 			fresh = append(fresh, n)
-		case n.Software != v.To && (n.State == model.Ready || d.evidence.Heard(n.Node, now)):
-			old = append(old, n.Node)
+		case n.Software != v.To && (n.State != model.NotServing || d.evidence.Heard(n.Node, now)):
+			old = append(old, n.Node) // unreachable ones may have requests in flight
 		}
 	}
 	f := d.evidence.Facts(old, rollout.InterleaveZones(fresh), now)
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -362,7 +362,7 @@
 		return newRefusal(model.CrashSuspected) // the node of the upstream may have restarted and not know it yet
 	}
 	now := time.Since(g.startTime)
-	entries, view := g.candidates(c, time.Now())
+	entries, view := g.candidates(c)
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(entries) == 1 {
 		c.removeWaitLimit()
 	}
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lentilflow/lentilflow/pkg/fleet"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/rollout"
@@ -67,6 +69,10 @@
 		return
 	}
 	v.serving, v.software = serving, software
+	if b != nil && !serving && !l.awaitsVersions() {
+		l.Log.Warn("software version of the upstream is not in use, and no order allows it now; it gets no requests",
+			zap.String("boot", b.ID), zap.String("software", software))
+	}
 	l.OnServingChange(serving)
 }
 
@@ -211,7 +217,7 @@
 // nil if there is none. With it, the first attempt of a call goes to the new version with
 // the probability of its share. Further attempts stay with the old version as long as that
 // gets any calls.
-func (g *Gateway) candidates(c *call, now time.Time) ([]model.UpstreamNode, *rollout.View) {
+func (g *Gateway) candidates(c *call) ([]model.UpstreamNode, *rollout.View) {
 	f := g.View.Current()
 	all := f.UpstreamNodes(c.attempt.Service)
 	if g.Rollouts == nil {
@@ -223,7 +229,7 @@
 		return all, nil
 	}
 	sets := g.setsOf(c.attempt.Service, f, v)
-	share := v.ShareAt(now)
+	share := v.ShareAt(time.Now())
 	c.newVersion = len(sets.new) > 0 && (share >= 1 || len(c.triedNodes) == 0 && rand.Float64() < share)
 	if c.newVersion {
 		c.attempt.Rollout = v.Key()
--- a/pkg/rollout/coordinator.go
+++ b/pkg/rollout/coordinator.go
@@ -19,13 +19,17 @@
 	listeners = 2
 )
 
-// Coordinators returns the nodes in the order in which they coordinate the rollout of an
-// order: by rendezvous hashing. It does not change its argument.
-func Coordinators(o Order, ids []model.NodeID) []model.NodeID {
-	ordered := slices.Clone(ids)
+// Coordinators returns the nodes beside old and new upstreams in the order in which they
+// coordinate the rollout of an order: by rendezvous hashing, a few old ones first, because
+// new ones join meanwhile, and then as many new ones, because old ones may end together
+// when the rollout is completed. It does not change its arguments.
+func Coordinators(o Order, old, fresh []model.NodeID) []model.NodeID {
+	const group = 3
 	weight := func(id model.NodeID) uint64 { return xxhash.Sum64String(o.Key() + "\x00" + string(id)) }
-	slices.SortFunc(ordered, func(a, b model.NodeID) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
-	return ordered
+	byWeight := func(a, b model.NodeID) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) }
+	old, fresh = slices.SortedFunc(slices.Values(old), byWeight), slices.SortedFunc(slices.Values(fresh), byWeight)
+	n, m := min(len(old), group), min(len(fresh), group)
+	return slices.Concat(old[:n], fresh[:m], old[n:], fresh[m:])
 }
 
 // Turn reports whether the node at a place in the order of the coordinators acts, if
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -10,6 +10,9 @@
 // share of the canary. In turn, all of them do.
 const rotationPeriod = 2 * time.Second
 
+// minCanary is the number of requests of the new version before a load test.
+const minCanary = 20
+
 // Facts is what a coordinator knows when it decides.
 type Facts struct {
 	Elapsed  time.Duration // since the order
@@ -65,7 +68,8 @@
 			return next.moveTo(RolledBack, NoUpstreams)
 		}
 	case Canary:
-		if duration := b.loadTest(&f, limit); f.Elapsed >= t.loadTest && f.Elapsed < t.cutover && duration > 0 && len(f.Nodes) > 0 {
+		if duration := b.loadTest(&f, limit); f.Elapsed >= t.loadTest && f.Elapsed < t.cutover && duration > 0 && len(f.Nodes) > 0 &&
+			f.New.Requests >= minCanary && f.Verdict.Against < suspicion {
 			next = next.moveTo(LoadTest, TimeForLoadTest)
 			next.Share, next.ShareFor = loadTestShare, InMilliseconds(duration)
 			break
