Keep a coordinator without counts from disturbing the one that has them

A node that the others take for unreachable gets no counts, and still believes to be the first coordinator. It named no upstreams for the canary and gave the rollout up (TestTwoCoordinatorsDoNoHarm, with -race under load: rolled_back no_upstreams). It now leaves its turn to others, and does not end the rollout within its time.

--- a/pkg/agent/rollouts.go
+++ b/pkg/agent/rollouts.go
@@ -39,6 +39,9 @@
 	// versionMemory is how long an order must have been known for a conclusion from the
 	// versions of all upstreams.
 	versionMemory = 2 * time.Second
+	// uninformedPlaces is by how many places a node that hears of few upstreams moves down in
+	// the order of the coordinators.
+	uninformedPlaces = 2
 )
 
 // rolloutDriver takes part in the rollouts of the service of this node, and keeps what the
@@ -71,6 +74,8 @@
 	sequence uint64 // of the counts
 	lastTick time.Time
 	lastSent time.Time // of a state
+	// otherHeard is when another node has last coordinated the rollout, as far as is known.
+	otherHeard time.Time
 	// absentSince is since when no upstream of the service has had the version in use.
 	absentSince time.Time
 	announced   bool // the version, for the nodes that have started meanwhile
@@ -254,18 +259,26 @@
 		d.finish(v, now)
 		return
 	}
-	silence := now.Sub(later(v.Heard, d.since))
 	coordinators := d.coordinators(v)
-	d.sendCounts(v, rollout.Listeners(coordinators, silence), now)
+	d.sendCounts(v, rollout.Listeners(coordinators, now.Sub(later(v.Heard, d.since))), now)
 	if now.Sub(d.lastTick) >= rollout.CountPeriod-cutoverPeriod/2 {
 		d.evidence.Tick(now)
 		d.lastTick = now
 	}
 	if place := slices.Index(coordinators, d.Self.Node); place >= 0 {
-		d.coordinate(v, place, silence, now)
+		d.coordinate(v, place, now)
 	}
 }
 
+// silence returns for how long this node has heard of no other coordinator. The mutex is
+// held.
+func (d *rolloutDriver) silence(v *rollout.View, now time.Time) time.Duration {
+	if v.Coordinator != d.Self.Node {
+		d.otherHeard = later(d.otherHeard, v.Heard)
+	}
+	return now.Sub(later(d.otherHeard, d.since))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return b
@@ -275,7 +288,7 @@
 
 // begin starts the counts for an order. The mutex is held.
 func (d *rolloutDriver) begin(v *rollout.View, now time.Time) {
-	d.order, d.since = v.Order(), now
+	d.order, d.since, d.otherHeard = v.Order(), now, time.Time{}
 	d.evidence = rollout.NewEvidence(d.order)
 	d.recorder = nil
 	if !v.Phase.Final() {
@@ -299,8 +312,7 @@
 		d.Local.SetRecorder(nil)
 		d.recorder = nil
 	}
-	silence := now.Sub(later(v.Heard, d.since))
-	if place := slices.Index(d.coordinators(v), d.Self.Node); !v.Written && rollout.Turn(place, silence) {
+	if place := slices.Index(d.coordinators(v), d.Self.Node); !v.Written && rollout.Turn(place, d.silence(v, now)) {
 		d.status.save(v.Sent(now), now)
 	}
 }
@@ -356,9 +368,15 @@
 }
 
 // coordinate makes the next step of the rollout if it is the turn of this node. The second
-// coordinator rolls a bad version back at once. The mutex is held.
-func (d *rolloutDriver) coordinate(v *rollout.View, place int, silence time.Duration, now time.Time) {
-	acts := rollout.Turn(place, silence)
+// coordinator rolls a bad version back at once. A node that hears of less than half of the
+// upstreams leaves its turn to others, and ends the rollout only if nobody else does. The
+// mutex is held.
+func (d *rolloutDriver) coordinate(v *rollout.View, place int, now time.Time) {
+	informed := d.isInformed(v, now)
+	if !informed {
+		place += uninformedPlaces
+	}
+	acts := rollout.Turn(place, d.silence(v, now))
 	if !acts && place > 1 {
 		return
 	}
@@ -374,6 +392,10 @@
 	if !acts && !(step.Phase == rollout.RolledBack && f.Verdict.Bad) {
 		return
 	}
+	ends := step.Phase == rollout.RolledBack && !f.Verdict.Bad || step.Completes
+	if ends && !informed && f.Elapsed < v.Within.Duration()+rollout.TakeoverTime {
+		return
+	}
 	next := step.State
 	next.Sequence, next.Coordinator, next.Silence = v.Sequence+1, d.Self.Node, 0
 	changed := next.Phase != v.Phase
@@ -390,6 +412,22 @@
 	d.status.save(next, now)
 }
 
+// isInformed reports whether the counts of at least half of the reachable upstreams are
+// current. The mutex is held.
+func (d *rolloutDriver) isInformed(v *rollout.View, now time.Time) bool {
+	members, heard := 0, 0
+	for _, n := range d.View.Current().UpstreamNodes(v.Service) {
+		if n.State == model.Unreachable {
+			continue
+		}
+		members++
+		if d.evidence.Heard(n.Node, now) {
+			heard++
+		}
+	}
+	return 2*heard >= members
+}
+
 // differs reports whether other nodes have to know of a change at once.
 func (d *rolloutDriver) differs(next *rollout.State, v *rollout.View) bool {
 	return next.From != v.From || len(next.Nodes) != len(v.Nodes) || !slices.Equal(next.Nodes, v.Nodes) || next.Share > 1.3*v.Share || next.Share < 0.7*v.Share
