Show and start rollouts with lentilctl, document them

lentilctl rollouts shows the state, phase, counts of both versions, reason and coordinator; rollouts start writes an order and waits for its end. lentilctl dev has upstreams of a new version and calls by which it is judged.

--- a/cmd/lentilctl/cli/cli.go
+++ b/cmd/lentilctl/cli/cli.go
@@ -64,6 +64,20 @@
 	return &operator.Queries{Store: e.rulesStore(), Client: operator.NewNodeClient()}
 }
 
+// RolloutCommands returns the operations that start rollouts.
+func (e *Env) RolloutCommands() *operator.RolloutCommands {
+	return &operator.RolloutCommands{Store: e.rolloutStore(), Rules: e.rulesStore(), Client: operator.NewNodeClient()}
+}
+
+// RolloutQueries returns the operations that read rollouts.
+func (e *Env) RolloutQueries() *operator.RolloutQueries {
+	return &operator.RolloutQueries{Store: e.rolloutStore(), Rules: e.rulesStore(), Client: operator.NewNodeClient()}
+}
+
+func (e *Env) rolloutStore() *platform.RolloutStore {
+	return &platform.RolloutStore{Store: platform.NewStore(e.Store, prometheus.NewRegistry(), zap.NewNop()), Log: zap.NewNop()}
+}
+
 func (e *Env) rulesStore() *platform.RulesStore {
 	return &platform.RulesStore{Store: platform.NewStore(e.Store, prometheus.NewRegistry(), zap.NewNop())}
 }
--- a/cmd/lentilctl/dev/dev.go
+++ b/cmd/lentilctl/dev/dev.go
@@ -18,11 +18,14 @@
 
 // Command runs a deployment on loopback until SIGINT or SIGTERM.
 type Command struct {
-	Deployment      string `help:"Deployment to run: ${enum}." enum:"bertolucci,haneul" default:"bertolucci"`
-	NodesPerService int    `help:"Upstreams of each service, 1 to 6, with a node each. Three are one in each region, six one in each availability zone." default:"6"`
-	FirstPort       int    `help:"First of the ports of the nodes; each node takes ten." default:"7400"`
-	StorePort       int    `help:"Port of the stand-in of the platform's store." default:"7390"`
-	LogLevel        string `help:"Least severe level that is logged: ${enum}." enum:"debug,info,warn,error" default:"error"`
+	Deployment      string  `help:"Deployment to run: ${enum}." enum:"bertolucci,haneul" default:"bertolucci"`
+	NodesPerService int     `help:"Upstreams of each service, 1 to 6, with a node each. Three are one in each region, six one in each availability zone." default:"6"`
+	FirstPort       int     `help:"First of the ports of the nodes; each node takes ten." default:"7400"`
+	StorePort       int     `help:"Port of the stand-in of the platform's store." default:"7390"`
+	NewVersion      string  `help:"Software version of further upstreams of one service, which get requests once a rollout is ordered; \"\" starts none." default:"v2"`
+	NewVersionFails float64 `help:"Part of the responses of the new version that are failures, 0 to 1, to see it rolled back."`
+	Load            int     `help:"Calls per second that the deployment makes itself; a rollout is judged by them." default:"60"`
+	LogLevel        string  `help:"Least severe level that is logged: ${enum}." enum:"debug,info,warn,error" default:"error"`
 }
 
 // Run starts the deployment, prints its addresses and waits for the end of
@@ -43,6 +46,9 @@
 		FirstPort:       c.FirstPort,
 		StorePort:       c.StorePort,
 		Log:             log,
+		NewVersion:      c.NewVersion,
+		NewVersionFails: c.NewVersionFails,
+		Load:            c.Load,
 	})
 	if err != nil {
 		return err
@@ -51,6 +57,12 @@
 	if err := cluster.AwaitVersion(env.Context, 1, startTimeout); err != nil {
 		return err
 	}
+	if err := cluster.AwaitVersionsInUse(env.Context, startTimeout); err != nil {
+		return err
+	}
+	if err := cluster.StartNewVersion(env.Context); err != nil {
+		return err
+	}
 	if err := env.Print(cluster.Nodes(), func(w io.Writer) { write(w, cluster) }); err != nil {
 		return err
 	}
@@ -85,5 +97,9 @@
 	fmt.Fprintf(w, "\nstore %s\n\ntry in another terminal:\n", store)
 	fmt.Fprintf(w, "  curl -i -H 'Host: %s' http://%s%s\n", d.Example.Host, cluster.Nodes()[0].Listeners.Calls, d.Example.Path)
 	fmt.Fprintf(w, "  EDITOR='sed -i s/%s/%s/' ./bin/lentilctl rules edit --store %s\n", d.Example.Before, d.Example.After, store)
-	fmt.Fprintf(w, "  ./bin/lentilctl status --store %s\n\nCtrl-C stops the deployment.\n", store)
+	fmt.Fprintf(w, "  ./bin/lentilctl status --store %s\n", store)
+	if v := cluster.NewVersion(); v != "" {
+		fmt.Fprintf(w, "  ./bin/lentilctl rollouts start %s %s 15s --store %s\n", d.Example.Service, v, store)
+	}
+	fmt.Fprintf(w, "\nCtrl-C stops the deployment.\n")
 }
--- a/cmd/lentilctl/execute.go
+++ b/cmd/lentilctl/execute.go
@@ -8,6 +8,7 @@
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/cli"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/dev"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/explain"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/rollouts"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/rules"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/status"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/upstreams"
@@ -15,8 +16,9 @@
 
 const description = `Operates a lentilflow deployment through the platform's store.
 
-Only the rules file changes routing: "rules edit" and "rules put" replace it, and all other commands only read. The
-exit status is 0 if the command succeeded completely.`
+Only the rules file and rollouts change routing: "rules edit" and "rules put" replace the file, "rollouts start" moves
+the traffic of a service to another software version, and all other commands only read. The exit status is 0 if the
+command succeeded completely.`
 
 type commands struct {
 	cli.Globals
@@ -25,6 +27,7 @@
 	Rules     rules.Command     `cmd:"" help:"Check, compare, replace and trace the rules file."`
 	Status    status.Command    `cmd:"" help:"Show which version is in force where, by region, availability zone and node."`
 	Upstreams upstreams.Command `cmd:"" help:"List the upstreams with their nodes and load."`
+	Rollouts  rollouts.Command  `cmd:"" help:"Show and start rollouts of software versions."`
 	Explain   explain.Command   `cmd:"" help:"Show which rule decides a call, who asked for it, and where the call would go."`
 }
 
--- a/cmd/lentilctl/upstreams/upstreams.go
+++ b/cmd/lentilctl/upstreams/upstreams.go
@@ -2,6 +2,7 @@
 package upstreams
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 
@@ -36,7 +37,7 @@
 		return merry.Errorf("no upstream of service %q is known", c.Service)
 	}
 	return env.Print(all, func(w io.Writer) {
-		fmt.Fprintln(w, "NODE\tSERVICE\tREGION\tZONE\tSTATE\tBOOT\tSLOTS\tLIMIT\tRATE LIMIT\tRUNNING\tWAITING\tADDRESS")
+		fmt.Fprintln(w, "NODE\tSERVICE\tREGION\tZONE\tSTATE\tVERSION\tBOOT\tSLOTS\tLIMIT\tRATE LIMIT\tRUNNING\tWAITING\tADDRESS")
 		for _, n := range all {
 			writeUpstream(w, &n)
 		}
@@ -47,9 +48,9 @@
 	m := &n.Member
 	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t", m.Node, m.Service, m.Location.Region, m.Location.AvailabilityZone)
 	if t := n.State; t != nil {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%d\t%d\t", status.UpstreamState(t), t.Boot, t.Slots, t.Limit, status.RateLimit(t), t.Running, t.Waiting)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%d\t%d\t", status.UpstreamState(t), cmp.Or(t.Software, "-"), t.Boot, t.Slots, t.Limit, status.RateLimit(t), t.Running, t.Waiting)
 	} else {
-		fmt.Fprint(w, "no answer\t-\t-\t-\t-\t-\t-\t")
+		fmt.Fprint(w, "no answer\t-\t-\t-\t-\t-\t-\t-\t")
 	}
 	fmt.Fprintln(w, m.CallAddress)
 }
--- a/pkg/devcluster/cluster.go
+++ b/pkg/devcluster/cluster.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +16,11 @@
 	"github.com/lentilflow/lentilflow/pkg/agent"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/operator"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 	"github.com/lentilflow/lentilflow/pkg/settings"
 	"github.com/lentilflow/lentilflow/pkg/standin/store"
 	"github.com/lentilflow/lentilflow/pkg/standin/upstream"
+	"github.com/lentilflow/lentilflow/pkg/standin/versions"
 	"github.com/lentilflow/lentilflow/platform"
 )
 
@@ -47,6 +51,15 @@
 	serviceTime = 5 * time.Millisecond
 	// pollInterval is the pause between two requests for the status while waiting.
 	pollInterval = 100 * time.Millisecond
+	// drainAfter is the time from the end of a rollout that was rolled back until the new
+	// upstreams drain, and from then until they end.
+	drainAfter = 2 * time.Second
+	// callTimeout bounds a call of Config.Load, and maxLoad its rate per second.
+	callTimeout = 2 * time.Second
+	maxLoad     = 1000
+	// exposureTolerance is the number of requests that a bad version may get beyond its
+	// share. Services on a developer's machine have few.
+	exposureTolerance = 50
 )
 
 // Config holds the parameters of Start.
@@ -56,13 +69,26 @@
 	FirstPort       int // lowest port of the first node
 	StorePort       int
 	Log             *zap.Logger // of all nodes
+	// NewVersion is the software version of further upstreams of the service of the example
+	// call, which get requests once a rollout is ordered; "" starts none. NewVersionFails is
+	// the part of their responses that are failures.
+	NewVersion      string
+	NewVersionFails float64
+	// Load is the number of example calls per second that the deployment makes itself.
+	Load int
 }
 
 func (c *Config) check() error {
+	if c.NewVersionFails < 0 || c.NewVersionFails > 1 {
+		return merry.Errorf("failing part of the new version: %g (accepted: 0 to 1)", c.NewVersionFails)
+	}
+	if c.Load < 0 || c.Load > maxLoad {
+		return merry.Errorf("load: %d (accepted: 0 to %d calls per second)", c.Load, maxLoad)
+	}
 	if c.NodesPerService < 1 || c.NodesPerService > NodesPerService {
 		return merry.Errorf("nodes per service: %d (accepted: 1 to %d)", c.NodesPerService, NodesPerService)
 	}
-	last := c.FirstPort + portsPerNode*c.NodesPerService*len(c.Deployment.Services)
+	last := c.FirstPort + portsPerNode*c.NodesPerService*(len(c.Deployment.Services)+1)
 	for name, port := range map[string]int{"store port": c.StorePort, "first port": c.FirstPort, "last port": last} {
 		if port < 1 || port > 65535 {
 			return merry.Errorf("%s: %d (accepted: 1 to 65535)", name, port)
@@ -75,10 +101,13 @@
 type Cluster struct {
 	cfg       Config
 	nodes     []*settings.Settings
+	newNodes  []*settings.Settings // beside the upstreams of the new version
+	rollout   *versions.Supervisor
 	store     *store.Endpoint
 	upstreams []*upstream.Upstream
 	ledger    upstream.Ledger
 	cancel    context.CancelFunc
+	cancelNew context.CancelFunc
 	running   sync.WaitGroup
 	failed    chan error
 	stopOnce  sync.Once
@@ -103,7 +132,8 @@
 }
 
 func (c *Cluster) start(ctx context.Context) error {
-	endpoint, err := store.New().Listen(address(c.cfg.StorePort))
+	s := store.New()
+	endpoint, err := s.Listen(address(c.cfg.StorePort))
 	if err != nil {
 		return merry.Prepend(err, "store")
 	}
@@ -114,22 +144,84 @@
 		return merry.Errorf("example rules of %s: %v %w", c.cfg.Deployment.Name, faults, err)
 	}
 	for _, s := range c.nodes {
-		if err := c.startUpstream(s); err != nil {
+		if err := c.startUpstream(s, ""); err != nil {
 			return err
 		}
 		c.startNode(ctx, s)
 	}
+	if c.cfg.Load > 0 {
+		c.running.Go(func() { c.makeCalls(ctx) })
+	}
+	if c.cfg.NewVersion != "" {
+		c.rollout = &versions.Supervisor{Store: s, Service: c.cfg.Deployment.Example.Service, To: c.cfg.NewVersion, DrainAfter: drainAfter, LeaveAfter: drainAfter}
+	}
 	return nil
 }
 
+// StartNewVersion starts the upstreams of the new version, each with its node, and stops
+// upstreams as the status of a rollout says. It is called once the deployment is ready,
+// because the first version that its nodes see is the one in use.
+func (c *Cluster) StartNewVersion(ctx context.Context) error {
+	if c.rollout == nil {
+		return nil
+	}
+	ctx, c.cancelNew = context.WithCancel(ctx)
+	first := c.cfg.FirstPort + portsPerNode*len(c.nodes)
+	for i := range c.cfg.NodesPerService {
+		n := c.cfg.settings(c.cfg.Deployment.Zones[i%len(c.cfg.Deployment.Zones)], c.rollout.Service, first+portsPerNode*i)
+		n.Name += "-" + c.cfg.NewVersion
+		if err := c.startUpstream(n, c.cfg.NewVersion); err != nil {
+			return err
+		}
+		c.newNodes = append(c.newNodes, n)
+		c.startNode(ctx, n)
+	}
+	for i, u := range c.upstreams {
+		switch {
+		case i >= len(c.nodes):
+			u.Set(upstream.Behaviour{BadPart: c.cfg.NewVersionFails})
+			c.rollout.New = append(c.rollout.New, u)
+		case c.nodes[i].Upstream.Service == c.rollout.Service:
+			c.rollout.Old = append(c.rollout.Old, u)
+		}
+	}
+	c.rollout.Start()
+	return nil
+}
+
+// makeCalls makes the example call at each node in turn until ctx ends.
+func (c *Cluster) makeCalls(ctx context.Context) {
+	client := &http.Client{Timeout: callTimeout}
+	tick := time.NewTicker(time.Second / time.Duration(c.cfg.Load))
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		n := c.nodes[i%len(c.nodes)]
+		c.running.Go(func() {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(n.Listeners.Calls)+c.cfg.Deployment.Example.Path, nil)
+			if err != nil {
+				return
+			}
+			req.Host = c.cfg.Deployment.Example.Host
+			if resp, err := client.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
+
 func (c *Cluster) rulesStore() *platform.RulesStore {
 	return &platform.RulesStore{Store: platform.NewStore(c.store.Address(), prometheus.NewRegistry(), zap.NewNop())}
 }
 
-func (c *Cluster) startUpstream(s *settings.Settings) error {
+func (c *Cluster) startUpstream(s *settings.Settings, software string) error {
 	u, err := upstream.Start(upstream.Config{
 		Service: s.Upstream.Service, Zone: s.AvailabilityZone, Slots: c.cfg.Deployment.Slots, ServiceTime: serviceTime,
-		ReportAddress: string(s.Listeners.Reports), CallAddress: string(s.Listeners.Calls),
+		ReportAddress: string(s.Listeners.Reports), CallAddress: string(s.Listeners.Calls), Software: software,
 	}, string(s.Upstream.Address), &c.ledger)
 	if err != nil {
 		return merry.Prependf(err, "upstream of node %s", s.Name)
@@ -154,6 +246,10 @@
 // have no effect.
 func (c *Cluster) Stop() {
 	c.stopOnce.Do(func() {
+		if c.rollout != nil && c.cancelNew != nil {
+			c.rollout.Stop()
+			c.cancelNew()
+		}
 		c.cancel()
 		c.running.Wait()
 		for _, u := range c.upstreams {
@@ -236,8 +332,38 @@
 	}
 	s.Upstream = settings.Upstream{Service: service, Address: at(upstreamPort)}
 	s.Store.Address = settings.Address(address(c.StorePort))
+	s.Rollouts.Tolerance, s.Rollouts.OnlyOrdered = exposureTolerance, "yes"
 	s.Drain = settings.Drain{Announce: settings.Duration(drainAnnounce), Finish: settings.Duration(drainFinish)}
 	return &s
 }
 
 func address(port int) string { return net.JoinHostPort(loopback, fmt.Sprint(port)) }
+
+// NewVersion returns the software version of the further upstreams, "" if there are none.
+func (c *Cluster) NewVersion() string { return c.cfg.NewVersion }
+
+// AwaitVersionsInUse waits until the nodes of each service know which software version is in
+// use. It returns an error if ctx ends or timeout passes before.
+func (c *Cluster) AwaitVersionsInUse(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client := operator.NewNodeClient()
+	for !c.versionsInUseKnown(ctx, client) {
+		select {
+		case <-ctx.Done():
+			return merry.Errorf("software version in use is not known everywhere after %s", timeout)
+		case <-time.After(pollInterval):
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) versionsInUseKnown(ctx context.Context, client *http.Client) bool {
+	for _, n := range c.nodes {
+		states, err := operator.RolloutsAt(ctx, client, string(n.Listeners.Messages))
+		if err != nil || !slices.ContainsFunc(states, func(s rollout.State) bool { return s.Service == n.Upstream.Service }) {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/devcluster/deployment.go
+++ b/pkg/devcluster/deployment.go
@@ -29,10 +29,11 @@
 // Example is a call to try out, and an edit of the rules file that changes the
 // rule of this call.
 type Example struct {
-	Host   string
-	Path   string
-	Before string // text in the rules file
-	After  string // text that replaces it
+	Host    string
+	Path    string
+	Service string // that runs the call
+	Before  string // text in the rules file
+	After   string // text that replaces it
 }
 
 var deployments = []Deployment{
@@ -43,7 +44,7 @@
 		Slots:       15,
 		Connections: 130,
 		Rules:       examples.Bertolucci,
-		Example:     Example{Host: "api.bertolucci.example", Path: "/status/42", Before: "target=50ms", After: "target=40ms"},
+		Example:     Example{Host: "api.bertolucci.example", Path: "/status/42", Service: "acompanha", Before: "target=50ms", After: "target=40ms"},
 	},
 	{
 		Name:        "haneul",
@@ -52,7 +53,7 @@
 		Slots:       12,
 		Connections: 120,
 		Rules:       examples.Haneul,
-		Example:     Example{Host: "engraving.haneul.example", Path: "/designs/7", Before: "target=250ms", After: "target=240ms"},
+		Example:     Example{Host: "engraving.haneul.example", Path: "/designs/7", Service: "engraving", Before: "target=250ms", After: "target=240ms"},
 	},
 }
 
