--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -89,8 +89,9 @@
 // of its service is in use, from its first configuration on: no other node may know it.
 const versionsWait = 2 * time.Second
 
-// awaitVersions waits until this node can know which version is in use: the store was read,
-// or another node has answered.
+// awaitVersions waits until this node can know which version is in use. Orders come with the
+// configuration. On a VM that is new, another node has to say which version is in use
+// without an order; elsewhere the upstream was in use before.
 func (a *Agent) awaitVersions(ctx context.Context) {
 	var end time.Time
 	for ctx.Err() == nil {
@@ -98,7 +99,8 @@
 		if inForce && end.IsZero() {
 			end = time.Now().Add(versionsWait)
 		}
-		if inForce && (a.versionsAsked.Load() || time.Now().After(end)) {
+		newcomer := a.newcomer.Load()
+		if inForce && (newcomer != nil && !*newcomer || a.versionsAsked.Load() || time.Now().After(end)) {
 			a.setVersionsKnown()
 			return
 		}
--- a/pkg/agent/rollouts.go
+++ b/pkg/agent/rollouts.go
@@ -119,6 +119,14 @@
 	return 0
 }
 
+// awaitsUpstreams reports whether a rollout has begun whose upstreams may still start: nodes
+// have to know these soon, because a rollout takes some 12 s.
+func (d *rolloutDriver) awaitsUpstreams() bool {
+	return slices.ContainsFunc(d.Table.Current().All(), func(v *rollout.View) bool {
+		return v.HasOrder() && !v.Phase.Final()
+	})
+}
+
 // onOrders handles orders that were read from the store.
 func (d *rolloutDriver) onOrders(r rollout.Reading) {
 	fresh := d.Table.ApplyReading(r, time.Now())
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -84,6 +84,7 @@
 	}, a.rollouts.onOrders, a.gossip.WatchTime), 0, a.gossip.ConfigSchedule(a.firstStart()))
 	fleetFollower := a.follower("fleet", &fleet.Source{Registry: a.registry, View: a.fleetView, Log: a.log, OnChange: a.onFleetChange}, fleetWatchInterval,
 		a.delayFirstRead(a.gossip.FleetSchedule()))
+	fleetFollower.Urgent = a.rollouts.awaitsUpstreams
 	configFollower.OnAvailability = func(ok bool) {
 		a.configUnavailable.Store(!ok)
 		a.updateStoreAvailability()
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -54,6 +54,9 @@
 	// verifyTimeout bounds the read with which a follower verifies that the store
 	// responds. A store that answers 150 times as slowly as usual needs 0.6 s.
 	verifyTimeout = time.Second
+	// urgentPause is the longest delay between a response and the next request while
+	// changes are urgent.
+	urgentPause = 400 * time.Millisecond
 )
 
 // Follower keeps the state of one Source up to date. Its fields must not change
@@ -64,7 +67,10 @@
 	// Pause is the delay between a response and the next request, so that
 	// changes in quick succession share a response.
 	Pause time.Duration
-	Log   *zap.Logger
+	// Urgent reports whether changes are urgent now, so that the delay is urgentPause at the
+	// most; nil means that they never are.
+	Urgent func() bool
+	Log    *zap.Logger
 	// Schedule decides when this node reads from the store; nil means always.
 	Schedule Schedule
 	// OnAvailability is called by Run, and must not be nil. It gets false for the
@@ -126,7 +132,7 @@
 				delays.Reset()
 			}
 			at, lastRead, loaded, failing, reported = next, time.Now(), true, false, true
-			sleep.For(ctx, f.Pause)
+			sleep.For(ctx, f.pause())
 		case ctx.Err() != nil:
 		case errors.Is(err, errUndelivered):
 			f.Log.Info("store has not delivered a change that another node has; the whole state is read", zap.String("follows", f.Name),
@@ -151,6 +157,14 @@
 	return nil
 }
 
+// pause returns the delay between a response and the next request.
+func (f *Follower) pause() time.Duration {
+	if f.Urgent != nil && f.Urgent() {
+		return min(f.Pause, urgentPause)
+	}
+	return f.Pause
+}
+
 // loadOrWait calls the source. A wait that Verify ends returns errUndelivered.
 func (f *Follower) loadOrWait(ctx context.Context, loaded, verifying bool, at Position) (Position, error) {
 	if !loaded && verifying {
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -154,7 +154,9 @@
 		discard(a)
 		cancel()
 		if refusal, ok := parseRefusal(text); ok {
-			refusal.versions = a.Header.Get(headerRollout)
+			if refusal.versions = a.Header.Get(headerRollout); refusal.versions != "" {
+				refusal.Reason = model.VersionNotAllowed
+			}
 			return nil, refusal
 		}
 		return nil, &Refusal{Reason: model.UpstreamLost, RunState: model.RunUnknown, Cause: errNotFromNode}
@@ -293,7 +295,11 @@
 func (g *Gateway) sendRefusal(x *h1.Exchange, r *Refusal, attemptID string) {
 	header := http.Header{headerRefusal: {r.String()}, headerAttempt: {attemptID}}
 	if r.Reason == model.VersionNotAllowed {
-		header[headerRollout] = []string{g.Local.versionHint()}
+		// Nodes of earlier releases do not know the reason; they try another node after
+		// this one.
+		known := *r
+		known.Reason = model.NoUpstream
+		header[headerRefusal], header[headerRollout] = []string{known.String()}, []string{g.Local.versionHint()}
 	}
 	err := x.Reply(&h1.Reply{Status: http.StatusServiceUnavailable, Header: header})
 	if err != nil && !h1.ClientGone(x.Context()) {
