--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -40,7 +40,7 @@
 	// for a slot may take while another upstream may be free.
 	maxWaitShare = 0.25
 	// maxMovesWithWaitLimit is the number of attempts that reached no upstream
-	// after which Attempt.MaxWait is removed, so that the next node queues the
+	// after which Attempt.MaxWait is relaxed, so that the next node queues the
 	// call.
 	maxMovesWithWaitLimit = 2
 )
@@ -58,16 +58,21 @@
 	Budgets *Budgets
 	Metrics *Metrics
 	Log     *zap.Logger
+	Load    LoadPolicy
 	// Rollouts decides which versions of upstreams get a call; nil: all of them.
 	// OnRollouts is called with what a remote node has added to it.
 	Rollouts   *rollout.Table
 	OnRollouts func(fresh []rollout.State, from model.NodeID)
+	// Quota limits the calls of teams that have a rate; nil means that nothing is
+	// limited. It is asked after the key lookup and before the first attempt.
+	Quota QuotaLimiter
 	// OnNewerConfig is called when the remote node from has a newer configuration
 	// than this node; v is its version. Several calls may run at the same time.
 	OnNewerConfig func(v config.Version, from model.NodeID)
 
 	callLog           *callLog
 	candidateSets     sync.Map // of *candidateSets by service
+	callerTimes       callerTimes
 	startTime         time.Time
 	refuseEndingAfter atomic.Pointer[time.Time] // nil unless this node is stopping
 	// deadlineCap limits the deadlines of calls, and retriesDisabled prevents
@@ -181,6 +186,8 @@
 	version config.Version
 	route   *config.RouteState
 	budget  *retry.Budget
+	// identity is that of the team, nil if the configuration has no teams.
+	identity *identity
 
 	triedNodes        []model.NodeID // in the order of the attempts
 	excludedNodes     []model.NodeID
@@ -191,6 +198,8 @@
 	lastRefusal       *Refusal        // of the previous attempt
 	failedResponse    *failedResponse // response with a server error; a retry may replace it
 	newVersion        bool            // the attempt goes to the version that is rolled out
+	elapsed           time.Duration   // since the caller's first try
+	relaxed           bool            // relaxWaitLimit was called
 	queueTime         time.Duration
 	serviceTime       time.Duration
 	verdict           retry.Verdict
@@ -219,11 +228,15 @@
 		return r
 	}
 	defer c.route.Release()
+	if r := g.takeQuota(c); r != nil {
+		return r
+	}
 	return g.serve(c)
 }
 
-// prepare matches a call to a route and fills in its attempt. It returns a
-// refusal if there is no configuration or no matching route, or if the call may
+// prepare matches a call to a route, looks up its team and fills in its attempt. It
+// returns a refusal if there is no configuration or no matching route, if the route
+// needs a key and the call has none that belongs to a team, or if the call may
 // outlast this node.
 func (g *Gateway) prepare(c *call) *Refusal {
 	req := c.x.Request
@@ -239,6 +252,9 @@
 		return newRefusal(model.NoRule)
 	}
 	c.route = t
+	if r := g.checkKey(c, s); r != nil {
+		return r
+	}
 	h1.RemoveHopByHopFields(req.Header)
 	stripInternalFields(req.Header)
 	deadline := g.deadline(c)
@@ -253,17 +269,22 @@
 		req.Header[g.Names.RequestID] = []string{newRequestID()}
 	}
 	req.Header[g.Names.Caller] = []string{g.Self.Service}
+	if c.identity != nil { // after RemoveHopByHopFields, which removes what the caller lists
+		g.Names.setTeam(req.Header, c.teamName())
+	}
+	c.elapsed = g.elapsed(t, req.Header.Get(g.Names.Deadline))
 	delete(req.Header, g.Names.Deadline)
 	delete(req.Header, g.Names.ExpectedBoot)
+	rank, weight := g.urgency(t, c.team().RankOf(t.Route))
 	c.attempt = &Attempt{
 		RequestID: req.Header.Get(g.Names.RequestID), Method: req.Method, Target: req.RequestURI, Host: req.Host,
 		Header: req.Header, Body: c.x.Body, Rest: c.x.Rest, Length: c.x.Length,
-		Service: t.ChooseService(), Route: t.Name, Rank: min(t.Rank, model.MaxRank), Idempotent: t.Idempotent, Deadline: deadline,
-		MaxWait: maxWait(t), Weight: max(t.Weight, 1),
+		Service: t.ChooseService(), Route: t.Name, Team: c.teamName(), Rank: rank, Idempotent: t.Idempotent, Deadline: deadline,
+		MaxWait: maxWait(t), Weight: weight,
 		Download: t.Download, LatencyTarget: t.TargetLatency,
 	}
 	if t.TargetLatency > 0 {
-		c.attempt.Due = c.x.Arrived.Add(t.TargetLatency)
+		c.attempt.Due = c.x.Arrived.Add(t.TargetLatency - c.elapsed)
 	}
 	c.budget = g.Budgets.Of(c.attempt.Service)
 	c.budget.Earn()
@@ -364,22 +385,21 @@
 	now := time.Since(g.startTime)
 	entries, view := g.candidates(c)
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(entries) == 1 {
-		c.removeWaitLimit()
+		g.relaxWaitLimit(c)
 	}
 	choice, found := g.pick(c, entries, now)
 	if found != balance.Picked && c.newVersion && view.Phase != rollout.Cutover {
 		entries = g.stayWithOld(c, view)
 		choice, found = g.pick(c, entries, now)
 	}
-	if found == balance.NoUpstream && c.attempt.MaxWait > 0 {
-		c.removeWaitLimit()
+	if found == balance.NoUpstream && g.relaxWaitLimit(c) {
 		choice, found = g.pick(c, entries, now)
 	}
 	switch found {
 	case balance.NoUpstream:
 		return g.exhausted(c)
 	case balance.Busy:
-		c.removeWaitLimit()
+		g.relaxWaitLimit(c)
 	case balance.Overloaded:
 		r := newRefusal(model.Overloaded)
 		r.RetryAfter = overloadedRetryAfter/2 + rand.N(overloadedRetryAfter)
@@ -409,7 +429,7 @@
 func (g *Gateway) pick(c *call, entries []model.UpstreamNode, now time.Duration) (balance.Choice, balance.Result) {
 	return g.Picker.Pick(balance.Request{
 		Candidates: entries, From: g.Self.Location, Prefer: c.route.Prefer, Rank: c.attempt.Rank,
-		Service: c.attempt.Service, Route: c.attempt.Route, IgnoreBackoff: c.attempt.MaxWait == 0, Download: c.attempt.Download,
+		Service: c.attempt.Service, Route: c.attempt.Route, IgnoreBackoff: c.attempt.MaxWait == 0 || c.relaxed, Download: c.attempt.Download,
 		Exclude: c.excludedNodes, Now: now, Seed: rand.Uint64(),
 	})
 }
@@ -425,13 +445,16 @@
 	g.Picker.BackOff(choice, c.attempt.Service, c.attempt.Route, excess, now, rand.Float64())
 }
 
-// removeWaitLimit lets every node queue the call, including nodes that refused
-// it because another upstream might run it sooner.
-func (c *call) removeWaitLimit() {
-	if c.attempt.MaxWait > 0 {
-		c.attempt.MaxWait = 0
-		c.excludedNodes = nil
+// relaxWaitLimit replaces the limit of the expected wait, which applies while another
+// upstream may be free, by the one that applies at all of them. Every node may then
+// queue the call, including nodes that refused it because another upstream might run it
+// sooner. It reports whether the limit was not relaxed before.
+func (g *Gateway) relaxWaitLimit(c *call) bool {
+	if c.relaxed || c.attempt.MaxWait == 0 {
+		return false
 	}
+	c.relaxed, c.attempt.MaxWait, c.excludedNodes = true, g.queueLimit(c.route), nil
+	return true
 }
 
 const (
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -35,6 +35,9 @@
 		r.Reason = model.CallerGone
 	}
 	g.Metrics.countRefusal(r.Reason)
+	if c.relaxed && c.attempt.MaxWait > 0 && r.Reason == model.Overloaded {
+		g.Metrics.countLoadDecision(decisionQueueLimit)
+	}
 	if r.Reason == model.CallerGone {
 		g.logRefusal(c, r, model.StatusCallerGone)
 		return
@@ -49,6 +52,9 @@
 	if r.RetryAfter > 0 && r.RunState == model.NotRun {
 		h["Retry-After"] = []string{formatSeconds(r.RetryAfter)}
 	}
+	if d.Status == http.StatusUnauthorized {
+		h["Www-Authenticate"] = []string{authenticate}
+	}
 	body, err := json.Marshal(d)
 	if err != nil {
 		g.Log.Error("refusal cannot be encoded", zap.Error(err))
