Rest the evidence against a version on several upstreams, and watch the cutover for a second

Upstreams are not equally fast: with 30% of them three times slower at both versions, 27 of 300 good versions of 6 upstreams and 6 of 300 of 20 were rolled back, because the canary begins with three. The load is part of TestVerdictOverRandomLoads.

A cutover lasts 1 s at least now.

--- a/pkg/rollout/bounds.go
+++ b/pkg/rollout/bounds.go
@@ -48,6 +48,10 @@
 	latestPart = 0.2
 	// DrainLimit is the time for calls at old upstreams to end.
 	DrainLimit = 2 * time.Second
+	// minCutover is the least time of a cutover: a version that turns bad must be detected
+	// before old upstreams stop. minCutoverPart bounds it for short orders.
+	minCutover     = time.Second
+	minCutoverPart = 0.15
 	// writeMargin is the time before the limit at which the rollout is completed
 	// although calls at old upstreams have not ended.
 	writeMargin = 700 * time.Millisecond
@@ -67,6 +71,11 @@
 	return t
 }
 
+// leastCutover returns the least time of the cutover of an order with a time limit.
+func (b Bounds) leastCutover(limit time.Duration) time.Duration {
+	return max(min(minCutover, time.Duration(minCutoverPart*float64(limit))), closeGrace)
+}
+
 // allowance returns how many requests the new version may have got by the time limit, of
 // which planned are counted on. rate is the present rate of the service per second.
 func (b Bounds) allowance(total, rate float64, remaining time.Duration) float64 {
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -8,7 +8,7 @@
 
 // rotationPeriod is the time for which the same upstreams of the new version get the
 // share of the canary. In turn, all of them do.
-const rotationPeriod = 2 * time.Second
+const rotationPeriod = time.Second
 
 // minCanary is the number of requests of the new version before a load test.
 const minCanary = 20
@@ -88,7 +88,7 @@
 		case !f.Verdict.Sure && f.Elapsed >= limit-writeMargin:
 			next.Route = f.Verdict.Route
 			return next.moveTo(RolledBack, TooFewCounts)
-		case f.Verdict.Sure && (f.PhaseAge > closeGrace && ended || over):
+		case f.Verdict.Sure && (f.PhaseAge > b.leastCutover(limit) && ended || over):
 			next.Completes = true
 			next.Reason = Drained
 			if !ended {
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"math"
 	"slices"
 )
@@ -28,7 +29,7 @@
 	recentFactor = 0.85
 	// cutoverProbability replaces errorProbability for a cutover to begin. The tests go
 	// on in the cutover, whose many requests decide within a second.
-	cutoverProbability = 0.01
+	cutoverProbability = 0.005
 	// badFloor is the least sum of the test for a bad version. Without it, a version that
 	// turns bad late would first have to make up for all its good responses.
 	badFloor = -2
@@ -38,6 +39,10 @@
 	// burstLimit bounds what one upstream adds in one window. A process that is killed or
 	// frozen fails all its requests at once, which are no independent observations.
 	burstLimit = 4
+	// minWitnesses is the number of upstreams on which the evidence against a version must
+	// rest, unless the version has fewer: upstreams are not equally fast, and the canary
+	// uses few of them at first.
+	minWitnesses = 3
 	// outlierPart is the part of the upstreams of each version that is left out, the
 	// worst ones. They may be grey, or in a zone that is slow.
 	outlierPart = 0.2
@@ -89,7 +94,7 @@
 		part    float64
 		reason  Reason
 	}{{failures, failingPart, Failing}, {slowness, slowPart, Slow}} {
-		bad, good := e.test(kind.measure, kind.part, outliers)
+		bad, good := e.test(kind.measure, kind.part, outliers, v.Limit/e.witnesses())
 		v.For = min(v.For, good)
 		for scope, sum := range bad {
 			if sum > v.Against {
@@ -110,12 +115,25 @@
 // route is its index plus 1.
 const allRoutes = 0
 
+// witnesses returns the number of upstreams of the new version on which evidence must rest,
+// as far as there are as many without the outliers.
+func (e *Evidence) witnesses() float64 {
+	n := 0
+	for _, s := range e.sources {
+		if s.latest.Software == e.order.To {
+			n++
+		}
+	}
+	return float64(max(min(n-int(math.Ceil(outlierPart*float64(n))), minWitnesses), 1))
+}
+
 // upstreamScope identifies the observations at one upstream for one test.
 type upstreamScope struct{ node, scope int }
 
 // test returns the sums of the tests for a bad version, by scope, and that of the test
-// for a good version on all routes.
-func (e *Evidence) test(m measure, part float64, outliers map[int]bool) (bad []float64, good float64) {
+// for a good version on all routes. Each upstream adds at most share to a sum for a bad
+// version.
+func (e *Evidence) test(m measure, part float64, outliers map[int]bool, share float64) (bad []float64, good float64) {
 	scopes := len(e.names) + 1
 	mean := e.meanOfOld(m, scopes, outliers)
 	bad = make([]float64, scopes)
@@ -124,6 +142,7 @@
 	}
 	old, added, recent := make([]observation, scopes), make([]float64, scopes), make([]float64, scopes)
 	upstreams := make(map[upstreamScope]observation)
+	given := make(map[upstreamScope]float64) // what each upstream has added since the sum was at the floor
 	for _, w := range e.windows {
 		clear(old)
 		clear(added)
@@ -155,12 +174,19 @@
 			}
 			p1 := p0 + part*(1-p0)
 			sum := float64(o.bad)*math.Log(p1/p0) + float64(o.total-o.bad)*math.Log((1-p1)/(1-p0))
-			added[k.scope] += min(sum, burstLimit)
+			if k.scope == allRoutes {
+				good -= min(sum, burstLimit)
+			}
+			sum = min(sum, burstLimit, share-given[k])
+			given[k] += sum
+			added[k.scope] += sum
 		}
 		for scope := range bad {
-			bad[scope] = max(bad[scope]+added[scope], badFloor)
+			if bad[scope] += added[scope]; bad[scope] <= badFloor {
+				bad[scope] = badFloor
+				maps.DeleteFunc(given, func(k upstreamScope, _ float64) bool { return k.scope == scope })
+			}
 		}
-		good -= added[allRoutes]
 	}
 	return bad, good
 }
--- a/pkg/rollout/verdict_test.go
+++ b/pkg/rollout/verdict_test.go
@@ -24,7 +24,8 @@
 	fails        func(s sample) float64 // probability of a failure
 	slower       func(s sample) float64 // factor of the service time
 	wantBad      bool
-	slowByChance bool // service times vary by a factor of 3, as with an exponential distribution
+	uneven       float64 // part of the upstreams of each version that are three times slower, drawn anew for each seed
+	slowByChance bool    // service times vary by a factor of 3, as with an exponential distribution
 }
 
 // sample is one simulated request.
@@ -67,6 +68,12 @@
 	for _, id := range append(append([]model.NodeID{}, oldIDs...), newIDs...) {
 		recorders[id] = NewRecorder(o.At, began)
 	}
+	tardy := [2]map[int]bool{{}, {}}
+	for side, count := range []int{l.old, l.new} {
+		for _, node := range rnd.Perm(count)[:int(l.uneven*float64(count)+0.5)] {
+			tardy[side][node] = true
+		}
+	}
 	var phaseBegan time.Duration
 	result := simulated{}
 	sequence := uint64(0)
@@ -99,6 +106,9 @@
 			} else {
 				d = time.Duration((0.7 + 0.6*rnd.Float64()) * float64(d))
 			}
+			if x.new && tardy[1][x.node] || !x.new && tardy[0][x.node] {
+				d *= 3
+			}
 			if l.slower != nil {
 				d = time.Duration(l.slower(x) * float64(d))
 			}
@@ -218,6 +228,9 @@
 		}
 		return 1
 	}},
+	{name: "good with upstreams of uneven speed", rate: 290, old: 20, new: 20, uneven: 0.3},
+	{name: "good with few upstreams of uneven speed", rate: 290, old: 6, new: 6, uneven: 0.3},
+	{name: "bad with upstreams of uneven speed", rate: 290, old: 20, new: 20, uneven: 0.3, fails: always(0.2), wantBad: true},
 	{name: "good beside lost responses on both versions", rate: 290, old: 20, new: 20, fails: func(s sample) float64 {
 		if s.at%(4*time.Second) < time.Second {
 			return 0.3
