--- a/cmd/lentilctl/execute.go
+++ b/cmd/lentilctl/execute.go
@@ -11,6 +11,7 @@
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/rollouts"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/rules"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/status"
+	"github.com/lentilflow/lentilflow/cmd/lentilctl/teams"
 	"github.com/lentilflow/lentilflow/cmd/lentilctl/upstreams"
 )
 
@@ -28,6 +29,7 @@
 	Status    status.Command    `cmd:"" help:"Show which version is in force where, by region, availability zone and node."`
 	Upstreams upstreams.Command `cmd:"" help:"List the upstreams with their nodes and load."`
 	Rollouts  rollouts.Command  `cmd:"" help:"Show and start rollouts of software versions."`
+	Teams     teams.Command     `cmd:"" aliases:"tenants" help:"List the teams with their limits and the digests of their keys, or print the digest of a key."`
 	Explain   explain.Command   `cmd:"" help:"Show which rule decides a call, who asked for it, and where the call would go."`
 }
 
--- a/pkg/agent/rollouts.go
+++ b/pkg/agent/rollouts.go
@@ -702,6 +702,9 @@
 			return nil
 		}
 		state.From = s.InUse()
+		if s.Phase != rollout.Completed && s.Phase != rollout.Pending {
+			state.Barred = append(state.Barred, s.To)
+		}
 	}
 	fresh := d.Table.Merge([]rollout.State{state}, now)
 	d.Guard.Go("apply status", func() { d.applied(fresh) })
--- a/pkg/devcluster/cluster.go
+++ b/pkg/devcluster/cluster.go
@@ -207,6 +207,7 @@
 				return
 			}
 			req.Host = c.cfg.Deployment.Example.Host
+			req.Header.Set("Authorization", "Bearer "+c.cfg.Deployment.Example.Key)
 			if resp, err := client.Do(req); err == nil {
 				_ = resp.Body.Close()
 			}
--- a/pkg/rollout/state.go
+++ b/pkg/rollout/state.go
@@ -99,6 +99,9 @@
 	// From is the version that was in use before the order. If it is empty, all versions
 	// other than To count as in use.
 	From string `json:"from,omitempty"`
+	// Barred are versions of earlier orders that were not completed. They are not in use,
+	// whatever From is.
+	Barred []string `json:"barred,omitempty"`
 	// Written says that the status in the store states the same end of the rollout.
 	Written bool `json:"written,omitempty"`
 	// Withdrawn says that the row of the order was removed.
@@ -152,6 +155,8 @@
 		return errPhase
 	case !(s.Share >= 0 && s.Share <= 1 && s.Rest >= 0 && s.Rest <= 1):
 		return errShare
+	case len(s.Barred) > maxBarred || slices.ContainsFunc(s.Barred, func(v string) bool { return checkName(v) != nil }):
+		return errName
 	case len(s.Nodes) > maxNodes*hashBytes || len(s.Nodes)%hashBytes != 0:
 		return errNodes
 	case s.Age < 0 || s.PhaseAge < 0 || s.Silence < 0 || s.ShareFor < 0:
@@ -165,10 +170,33 @@
 func (s *State) digest() uint64 {
 	return xxhash.Sum64String(strings.Join([]string{
 		s.Service, s.To, strconv.FormatUint(uint64(s.At.Era), 10), strconv.FormatUint(uint64(s.At.Revision), 10), string(s.Phase), s.From,
-		strconv.FormatBool(s.Written), strconv.FormatBool(s.Withdrawn),
+		strconv.FormatBool(s.Written), strconv.FormatBool(s.Withdrawn), strings.Join(s.Barred, "\x01"),
 	}, "\x00"))
 }
 
+// maxBarred bounds State.Barred.
+const maxBarred = 8
+
+// barredBy returns the versions that are not in use after an order has replaced the one of
+// the state before: those before, and the version of that order unless it was completed, or
+// had not begun: it might name the version in use by mistake.
+func (s *State) barredBy(before *State) []string {
+	barred := slices.Clone(before.Barred)
+	if before.Phase.running() || before.Phase == RolledBack {
+		barred = append(barred, before.To)
+	}
+	return s.withBarred(barred)
+}
+
+// withBarred returns the barred versions of s and further ones, without the version of the
+// order and the one in use before it.
+func (s *State) withBarred(more []string) []string {
+	all := slices.Concat(s.Barred, more)
+	slices.Sort(all)
+	all = slices.DeleteFunc(slices.Compact(all), func(v string) bool { return v == s.To || v == s.From })
+	return all[max(len(all)-maxBarred, 0):]
+}
+
 // replaces reports whether s is newer than t, a state of the same service.
 func (s *State) replaces(t *State) bool {
 	so, to := s.Order(), t.Order()
--- a/pkg/rollout/state_test.go
+++ b/pkg/rollout/state_test.go
@@ -91,6 +91,22 @@
 	table = tableWith(Completed)
 	table.ApplyOrders([]Order{orderAt(9, "v3")}, begin)
 	is.Equal(table.Current().Of("s").From, "v2")
+
+	// It holds also if it was not known which version was in use before the first order.
+	table = NewTable(5 * time.Second)
+	table.ApplyOrders([]Order{orderAt(7, "v2")}, begin)
+	table.Merge([]State{{Service: "s", To: "v2", Within: 12000, At: follow.At(7), Phase: Canary, Sequence: 1}}, begin)
+	table.ApplyOrders([]Order{orderAt(9, "v3")}, begin)
+	v = table.Current().Of("s")
+	is.True(v.Serves("v1") && v.Admit("v1", "", begin) && v.SideOf("n", "v1") == Old)
+	is.True(!v.Serves("v2") && !v.Admit("v2", "", begin) && v.SideOf("n", "v2") == Barred)
+	other := NewTable(5 * time.Second)
+	other.Merge([]State{v.Sent(begin)}, begin)
+	is.True(!other.Current().Of("s").Serves("v2"))
+	table.ApplyOrders([]Order{orderAt(11, "v2")}, begin) // tried again
+	is.Equal(len(table.Current().Of("s").State.Barred), 0)
+	table.ApplyOrders([]Order{orderAt(13, "v3")}, begin)
+	is.True(table.Current().Of("s").Serves("v2")) // the order named the version in use, perhaps
 }
 
 // Guards against an order whose end is forgotten because a restored store gives its row
--- a/pkg/rollout/table.go
+++ b/pkg/rollout/table.go
@@ -140,6 +140,9 @@
 		if s.HasOrder() && s.From == "" {
 			s.From = before.InUse()
 		}
+		if s.HasOrder() {
+			s.Barred = s.barredBy(&before.State)
+		}
 		return newView(s, began, phaseBegan, heard, t.stale)
 	}
 	next := before.State
@@ -160,6 +163,7 @@
 	if before.Began.Before(began) {
 		began = before.Began
 	}
+	next.Barred = next.withBarred(slices.Concat(s.Barred, before.Barred))
 	next.Withdrawn = s.Withdrawn || before.Withdrawn
 	next.Written = s.Written && s.Phase == next.Phase || before.Written && before.Phase == next.Phase
 	if before.At.After(s.At) {
--- a/pkg/rollout/view.go
+++ b/pkg/rollout/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
@@ -76,7 +77,7 @@
 	case software == "":
 		return false // it may be the new version
 	case software != v.To || v.From == v.To:
-		return (v.From == "" || software == v.From) && !v.Closed(now)
+		return v.isInUse(software) && !v.Closed(now)
 	}
 	order := v.Order()
 	return v.Phase.running() && key == order.Key() && (v.Phase == Cutover || now.Sub(v.Heard) <= v.stale)
@@ -90,11 +91,17 @@
 	case software == "":
 		return false
 	case software != v.To || v.From == v.To:
-		return v.From == "" || software == v.From
+		return v.isInUse(software)
 	}
 	return v.Phase.running()
 }
 
+// isInUse reports whether a version other than that of the order was in use before it, as
+// far as is known.
+func (v *View) isInUse(software string) bool {
+	return software == v.From || v.From == "" && !slices.Contains(v.Barred, software)
+}
+
 // Side says which calls an upstream gets, as far as the node of the caller knows.
 type Side uint8
 
@@ -122,7 +129,7 @@
 			return New
 		}
 		return Barred
-	case software != "" && v.From != "" && software != v.From:
+	case software != "" && !v.isInUse(software):
 		return Barred
 	}
 	return Old
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,6 +21,7 @@
 	FirstStart string    `yaml:"first_start" default:"no" enum:"yes,no" unit:"word"`
 	Retries    Retries   `yaml:"retries"`
 	Rollouts   Rollouts  `yaml:"rollouts"`
+	Quota      Quota     `yaml:"quota"`
 	Drain      Drain     `yaml:"drain"`
 	Load       HeavyLoad `yaml:"load"`
 	Log        Log       `yaml:"log"`
@@ -114,6 +115,16 @@
 	QueueLimit string `yaml:"queue_limit" default:"yes" enum:"yes,no" unit:"word"`
 }
 
+// Quota is what the deployment promises about the requests of a team in every window:
+// at most (rate x Window + burst) x (1 + Overage) + Tolerance.
+type Quota struct {
+	Window  Duration `yaml:"window" default:"5s" min:"100ms" max:"10m" unit:"duration"`
+	Overage Ratio    `yaml:"overage" default:"0" unit:"ratio"`
+	// Tolerance is a number of requests. It lets small teams use their whole limit, and
+	// nodes get tokens ahead of demand.
+	Tolerance int `yaml:"tolerance" default:"0" min:"0" max:"1000000" unit:"requests"`
+}
+
 // Drain limits the duration of a graceful stop.
 type Drain struct {
 	// Announce is how long new calls are accepted after the node has reported
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -220,6 +220,7 @@
 upstream: {service: %s, address: "%s"}
 store: {address: "%s"}
 retries: {ratio: %g, extra: 60}
+quota: {overage: 0.1, tolerance: 20}
 drain: {announce: 500ms, finish: 6s}
 rollouts: {exposure: 0.1, tolerance: 50, rollback: 5s, only_ordered: "%s"}
 `, n.name, region, zone, n.calls, n.peers, n.messages, n.reports, n.readiness, n.service, n.upstreamAddress, n.storeAddress, ratio, map[bool]string{true: "yes", false: "no"}[n.c.onlyOrdered])
