--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -102,9 +102,9 @@
 	guard          *contain.Guard
 	self           fleet.Member
 	rollouts       *rolloutDriver
-	// newcomer says whether the first fleet that this process knew had no row of this
+	// newVM says whether the first fleet that this process knew had no row of this
 	// node; nil before that.
-	newcomer atomic.Pointer[bool]
+	newVM atomic.Pointer[bool]
 	// versionsAsked says that other nodes were asked for what they know of rollouts.
 	versionsAsked    atomic.Bool
 	versionsKnownOne sync.Once
--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -99,8 +99,8 @@
 		if inForce && end.IsZero() {
 			end = time.Now().Add(versionsWait)
 		}
-		newcomer := a.newcomer.Load()
-		if inForce && (newcomer != nil && !*newcomer || a.versionsAsked.Load() || time.Now().After(end)) {
+		newVM := a.newVM.Load()
+		if inForce && (newVM != nil && !*newVM || a.versionsAsked.Load() || time.Now().After(end)) {
 			a.setVersionsKnown()
 			return
 		}
@@ -110,8 +110,8 @@
 
 func (a *Agent) setVersionsKnown() {
 	a.versionsKnownOne.Do(func() {
-		newcomer := a.newcomer.Load()
-		a.local.SetVersionsKnown(newcomer != nil && *newcomer)
+		newVM := a.newVM.Load()
+		a.local.SetVersionsKnown(newVM != nil && *newVM)
 	})
 }
 
@@ -119,5 +119,5 @@
 // this node.
 func (a *Agent) noteRegistration(f *fleet.Snapshot) {
 	_, registered := f.Registered(a.self.Node)
-	a.newcomer.CompareAndSwap(nil, new(!registered))
+	a.newVM.CompareAndSwap(nil, new(!registered))
 }
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -19,8 +19,8 @@
 // versionState is what Local knows about versions of the software beside the Table.
 type versionState struct {
 	// known says that this node has learnt what other nodes and the store know of
-	// rollouts, and newcomer that it runs for the first time on its VM.
-	known, newcomer atomic.Bool
+	// rollouts, and newVM that it runs for the first time on its VM.
+	known, newVM atomic.Bool
 	// coldUntil is until when the upstream is slow after its start, in Unix nanoseconds.
 	coldUntil atomic.Int64
 	// recorder counts the requests while a rollout is running; nil if there is none.
@@ -36,9 +36,9 @@
 }
 
 // SetVersionsKnown records that this node has learnt what other nodes and the store know
-// of rollouts. newcomer says that it runs for the first time on its VM.
-func (l *Local) SetVersionsKnown(newcomer bool) {
-	l.versions.newcomer.Store(newcomer)
+// of rollouts. newVM says that it runs for the first time on its VM.
+func (l *Local) SetVersionsKnown(newVM bool) {
+	l.versions.newVM.Store(newVM)
 	l.versions.known.Store(true)
 	l.RefreshVersion()
 }
@@ -99,7 +99,7 @@
 	switch {
 	case v == nil:
 		return true
-	case l.isUnknownNewcomer(v, software):
+	case l.isUnknownOnNewVM(v, software):
 		return false
 	}
 	return v.Serves(software)
@@ -108,11 +108,11 @@
 // awaitsVersions reports whether this node does not know yet which version is in use.
 func (l *Local) awaitsVersions() bool { return l.OnlyOrdered && !l.versions.known.Load() }
 
-// isUnknownNewcomer reports whether the upstream was found on a new VM and has not reported
+// isUnknownOnNewVM reports whether the upstream was found on a new VM and has not reported
 // its version yet. It may be of another version than the one in use, which it need not be
 // after a restart of a node.
-func (l *Local) isUnknownNewcomer(v *rollout.View, software string) bool {
-	return software == "" && v.Phase == rollout.NoOrder && l.versions.newcomer.Load()
+func (l *Local) isUnknownOnNewVM(v *rollout.View, software string) bool {
+	return software == "" && v.Phase == rollout.NoOrder && l.versions.newVM.Load()
 }
 
 // bootFor returns the boot that may run an attempt, or a refusal.
@@ -125,7 +125,7 @@
 	if v == nil && !l.awaitsVersions() {
 		return b, nil
 	}
-	if v == nil || l.awaitsVersions() || l.isUnknownNewcomer(v, b.Software) || !v.Admit(b.Software, att.Rollout, time.Now()) {
+	if v == nil || l.awaitsVersions() || l.isUnknownOnNewVM(v, b.Software) || !v.Admit(b.Software, att.Rollout, time.Now()) {
 		return nil, newRefusal(model.VersionNotAllowed)
 	}
 	return b, nil
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -69,7 +69,7 @@
 		}
 	case Canary:
 		if duration := b.loadTest(&f, limit); f.Elapsed >= t.loadTest && f.Elapsed < t.cutover && duration > 0 && len(f.Nodes) > 0 &&
-			f.New.Requests >= minCanary && f.Verdict.Against < suspicion {
+			f.New.Requests >= minCanary && f.Verdict.Against < suspicionLimit {
 			next = next.moveTo(LoadTest, TimeForLoadTest)
 			next.Share, next.ShareFor = loadTestShare, InMilliseconds(duration)
 			break
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -33,16 +33,16 @@
 	// badFloor is the least sum of the test for a bad version. Without it, a version that
 	// turns bad late would first have to make up for all its good responses.
 	badFloor = -2
-	// suspicion is the sum of the test for a bad version from which a cutover does not
+	// suspicionLimit is the sum of the test for a bad version from which a cutover does not
 	// begin.
-	suspicion = 3
+	suspicionLimit = 3
 	// burstLimit bounds what one upstream adds in one window. A process that is killed or
 	// frozen fails all its requests at once, which are no independent observations.
 	burstLimit = 4
-	// minWitnesses is the number of upstreams on which the evidence against a version must
+	// minContributors is the number of upstreams on which the evidence against a version must
 	// rest, unless the version has fewer: upstreams are not equally fast, and the canary
 	// uses few of them at first.
-	minWitnesses = 3
+	minContributors = 3
 	// outlierPart is the part of the upstreams of each version that is left out, the
 	// worst ones. They may be grey, or in a zone that is slow.
 	outlierPart = 0.2
@@ -94,7 +94,7 @@
 		part    float64
 		reason  Reason
 	}{{failures, failingPart, Failing}, {slowness, slowPart, Slow}} {
-		bad, good := e.test(kind.measure, kind.part, outliers, v.Limit/e.witnesses())
+		bad, good := e.test(kind.measure, kind.part, outliers, v.Limit/e.contributors())
 		v.For = min(v.For, good)
 		for scope, sum := range bad {
 			if sum > v.Against {
@@ -106,7 +106,7 @@
 		}
 	}
 	v.Bad = v.Against >= v.Limit
-	v.Good = !v.Bad && v.For >= v.Enough && v.Against < suspicion && e.old.Requests >= minOldRequests
+	v.Good = !v.Bad && v.For >= v.Enough && v.Against < suspicionLimit && e.old.Requests >= minOldRequests
 	v.Sure = v.Good && v.For >= math.Log(1/errorProbability)
 	return v
 }
@@ -115,16 +115,16 @@
 // route is its index plus 1.
 const allRoutes = 0
 
-// witnesses returns the number of upstreams of the new version on which evidence must rest,
+// contributors returns the number of upstreams of the new version on which evidence must rest,
 // as far as there are as many without the outliers.
-func (e *Evidence) witnesses() float64 {
+func (e *Evidence) contributors() float64 {
 	n := 0
 	for _, s := range e.sources {
 		if s.latest.Software == e.order.To {
 			n++
 		}
 	}
-	return float64(max(min(n-int(math.Ceil(outlierPart*float64(n))), minWitnesses), 1))
+	return float64(max(min(n-int(math.Ceil(outlierPart*float64(n))), minContributors), 1))
 }
 
 // upstreamScope identifies the observations at one upstream for one test.
@@ -142,7 +142,7 @@
 	}
 	old, added, recent := make([]observation, scopes), make([]float64, scopes), make([]float64, scopes)
 	upstreams := make(map[upstreamScope]observation)
-	given := make(map[upstreamScope]float64) // what each upstream has added since the sum was at the floor
+	contributed := make(map[upstreamScope]float64) // what each upstream has added since the sum was at the floor
 	for _, w := range e.windows {
 		clear(old)
 		clear(added)
@@ -177,14 +177,14 @@
 			if k.scope == allRoutes {
 				good -= min(sum, burstLimit)
 			}
-			sum = min(sum, burstLimit, share-given[k])
-			given[k] += sum
+			sum = min(sum, burstLimit, share-contributed[k])
+			contributed[k] += sum
 			added[k.scope] += sum
 		}
 		for scope := range bad {
 			if bad[scope] += added[scope]; bad[scope] <= badFloor {
 				bad[scope] = badFloor
-				maps.DeleteFunc(given, func(k upstreamScope, _ float64) bool { return k.scope == scope })
+				maps.DeleteFunc(contributed, func(k upstreamScope, _ float64) bool { return k.scope == scope })
 			}
 		}
 	}
