Find the fields of an update once

Two further lists made decodeUpdate search a message of some MB four times; TestTenThousandTeamsFitIntoAMessage then took longer than the time limit of a message with -race at load 30. The fields are found once now, and joined again only if a list was among them. go test -race -count=2 ./pkg/gossip at load 35: passed.

--- a/pkg/gossip/entries.go
+++ b/pkg/gossip/entries.go
@@ -37,39 +37,35 @@
 	return r.Check(time.Now())
 }
 
-// decodeUpdate decodes an Update. Nodes and records that cannot be used are left out.
+// decodeUpdate decodes an Update. Entries of lists that cannot be used are left out. The
+// message may hold a whole configuration, so its fields are found once only.
 func (n *Node) decodeUpdate(text []byte, u *Update, from model.NodeID) error {
 	ignored := n.logIgnored(from)
-	rest, nodes, err := takeList(text, "nodes", checkMember, ignored)
-	if err != nil {
-		return err
-	}
-	rest, crashes, err := takeList(rest, "crash_records", checkCrashRecord, ignored)
-	if err != nil {
-		return err
-	}
-	rest, rollouts, err := takeList(rest, "rollout_states", checkRollout, ignored)
-	if err != nil {
-		return err
-	}
-	rest, states, err := takeList(rest, "states", checkState, ignored)
+	fields, err := jsonlist.Fields(text)
 	if err != nil {
 		return err
 	}
-	fields, err := jsonlist.Fields(rest)
-	if err != nil {
+	count := len(fields)
+	nodes, err := takeField(fields, "nodes", checkMember, ignored)
+	crashes, crashErr := takeField(fields, "crash_records", checkCrashRecord, ignored)
+	rollouts, rolloutErr := takeField(fields, "rollout_states", checkRollout, ignored)
+	states, stateErr := takeField(fields, "states", checkState, ignored)
+	if err := errors.Join(err, crashErr, rolloutErr, stateErr); err != nil {
 		return err
 	}
 	var set []fleet.Member
-	if changes, ok := fields["changes"]; ok && string(changes) != "null" {
+	changes, hasChanges := fields["changes"]
+	if hasChanges = hasChanges && string(changes) != "null"; hasChanges {
 		if fields["changes"], set, err = takeList(changes, "set", checkMember, ignored); err != nil {
 			return err
 		}
-		if rest, err = joinFields(fields); err != nil {
+	}
+	if len(fields) < count || hasChanges {
+		if text, err = joinFields(fields); err != nil {
 			return err
 		}
 	}
-	if err := json.Unmarshal(rest, u); err != nil {
+	if err := json.Unmarshal(text, u); err != nil {
 		return err
 	}
 	if err := u.From.Check(); err != nil {
@@ -119,18 +115,27 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	value, ok := fields[name]
-	if !ok {
+	if _, ok := fields[name]; !ok {
 		return text, nil, nil
 	}
-	if list, err = jsonlist.Decode(value, check, ignored); err != nil {
+	if list, err = takeField(fields, name, check, ignored); err != nil {
 		return nil, nil, err
 	}
-	delete(fields, name)
 	rest, err = joinFields(fields)
 	return rest, list, err
 }
 
+// takeField decodes the list in one of the fields of an object, entry by entry, and deletes
+// the field.
+func takeField[T any](fields map[string][]byte, name string, check func(*T) error, ignored func(error)) ([]T, error) {
+	value, ok := fields[name]
+	if !ok {
+		return nil, nil
+	}
+	delete(fields, name)
+	return jsonlist.Decode(value, check, ignored)
+}
+
 // joinFields returns an object with the given fields.
 func joinFields(fields map[string][]byte) ([]byte, error) {
 	raw := make(map[string]json.RawMessage, len(fields))
--- a/pkg/gossip/rollouts_test.go
+++ b/pkg/gossip/rollouts_test.go
@@ -14,8 +14,9 @@
 	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
-// rolloutPeers returns peers in zones that know each other and read datagrams.
-func rolloutPeers(t *testing.T, zones ...model.AvailabilityZone) []*peer {
+// rolloutPeers returns peers in zones that know each other and read datagrams, after prepare
+// was called for each.
+func rolloutPeers(t *testing.T, prepare func(i int, p *peer), zones ...model.AvailabilityZone) []*peer {
 	t.Helper()
 	var peers []*peer
 	var members []fleet.Member
@@ -23,6 +24,9 @@
 		p := newPeer(t, string(rune('a'+i)))
 		p.Self.Location.AvailabilityZone = zone
 		p.Rollouts = rollout.NewTable(5 * time.Second)
+		if prepare != nil {
+			prepare(i, p)
+		}
 		peers, members = append(peers, p), append(members, p.Self)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -52,17 +56,22 @@
 // other zones, and behind the node to which the state was sent there.
 func TestRolloutStatesReachAllNodes(t *testing.T) {
 	is := is.New(t)
-	peers := rolloutPeers(t, "x", "x", "y", "y", "y", "y")
 	var told atomic.Int32
-	peers[5].OnRollouts = func(fresh []rollout.State, _ model.NodeID) { told.Add(int32(len(fresh))) }
+	counted := make(chan rollout.Counts, 1)
+	peers := rolloutPeers(t, func(i int, p *peer) {
+		switch i {
+		case 3:
+			p.OnCounts = func(c rollout.Counts) { counted <- c }
+		case 5:
+			p.OnRollouts = func(fresh []rollout.State, _ model.NodeID) { told.Add(int32(len(fresh))) }
+		}
+	}, "x", "x", "y", "y", "y", "y")
 	peers[0].SpreadRollouts(peers[0].Rollouts.Merge(canary(1), time.Now()))
 	for _, p := range peers[1:] {
 		awaitPhase(t, p, rollout.Canary)
 	}
 	is.Equal(told.Load(), int32(1)) // although two nodes of the zone have forwarded it
 
-	counted := make(chan rollout.Counts, 1)
-	peers[3].OnCounts = func(c rollout.Counts) { counted <- c }
 	peers[0].SendCounts(rollout.Counts{Node: "a", Service: "s", At: follow.At(7), Routes: []rollout.RouteCounts{{Route: "r", Requests: 3}}}, []model.NodeID{"d", "a", "gone"})
 	c := <-counted
 	is.Equal(c.Routes[0].Requests, uint64(3))
@@ -70,7 +79,7 @@
 
 // Guards against a node that has missed a state for good: all datagrams with it were lost.
 func TestMissedRolloutStateIsRepaired(t *testing.T) {
-	peers := rolloutPeers(t, "x", "x")
+	peers := rolloutPeers(t, nil, "x", "x")
 	peers[0].Rollouts.Merge(canary(1), time.Now())
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -88,8 +97,11 @@
 // upstreams that nodes do not learn.
 func TestVersionsOfUpstreamsTravelWithStates(t *testing.T) {
 	is := is.New(t)
-	peers := rolloutPeers(t, "x", "x")
-	peers[0].Software = func() string { return "v2" }
+	peers := rolloutPeers(t, func(i int, p *peer) {
+		if i == 0 {
+			p.Software = func() string { return "v2" }
+		}
+	}, "x", "x")
 	peers[0].Rollouts.Merge(canary(1), time.Now())
 	peers[1].syncWith(t.Context(), peers[0].Self)
 	is.Equal(peers[1].View.Current().UpstreamNodes("s")[0].Software, "v2")
