Count evidence of an upstream beyond its share, so that it does not wear off

With six upstreams the four that are not left out had to be at their share at the same time, and each good response took some of it away. An upstream now keeps what it has added beyond its share, and three shares are enough.

--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -43,6 +43,9 @@
 	// rest, unless the version has fewer: upstreams are not equally fast, and the canary
 	// uses few of them at first.
 	minContributors = 3
+	// shareMargin is what the upstreams together may add beyond what is needed: sums change
+	// with each response.
+	shareMargin = 1.05
 	// outlierPart is the part of the upstreams of each version that is left out, the
 	// worst ones. They may be grey, or in a zone that is slow.
 	outlierPart = 0.2
@@ -94,7 +97,7 @@
 		part    float64
 		reason  Reason
 	}{{failures, failingPart, Failing}, {slowness, slowPart, Slow}} {
-		bad, good := e.test(kind.measure, kind.part, outliers, v.Limit/e.contributors())
+		bad, good := e.test(kind.measure, kind.part, outliers, shareMargin*(v.Limit-badFloor)/e.contributors())
 		v.For = min(v.For, good)
 		for scope, sum := range bad {
 			if sum > v.Against {
@@ -177,9 +180,9 @@
 			if k.scope == allRoutes {
 				good -= min(sum, burstLimit)
 			}
-			sum = min(sum, burstLimit, share-contributed[k])
-			contributed[k] += sum
-			added[k.scope] += sum
+			before := contributed[k]
+			contributed[k] = before + min(sum, burstLimit)
+			added[k.scope] += min(contributed[k], share) - min(before, share)
 		}
 		for scope := range bad {
 			if bad[scope] += added[scope]; bad[scope] <= badFloor {
--- a/pkg/rollout/verdict_test.go
+++ b/pkg/rollout/verdict_test.go
@@ -177,6 +177,9 @@
 var loads = []load{
 	{name: "bad from the start", rate: 290, old: 20, new: 20, fails: always(0.2), wantBad: true},
 	{name: "bad from the start with few requests", rate: 60, old: 8, new: 8, fails: always(0.2), wantBad: true},
+	{name: "bad from the start with six upstreams", rate: 640, old: 6, new: 6, fails: always(0.2), wantBad: true},
+	{name: "bad from the start with three upstreams", rate: 200, old: 3, new: 3, fails: always(0.2), wantBad: true},
+	{name: "bad from the start with two upstreams", rate: 100, old: 2, new: 2, fails: always(0.2), wantBad: true},
 	{name: "bad later", rate: 640, old: 20, new: 20, wantBad: true, fails: func(s sample) float64 {
 		if s.new && s.at > 5*time.Second {
 			return 0.2
