--- a/pkg/agent/rollouts.go
+++ b/pkg/agent/rollouts.go
@@ -123,7 +123,7 @@
 // have to know these soon, because a rollout takes some 12 s.
 func (d *rolloutDriver) awaitsUpstreams() bool {
 	return slices.ContainsFunc(d.Table.Current().All(), func(v *rollout.View) bool {
-		return v.HasOrder() && !v.Phase.Final()
+		return v.HasOrder() && !v.Phase.Final() && time.Since(v.Began) < v.Within.Duration()
 	})
 }
 
--- a/test/soak_rollout_test.go
+++ b/test/soak_rollout_test.go
@@ -87,7 +87,8 @@
 		responses = append(responses, stop()...)
 	}
 	s.check(bad, responses)
-	t.Logf("seed %d: %s, %d requests, %d on the new version, %v", seed, s.supervisor.Last(), len(responses), len(s.runs("v2")), s.actions)
+	row, _ := s.store.Get("status", "rollout/"+rolloutService)
+	t.Logf("seed %d: %s, %d requests, %d on the new version, %s, %v", seed, s.supervisor.Last(), len(responses), len(s.runs("v2")), row.Value, s.actions)
 }
 
 // saveArtifacts saves the list of actions and the node logs of a failed run in a directory
