--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -183,6 +183,9 @@
 	NodeUnresponsive bool
 	// versions is the content of Lentilflow-Rollout of a refusal by a remote node.
 	versions string
+	// Decision is the decision under heavy load that led to the refusal, "" if there was
+	// none or it was made by another node.
+	Decision loadDecision
 	Cause    error // for the log; may be nil
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -113,6 +113,11 @@
 	// QueueLimit refuses calls whose expected wait is longer than a quarter of the
 	// latency target at all upstreams.
 	QueueLimit string `yaml:"queue_limit" default:"yes" enum:"yes,no" unit:"word"`
+	// RefuseLate refuses waiting calls that can no longer meet their latency target,
+	// while others can.
+	RefuseLate string `yaml:"refuse_late" default:"yes" enum:"yes,no" unit:"word"`
+	// TeamShares divides the starts of a route's calls among teams by weight.
+	TeamShares string `yaml:"team_shares" default:"yes" enum:"yes,no" unit:"word"`
 }
 
 // Quota is what the deployment promises about the requests of a team in every window:
