--- a/pkg/devcluster/deployment.go
+++ b/pkg/devcluster/deployment.go
@@ -30,13 +30,14 @@
 // Example is a call to try out, and an edit of the rules file that changes the
 // rule of this call.
 type Example struct {
-	Host   string
-	Path   string
-	Team   string // whose call it is
-	Key    string // of the team
-	Public string // path of a call of the same host that needs no key
-	Before string // text in the rules file
-	After  string // text that replaces it
+	Host    string
+	Path    string
+	Service string // that runs the call
+	Team    string // whose call it is
+	Key     string // of the team
+	Public  string // path of a call of the same host that needs no key
+	Before  string // text in the rules file
+	After   string // text that replaces it
 }
 
 var deployments = []Deployment{
@@ -50,7 +51,7 @@
 			team("salons", "", "salons-try-it-out", "Marina Costa: salon owners"),
 			team("depots", "rank=1 rate=5 burst=5 ", "depots-try-it-out", "Ana Prado: depot clerks")),
 		Example: Example{
-			Host: "api.bertolucci.example", Path: "/status/42", Team: "salons", Key: "salons-try-it-out", Public: "/catalogue/1",
+			Host: "api.bertolucci.example", Path: "/status/42", Service: "acompanha", Team: "salons", Key: "salons-try-it-out", Public: "/catalogue/1",
 			Before: "target=50ms", After: "target=40ms",
 		},
 	},
@@ -64,7 +65,7 @@
 			team("shops", "", "shops-try-it-out", "Jung Hana: shop managers"),
 			team("partners", "rank=3 rate=5 burst=5 ", "partners-try-it-out", "Lee Min-jun: resellers")),
 		Example: Example{
-			Host: "engraving.haneul.example", Path: "/designs/7", Team: "shops", Key: "shops-try-it-out", Public: "/images/1",
+			Host: "engraving.haneul.example", Path: "/designs/7", Service: "engraving", Team: "shops", Key: "shops-try-it-out", Public: "/images/1",
 			Before: "target=250ms", After: "target=240ms",
 		},
 	},
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -30,6 +30,9 @@
 	Idempotent bool
 	// Inner says that an upstream makes the call while it runs another one.
 	Inner bool
+	// Rollout is the key of the order that allows the attempt to run on an upstream of the
+	// version that is rolled out, "" for the version in use.
+	Rollout string
 	// Due is when the latency target of the route is missed, the zero time if
 	// the route has none.
 	Due time.Time
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -17,6 +17,7 @@
 	"github.com/lentilflow/lentilflow/pkg/h1"
 	"github.com/lentilflow/lentilflow/pkg/model"
 	"github.com/lentilflow/lentilflow/pkg/retry"
+	"github.com/lentilflow/lentilflow/pkg/rollout"
 )
 
 const (
@@ -58,6 +59,10 @@
 	Metrics *Metrics
 	Log     *zap.Logger
 	Load    LoadPolicy
+	// Rollouts decides which versions of upstreams get a call; nil: all of them.
+	// OnRollouts is called with what a remote node has added to it.
+	Rollouts   *rollout.Table
+	OnRollouts func(fresh []rollout.State, from model.NodeID)
 	// Quota limits the calls of teams that have a rate; nil means that nothing is
 	// limited. It is asked after the key lookup and before the first attempt.
 	Quota QuotaLimiter
@@ -66,6 +71,7 @@
 	OnNewerConfig func(v config.Version, from model.NodeID)
 
 	callLog           *callLog
+	candidateSets     sync.Map // of *candidateSets by service
 	callerTimes       callerTimes
 	startTime         time.Time
 	refuseEndingAfter atomic.Pointer[time.Time] // nil unless this node is stopping
@@ -191,6 +197,7 @@
 	mayHaveRun        bool            // an earlier attempt may have run
 	lastRefusal       *Refusal        // of the previous attempt
 	failedResponse    *failedResponse // response with a server error; a retry may replace it
+	newVersion        bool            // the attempt goes to the version that is rolled out
 	elapsed           time.Duration   // since the caller's first try
 	relaxed           bool            // relaxWaitLimit was called
 	queueTime         time.Duration
@@ -379,11 +386,15 @@
 		return newRefusal(model.CrashSuspected) // the node of the upstream may have restarted and not know it yet
 	}
 	now := time.Since(g.startTime)
-	entries := g.View.Current().UpstreamNodes(c.attempt.Service)
+	entries, view := g.candidates(c)
 	if c.unreachedAttempts >= maxMovesWithWaitLimit || len(entries) == 1 {
 		g.relaxWaitLimit(c)
 	}
 	choice, found := g.pick(c, entries, now)
+	if found != balance.Picked && c.newVersion && view.Phase != rollout.Cutover {
+		entries = g.stayWithOld(c, view)
+		choice, found = g.pick(c, entries, now)
+	}
 	if found == balance.NoUpstream && g.relaxWaitLimit(c) {
 		choice, found = g.pick(c, entries, now)
 	}
@@ -414,6 +425,9 @@
 		}
 		r = g.receive(c, res)
 	}
+	if r != nil && r.Reason == model.VersionNotAllowed {
+		g.learnVersions(entry.Node, r.versions)
+	}
 	c.lastRefusal = r
 	return r
 }
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -29,6 +29,10 @@
 	// headerInner is present in attempts of calls that an upstream makes while it runs
 	// another one. Nodes of earlier releases ignore it.
 	headerInner = "Lentilflow-Inner"
+	// headerRollout is the key of the order that allows an attempt to run on an upstream
+	// of a new software version. In a refusal it says what the node knows of the version
+	// (versionHint).
+	headerRollout = "Lentilflow-Rollout"
 	// headerRoute and headerVersion inform a caller which route of which
 	// version decided its call.
 	headerRoute   = "Lentilflow-Route"
@@ -180,6 +184,8 @@
 	// NodeUnresponsive says that the node did not respond to a connection
 	// attempt.
 	NodeUnresponsive bool
+	// versions is the content of Lentilflow-Rollout of a refusal by a remote node.
+	versions string
 	// Decision is the decision under heavy load that led to the refusal, "" if there was
 	// none or it was made by another node.
 	Decision loadDecision
