Review case 6: a reset answer without a length looks complete

Cause: the writer of a long request body takes the error of the connection, and the reader of the response then sees the end of the stream.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review2/harness2 ] && [ -x target/lentilflow ] || exit 2
-exec target/review2/harness2 term review/7/record.txt
+exec target/review2/harness2 leave review/7/record.txt
--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -69,6 +69,7 @@
 	once     sync.Once
 	server   *http.Server
 	slotsUse chan struct{}
+	early    bool // runs begin before the body has been read
 	// serve, if set, responds to a run in place of the usual response.
 	serve func(b *backend, w http.ResponseWriter, r *http.Request) bool
 }
@@ -124,6 +125,14 @@
 	return post(b.node.control(), "/-/Instances.Leave/"+b.id, nil)
 }
 
+// reset resets a connection.
+func reset(nc net.Conn) {
+	if t, ok := nc.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = nc.Close()
+}
+
 func post(address, path string, body []byte) int {
 	resp, err := probe.Post("http://"+address+path, "application/json", bytes.NewReader(body))
 	if err != nil {
@@ -173,7 +182,11 @@
 		}
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	var body []byte
+	var err error
+	if !b.early {
+		body, err = io.ReadAll(r.Body)
+	}
 	if err != nil || id == "" {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusBadRequest)
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -26,7 +26,7 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(rec *record, trouble bool) error{
-	"term": termCase, "silence": silenceCase, "crash": crashCase, "leave": leaveCase,
+	"term": termCase, "silence": silenceCase, "crash": crashCase, "reset": resetCase, "leave": leaveCase,
 }
 
 func main() {
