Keep stopping gracefully when the signal to stop is repeated

Cause: main restored the default action of the signals after the first one. Change: the agent receives the signals for the life of the process; the first one begins the stop, further ones are logged. Why it works: no signal that a supervisor sends has its default action any more, and the end of the stop depends on the first one only.

--- a/cmd/lentilflow/main.go
+++ b/cmd/lentilflow/main.go
@@ -2,24 +2,23 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/lentilflow/lentilflow/cmd/lentilflow/checksettings"
 	"github.com/lentilflow/lentilflow/cmd/lentilflow/run"
+	"github.com/lentilflow/lentilflow/pkg/agent"
 )
 
 const description = `Runs a node of a lentilflow deployment, on the VM of its upstream.
 
 The settings file states where the node runs; the rules file that operators edit determines how calls are routed.
-SIGTERM and SIGINT stop the node gracefully. The exit status is 0 only if the command succeeded.`
+SIGTERM and SIGINT stop the node gracefully; further ones do not shorten the stop. SIGHUP reloads the settings file.
+The exit status is 0 only if the command succeeded.`
 
 type commands struct {
 	Run           run.Command           `cmd:"" help:"Run the node until SIGTERM."`
@@ -46,16 +45,17 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	signals := agent.ReceiveSignals() // before anything that takes time
 	var c commands
 	command := kong.Parse(&c,
 		kong.Name("lentilflow"),
 		kong.Description(description),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
-		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(signals),
 		kong.BindTo(os.Stdout, (*io.Writer)(nil)),
 	)
+	if command.Command() != "run" {
+		signals.Release()
+	}
 	command.FatalIfErrorf(command.Run())
 }
--- a/cmd/lentilflow/run/run.go
+++ b/cmd/lentilflow/run/run.go
@@ -20,9 +20,9 @@
 	Settings string `help:"Settings file (docs/settings.md)." required:"" env:"LENTILFLOW_BOOT" placeholder:"FILE"`
 }
 
-// Run runs the node until ctx ends, then stops it gracefully. It returns an error
-// if the settings are not accepted or the node fails.
-func (c *Command) Run(ctx context.Context) error {
+// Run runs the node until a signal to stop arrives, then stops it gracefully. It
+// returns an error if the settings are not accepted or the node fails.
+func (c *Command) Run(signals *agent.Signals) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -38,7 +38,7 @@
 	log := logging.New(out, level, registry).With(zap.String("node", s.Name))
 	a := agent.New(agent.Config{
 		Settings: s, Path: c.Settings, Level: level, Log: log, Metrics: registry,
-		Platform: platform.New(s, registry, log),
+		Platform: platform.New(s, registry, log), Signals: signals,
 	})
-	return a.Run(ctx)
+	return a.Run(context.Background())
 }
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -78,6 +78,7 @@
 type Agent struct {
 	settings *settings.Settings
 	path     string // of the settings file
+	signals  *Signals
 	level    zap.AtomicLevel
 	log      *zap.Logger
 	platform Platform
@@ -139,18 +140,23 @@
 	Log      *zap.Logger
 	Metrics  *prometheus.Registry
 	Platform Platform
+	// Signals are those that the process receives; nil if the caller handles them.
+	Signals *Signals
 }
 
 // New returns a node that has not started. It registers the node's metrics with
 // c.Metrics, and panics if they are registered already.
 func New(c Config) *Agent {
 	s := c.Settings
+	if c.Signals == nil {
+		c.Signals = &Signals{}
+	}
 	began := time.Now()
 	if s.FirstStart == "yes" {
 		began = time.Time{} // there are no earlier processes
 	}
 	a := &Agent{
-		settings: s, path: c.Path, level: c.Level, log: c.Log, platform: c.Platform,
+		settings: s, path: c.Path, signals: c.Signals, level: c.Level, log: c.Log, platform: c.Platform,
 		configHolder: config.NewHolder(), fleetView: fleet.NewView(), registry: c.Platform.Registry(),
 		budgets:      gateway.NewBudgets(float64(s.Retries.Ratio), float64(s.Retries.Extra), s.FirstStart != "yes"),
 		crashRecords: crashguard.NewMemoryRegistry(time.Now), heldDepartures: recovery.NewDepartures(began),
--- a/pkg/agent/reload.go
+++ b/pkg/agent/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,9 +19,6 @@
 		<-ctx.Done()
 		return nil
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	last, err := os.ReadFile(a.path)
@@ -35,7 +30,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-a.signals.reload:
 			signalled = true
 		case <-ticker.C:
 		}
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -28,26 +28,6 @@
 	// node. A change of the rows is urgent only for the use of new VMs, because
 	// nodes inform each other directly whether their upstreams are serving.
 	fleetWatchInterval = 2500 * time.Millisecond
-	// exitMargin is the part of the longest stop (settings.Drain.Finish) that is
-	// reserved for the end of the process. The graceful stop ends this long before
-	// the longest stop does; withdrawMargin and responseMargin count back from the
-	// end of the graceful stop. responseMargin states the upper limit of exitMargin.
-	exitMargin = 800 * time.Millisecond
-	// withdrawMargin is how long before the end of a graceful stop the attempts
-	// that are queued at other nodes are withdrawn. The responses need a round trip
-	// between regions.
-	withdrawMargin = 250 * time.Millisecond
-	// responseMargin is the time before the end of a graceful stop that is reserved
-	// for the responses of other nodes and for their transfer to the callers. A
-	// call that is accepted during the stop has its deadline at the beginning of
-	// this time at the latest, and an earlier call is cancelled at that moment. A
-	// call that its upstream is running may be cancelled only in the last sixth of
-	// the longest stop. exitMargin and responseMargin together, 0.9 s, are shorter
-	// than that with the default of 6 s, where it is 1 s.
-	responseMargin = 100 * time.Millisecond
-	// stopPollInterval is the time between two checks for unfinished calls while
-	// the node stops.
-	stopPollInterval = 20 * time.Millisecond
 	// settingsPollInterval is the time between two checks of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -60,9 +40,9 @@
 	cleanUpInterval = 10 * time.Second
 )
 
-// Run runs the node until ctx ends, then stops it gracefully. It returns an
-// error if a listener cannot be opened or a component fails. It must be called
-// at most once.
+// Run runs the node until ctx ends or a signal to stop arrives, then stops it
+// gracefully. It returns an error if a listener cannot be opened or a component
+// fails. It must be called at most once.
 func (a *Agent) Run(ctx context.Context) error {
 	callAddress, peerAddress := a.settings.Listeners.Calls, a.settings.Listeners.Peers
 	callListener, err := net.Listen("tcp", string(callAddress))
@@ -202,74 +182,6 @@
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
-// addStop adds the graceful stop to the group. It begins when parent ends, and
-// the group ends after it.
-func (a *Agent) addStop(parent context.Context, g *run.Group, listener net.Listener) {
-	failed, cancel := context.WithCancel(context.Background())
-	g.Add(func() error {
-		select {
-		case <-parent.Done():
-			a.stop(listener)
-		case <-failed.Done():
-		}
-		return nil
-	}, func(error) { cancel() })
-}
-
-// stop announces to the platform and to the callers that this node is going to
-// end, and continues to accept calls for the announce time
-// (settings.Drain.Announce). After that it refuses attempts of other nodes, and
-// calls whose own deadline is after the end of the graceful stop. Once no attempt
-// is left, it refuses all further calls. It returns when no call is left or the
-// time of the graceful stop is over.
-func (a *Agent) stop(listener net.Listener) {
-	start := time.Now()
-	drain := a.drain.Load()
-	deadline := start.Add(time.Duration(drain.Finish) - exitMargin)
-	a.log.Info("node stops", zap.Int("calls", a.callServer.Active()), zap.Int("jobs", a.peerServer.Active()), zap.Time("until", deadline))
-	a.stopping.Store(true)
-	a.gateway.CapDeadlines(deadline.Add(-responseMargin))
-	a.callServer.Drain()
-	withdraw := time.AfterFunc(time.Until(deadline.Add(-withdrawMargin)), func() {
-		a.guard.Do("withdraw jobs", func() { a.gateway.Withdraw(context.Background()) })
-	})
-	defer withdraw.Stop()
-	giveUp := time.AfterFunc(time.Until(deadline.Add(-responseMargin)), func() {
-		a.guard.Do("give calls up", func() {
-			a.log.Info("calls without an answer are given up", zap.Int("calls", a.callServer.Active()))
-			a.callServer.AbortBodyReads()
-			a.gateway.CancelCalls()
-		})
-	})
-	defer giveUp.Stop()
-	_, _, known := a.local.State()
-	a.quotas.node.Drain(!known)
-	if !known {
-		go a.removeRow()
-	}
-	time.Sleep(time.Duration(drain.Announce))
-	// The upstream keeps serving until here, because the other nodes depend on
-	// its slots.
-	a.local.Stop()
-	a.gateway.RefuseCallsEndingAfter(deadline)
-	a.await(deadline, func() bool { return a.peerServer.Active() == 0 && !a.local.Busy() })
-	a.gateway.RefuseCallsEndingAfter(time.Now())
-	a.callServer.Close(listener)
-	a.await(deadline, func() bool {
-		a.callServer.CloseIdle()
-		return a.callServer.Active() == 0
-	})
-	a.log.Info("graceful stop has ended", zap.Duration("took", time.Since(start)),
-		zap.Int("calls_cut", a.callServer.Active()), zap.Int("jobs_cut", a.peerServer.Active()))
-}
-
-// await waits until the condition holds or the deadline has passed.
-func (a *Agent) await(deadline time.Time, condition func() bool) {
-	for !condition() && time.Now().Before(deadline) {
-		time.Sleep(stopPollInterval)
-	}
-}
-
 // updateStoreAvailability passes on to the gossip whether the store is
 // available to this node, for both the configuration and the fleet.
 func (a *Agent) updateStoreAvailability() {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -65,9 +65,15 @@
 
 // soakSeeds returns the seeds of LENTILFLOW_SOAK_SEEDS, or the regression seeds.
 func soakSeeds(t *testing.T) []uint64 {
-	text := os.Getenv("LENTILFLOW_SOAK_SEEDS")
+	return seedsOf(t, "LENTILFLOW_SOAK_SEEDS", regressionSeeds)
+}
+
+// seedsOf returns the seeds that an environment variable states, such as 7 or 1-50, or
+// those given if it is not set.
+func seedsOf(t *testing.T, variable string, otherwise []uint64) []uint64 {
+	text := os.Getenv(variable)
 	if text == "" {
-		return regressionSeeds
+		return otherwise
 	}
 	first, last, found := strings.Cut(text, "-")
 	if !found {
@@ -76,7 +82,7 @@
 	from, err := strconv.ParseUint(first, 10, 32)
 	to, terr := strconv.ParseUint(last, 10, 32)
 	if err != nil || terr != nil || to < from {
-		t.Fatalf("LENTILFLOW_SOAK_SEEDS is %q, want for example 7 or 1-50", text)
+		t.Fatalf("%s is %q, want for example 7 or 1-50", variable, text)
 	}
 	var seeds []uint64
 	for s := from; s <= to; s++ {
