Remove the row of a node whose upstream leaves while it stops

What callers saw: nothing was reported. The row of a node that was gone for good stayed in the store until the node counted as lost, after 5 minutes. Cause: whether the row is removed was decided when the stop began. It is the same assumption as that of a signal that comes once: nothing changes during a stop. Change: the stop removes the row, and gives up the weight of the node for quotas, as soon as no boot of the upstream is known, and waits for that until its end.

--- a/pkg/agent/rows.go
+++ b/pkg/agent/rows.go
@@ -70,16 +70,15 @@
 	}
 }
 
-// removeRow removes the row of this node. A stop calls it only if no boot of the
-// upstream is known. A node whose upstream is alive is about to restart and
-// keeps its row, which saves two writes and the watch responses that they cause
-// at every other node.
+// removeRow removes the row of this node.
 func (a *Agent) removeRow() {
 	ctx, cancel := context.WithTimeout(context.Background(), rowWriteTimeout)
 	defer cancel()
 	if err := a.registry.Deregister(ctx, a.self.Node); err != nil {
 		a.log.Warn("row of this node cannot be removed", zap.Error(err))
+		return
 	}
+	a.log.Info("row of this node is removed")
 }
 
 // removeLostNodes removes the rows of nodes that fleet.View considers lost.
--- a/pkg/agent/stop.go
+++ b/pkg/agent/stop.go
@@ -91,30 +91,63 @@
 		})
 	})
 	defer giveUp.Stop()
-	_, _, known := a.local.State()
-	a.quotas.node.Drain(!known)
-	if !known {
-		go a.removeRow()
-	}
-	time.Sleep(time.Duration(drain.Announce))
+	a.quotas.node.Drain(false)
+	var row rowRemoval
+	never := func() bool { return false }
+	a.await(&row, start.Add(time.Duration(drain.Announce)), never)
 	// The upstream keeps serving until here, because the other nodes depend on
 	// its slots.
 	a.local.Stop()
 	a.gateway.RefuseCallsEndingAfter(deadline)
-	a.await(deadline, func() bool { return a.peerServer.Active() == 0 && !a.local.Busy() })
+	a.await(&row, deadline, func() bool { return a.peerServer.Active() == 0 && !a.local.Busy() })
 	a.gateway.RefuseCallsEndingAfter(time.Now())
 	a.callServer.Close(listener)
-	a.await(deadline, func() bool {
+	a.await(&row, deadline, func() bool {
 		a.callServer.CloseIdle()
 		return a.callServer.Active() == 0
 	})
+	a.await(&row, deadline, row.finished)
 	a.log.Info("graceful stop has ended", zap.Duration("took", time.Since(start)),
 		zap.Int("calls_cut", a.callServer.Active()), zap.Int("jobs_cut", a.peerServer.Active()))
 }
 
-// await waits until the condition holds or the deadline has passed.
-func (a *Agent) await(deadline time.Time, condition func() bool) {
-	for !condition() && time.Now().Before(deadline) {
+// await waits until the condition holds or the deadline has passed. Meanwhile it
+// removes the row of this node if the upstream leaves.
+func (a *Agent) await(row *rowRemoval, deadline time.Time, condition func() bool) {
+	for {
+		a.removeRowWithoutUpstream(row)
+		if condition() || !time.Now().Before(deadline) {
+			return
+		}
 		time.Sleep(stopPollInterval)
 	}
 }
+
+// rowRemoval is the removal of the row of this node during a stop.
+type rowRemoval struct{ done chan struct{} }
+
+// finished reports whether no removal is in progress.
+func (r *rowRemoval) finished() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return r.done == nil
+	}
+}
+
+// removeRowWithoutUpstream removes the row of this node once no boot of the upstream is
+// known: nothing will start the node again. A node whose upstream is alive is about to
+// restart and keeps its row, which saves two writes and the watch responses that they
+// cause at every other node. The upstream may also leave after the stop has begun.
+func (a *Agent) removeRowWithoutUpstream(row *rowRemoval) {
+	if _, _, known := a.local.State(); known || row.done != nil {
+		return
+	}
+	row.done = make(chan struct{})
+	a.quotas.node.Drain(true)
+	a.guard.Go("remove row", func() {
+		defer close(row.done)
+		a.removeRow()
+	})
+}
--- a/test/stop_events_test.go
+++ b/test/stop_events_test.go
@@ -78,7 +78,8 @@
 }
 
 // Guards against calls that are cut because a node that stops gets the signal again: for
-// its restart, and for the end of its upstream. Found by the review of 2026-12-07 (review/8).
+// its restart, and for the end of its upstream. The row of the node is removed then,
+// because nothing starts it again. Found by the review of 2026-12-07 (review/8).
 func TestRepeatedStopSignalCutsNoCall(t *testing.T) {
 	t.Parallel()
 	for _, repeated := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
@@ -109,6 +110,7 @@
 			is.True(n.process.endsWithin(time.Until(first.Add(stopLimit))))
 			is.NoErr(n.process.err)
 			is.True(slices.ContainsFunc(all, func(r sentInStop) bool { return r.served() }))
+			is.True(!slices.Contains(c.store.Keys("lentilflow-nodes"), n.name))
 		})
 	}
 }
@@ -133,7 +135,7 @@
 		n.upstream.Set(upstream.Behaviour{ServiceTime: stopServiceTime})
 	}
 	n := c.nodes[0]
-	version := model.Version(1)
+	version, left, storeAway := model.Version(1), false, false
 	events := []struct {
 		name string
 		do   func()
@@ -144,10 +146,10 @@
 		{"settings", func() { n.writeSettings(0.1 + rnd.Float64()) }},
 		{"configuration", func() { version++; c.put(changedConfiguration(version)) }},
 		{"drains", func() { n.upstream.Drain() }},
-		{"leaves", func() { n.upstream.Leave() }},
-		{"leaves again", func() { n.upstream.Leave() }},
+		{"leaves", func() { left = n.upstream.Leave() || left }},
+		{"leaves again", func() { left = n.upstream.Leave() || left }},
 		{"upstream ends", n.upstream.Crash},
-		{"store away", func() { n.endpoint.Set(store.Fault{Status: http.StatusServiceUnavailable}) }},
+		{"store away", func() { storeAway = true; n.endpoint.Set(store.Fault{Status: http.StatusServiceUnavailable}) }},
 	}
 	var order []string
 	first := time.Now()
@@ -173,4 +175,7 @@
 	log, err := os.ReadFile(n.logFile)
 	is.NoErr(err)
 	is.Equal(strings.Count(string(log), `"msg":"node stops"`), 1)
+	if !storeAway {
+		is.Equal(slices.Contains(c.store.Keys("lentilflow-nodes"), n.name), !left)
+	}
 }
