Keep a node independent of the reader of its log

What callers saw: nothing was reported. A node whose log reader ends is killed by SIGPIPE with its next line, together with all its calls; one whose log reader does not read runs on after its stop, until SIGKILL. Cause: the default action of a signal that nobody had registered for, as with the repeated signal to stop; and Writer.Close waited for the reader without a bound. Change: SIGPIPE is ignored, so that the write fails and the line is counted as dropped; Close waits 0.3 s at most. Result: both variants of TestReaderOfLogDoesNotEndNode failed before (not ready after 30 s; not ended 7 s after SIGTERM), and pass.

--- a/pkg/agent/signals.go
+++ b/pkg/agent/signals.go
@@ -20,8 +20,11 @@
 	s := &Signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a write to the log fails instead once its reader has ended
 	return s
 }
 
 // Release restores the default actions of the signals.
-func (s *Signals) Release() { signal.Reset(syscall.SIGTERM, os.Interrupt, syscall.SIGHUP) }
+func (s *Signals) Release() {
+	signal.Reset(syscall.SIGTERM, os.Interrupt, syscall.SIGHUP, syscall.SIGPIPE)
+}
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -17,6 +18,10 @@
 // about ten seconds of them.
 const maxQueuedLines = 1024
 
+// closeTimeout bounds the wait of Close for a stream whose reader does not keep up. A
+// process that stops has 0.8 s for its end.
+const closeTimeout = 300 * time.Millisecond
+
 // Writer writes lines to a stream in the background, so that Write never
 // blocks. It is safe for concurrent use.
 type Writer struct {
@@ -65,12 +70,22 @@
 // written without delay.
 func (w *Writer) Sync() error { return nil }
 
-// Close writes the queued lines and ends the Writer. It blocks until the stream
-// has received them. It may be called more than once.
+// Close writes the queued lines and ends the Writer. It waits closeTimeout at most for
+// the stream to receive them. It may be called more than once.
 func (w *Writer) Close() {
-	if !w.closed.Swap(true) {
-		w.lines <- nil
-		<-w.done
+	if w.closed.Swap(true) {
+		return
+	}
+	timeout := time.NewTimer(closeTimeout)
+	defer timeout.Stop()
+	select {
+	case w.lines <- nil:
+	case <-timeout.C:
+		return
+	}
+	select {
+	case <-w.done:
+	case <-timeout.C:
 	}
 }
 
