Distinguish an unknown start of a boot from a known one

Cause: a departure that arrives before the first report of its boot has no start, which was stored and compared as 0. It matched no boot, and the boot that a health check had found stayed marked as found, so the next, late report counted as verified by that check. Evidence: the log says "why":"changed" after the late report, not "proven", so no health check confirmed it; the departure was held with "born_ms":0. Change: upstream.Start has no order with an unknown start. A departure without a start has the time of its arrival and stands for the boots with that id that started until then; it is saved and recovered with it. Health checks that were sent before a departure do not verify a boot. The stand-in and the random test send departures as the platform does. Why it works: no report of the departed boot can be taken for one of a later boot without evidence that is newer than the departure: a later start and a health check, or reports that continue for longer than reports can be late.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -68,10 +68,9 @@
 	// acknowledged yet.
 	Report(upstream.Report) (upstream.Verdict, error)
 	// Leave applies the departure of the boot id and returns how it compares with
-	// the current state. startedAt is when the boot started, in Unix
-	// milliseconds, or 0 if that is not known. It returns an error if the departure
-	// must not be acknowledged yet.
-	Leave(id string, startedAt int64) (upstream.Verdict, error)
+	// the current state. It returns an error if the departure must not be
+	// acknowledged yet.
+	Leave(id string, start upstream.Start) (upstream.Verdict, error)
 }
 
 // Agent is one node.
--- a/pkg/agent/recovery.go
+++ b/pkg/agent/recovery.go
@@ -28,12 +28,12 @@
 	if !report.Draining {
 		return v, nil
 	}
-	return v, r.a.departureSaver.Save(upstream.Departure{ID: report.ID, StartedAt: report.StartedAt})
+	return v, r.a.departureSaver.Save(upstream.Departure{ID: report.ID, Start: report.Start})
 }
 
 // Leave implements ReportReceiver.
-func (r reportReceiver) Leave(id string, startedAt int64) (upstream.Verdict, error) {
-	v, d := r.a.local.Leave(id, startedAt)
+func (r reportReceiver) Leave(id string, start upstream.Start) (upstream.Verdict, error) {
+	v, d := r.a.local.Leave(id, start)
 	return v, r.a.departureSaver.Save(d)
 }
 
--- a/pkg/agent/rollouts_test.go
+++ b/pkg/agent/rollouts_test.go
@@ -177,7 +177,7 @@
 	}, "127.0.0.1:1")
 	local.RecoverDepartures(nil, true)
 	for sequence := range uint64(2) {
-		local.Report(upstream.Report{ID: name, StartedAt: 1, Sequence: sequence + 1, Service: "s", Slots: 10, Software: software})
+		local.Report(upstream.Report{ID: name, Start: upstream.StartedAt(1), Sequence: sequence + 1, Service: "s", Slots: 10, Software: software})
 	}
 	n := &driverNode{software: software}
 	g := &gossip.Node{
--- a/pkg/gateway/boot_statement.go
+++ b/pkg/gateway/boot_statement.go
@@ -16,7 +16,7 @@
 // along with its next attempts: after a restart, the local node knows nothing of
 // what its upstream has stated before.
 type bootStatement struct {
-	boot upstream.Boot // only ID and StartedAt are set
+	boot upstream.Boot // only ID and Start are set
 	upstream.Statement
 }
 
@@ -30,7 +30,7 @@
 	if s.Limited {
 		limit = strconv.FormatFloat(s.RateLimit, 'f', -1, 64)
 	}
-	return strings.Join([]string{strconv.FormatInt(s.boot.StartedAt, 10), limit, flag(s.Leaving), s.boot.ID}, " ")
+	return strings.Join([]string{s.boot.Start.String(), limit, flag(s.Leaving), s.boot.ID}, " ")
 }
 
 func parseBootStatement(text string) (s bootStatement, ok bool) {
@@ -50,7 +50,7 @@
 		s.Limited = true
 	}
 	s.Leaving = parts[2] == "1"
-	s.boot = upstream.Boot{ID: parts[3], StartedAt: startedAt}
+	s.boot = upstream.Boot{ID: parts[3], Start: upstream.StartedAt(startedAt)}
 	return s, true
 }
 
--- a/pkg/gateway/cluster_test.go
+++ b/pkg/gateway/cluster_test.go
@@ -198,7 +198,7 @@
 // report sends a node the next report of its upstream.
 func (s *testNode) report() {
 	s.sequence++
-	s.gateway.Local.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: s.sequence, Service: testService, Slots: s.slots})
+	s.gateway.Local.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: s.sequence, Service: testService, Slots: s.slots})
 }
 
 func (p *testCluster) close() {
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -51,7 +51,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for e := range f.attempts {
-		if e.boot.ID == boot.ID && e.boot.StartedAt == boot.StartedAt {
+		if e.boot.ID == boot.ID && e.boot.Start == boot.Start {
 			n++
 		}
 	}
@@ -83,7 +83,7 @@
 	l.markUnreachable(e.boot, "crashed")
 	f := e.attempt.fingerprint(&l.Names)
 	c := crashguard.Crash{
-		ID: fmt.Sprintf("%s/%s/%d", l.Node, e.boot.ID, e.boot.StartedAt), Upstream: l.Node, At: lostAt, RanFor: lostAt.Sub(e.started), Alone: alone,
+		ID: fmt.Sprintf("%s/%s/%s", l.Node, e.boot.ID, e.boot.Start), Upstream: l.Node, At: lostAt, RanFor: lostAt.Sub(e.started), Alone: alone,
 	}
 	l.Log.Warn("upstream crashed while it ran a request", zap.String("request", e.attempt.RequestID), zap.String("boot", e.boot.ID),
 		zap.Stringer("fingerprint", f), zap.Duration("ran", c.RanFor), zap.Bool("alone", alone))
--- a/pkg/gateway/download_test.go
+++ b/pkg/gateway/download_test.go
@@ -45,7 +45,7 @@
 	t.Helper()
 	l := newUnreportedLocal(t, address, link, testConfiguration(injectedFault{}), true)
 	for sequence := range uint64(2) { // the second report confirms the boot
-		l.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: sequence, Service: testService, Slots: slots})
+		l.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: sequence, Service: testService, Slots: slots})
 	}
 	return l
 }
--- a/pkg/gateway/fault_test.go
+++ b/pkg/gateway/fault_test.go
@@ -342,7 +342,7 @@
 				l := newUnreportedLocal(t, address, shaping.NewLink(0), cfg, departuresKnown)
 				l.Reconfigure() // there is nothing to verify yet
 				before := requests.Load()
-				is.Equal(l.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: 4, Service: testService, Slots: 1}), upstream.Unverified)
+				is.Equal(l.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: 4, Service: testService, Slots: 1}), upstream.Unverified)
 				for end := time.Now().Add(5 * time.Second); requests.Load() == before && time.Now().Before(end); {
 					time.Sleep(time.Millisecond)
 				}
@@ -355,7 +355,7 @@
 					time.Sleep(20 * time.Millisecond)
 				}
 				is.Equal(l.Serving(), c.confirmed)
-				l.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: 5, Service: testService, Slots: 1})
+				l.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: 5, Service: testService, Slots: 1})
 				is.Equal(l.Serving(), c.confirmed || departuresKnown)
 			})
 		}
@@ -419,7 +419,7 @@
 	cfg := testConfiguration(injectedFault{})
 	l := newUnreportedLocal(t, address, shaping.NewLink(0), cfg, true)
 	l.Config = config.NewHolder()
-	is.Equal(l.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: 4, Service: testService, Slots: 1}), upstream.Unverified)
+	is.Equal(l.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: 4, Service: testService, Slots: 1}), upstream.Unverified)
 	time.Sleep(10 * time.Millisecond)
 	is.True(!l.Serving())
 	cfg.Services[0].HealthPath = "/health"
--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -23,9 +23,9 @@
 	v := l.tracker.Report(r)
 	switch v {
 	case upstream.Unverified, upstream.Disputed:
-		l.Guard.Go("prove boot", func() { l.verifyBoot(r.ID, r.StartedAt) })
+		l.Guard.Go("prove boot", func() { l.verifyBoot(r.ID, r.Start) })
 		return v
-	case upstream.Stale:
+	case upstream.Stale, upstream.Doubtful:
 		return v
 	}
 	l.unreachable = false
@@ -141,7 +141,10 @@
 
 // verifyBoot asks the upstream whether it is the boot of a report. The report may be a
 // late one of an earlier process, or of one that has already announced that it leaves.
-func (l *Local) verifyBoot(id string, startedAt int64) {
+func (l *Local) verifyBoot(id string, start upstream.Start) {
+	l.mu.Lock()
+	departures := l.tracker.Departures()
+	l.mu.Unlock()
 	actualID, ok := l.queryBoot()
 	if !ok {
 		return
@@ -152,20 +155,19 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.tracker.Verify(id, startedAt) == upstream.Changed {
+	if l.tracker.Verify(id, start, departures) == upstream.Changed {
 		l.unreachable = false
 		l.updateBoot("proven")
 	}
 }
 
-// Leave records that a boot of the upstream is leaving. When Leave returns,
-// that boot gets no further attempts. The departure that it returns has the start of
-// the boot if that is known.
-func (l *Local) Leave(id string, startedAt int64) (upstream.Verdict, upstream.Departure) {
+// Leave records that a boot of the upstream is leaving. When Leave returns, that boot
+// gets no further attempts. It also returns the departure that must be known before it is
+// acknowledged.
+func (l *Local) Leave(id string, start upstream.Start) (upstream.Verdict, upstream.Departure) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := l.tracker.Departure(id, startedAt)
-	v := l.tracker.Leave(id, startedAt)
+	v, d := l.tracker.Leave(id, start, time.Now())
 	if v == upstream.Changed {
 		l.updateBoot("left")
 	}
@@ -185,16 +187,16 @@
 		l.boot.Store(nil)
 		l.gate.EndRateLimit() // the calls that wait for it are refused at once
 	}
-	if old != nil && (!ok || old.ID != b.ID || old.StartedAt != b.StartedAt) {
+	if old != nil && (!ok || old.ID != b.ID || old.Start != b.Start) {
 		l.pool.Close()
 	}
-	if (old != nil) == ok && (old == nil || old.ID == b.ID && old.StartedAt == b.StartedAt) {
+	if (old != nil) == ok && (old == nil || old.ID == b.ID && old.Start == b.Start) {
 		l.updateServing()
 		return
 	}
 	newest, known := l.tracker.Newest()
 	l.Log.Info("upstream changed", zap.String("why", reason), zap.Bool("serving", ok), zap.Bool("known", known),
-		zap.String("boot", newest.ID), zap.Int64("born_ms", newest.StartedAt), zap.Int("slots", newest.Slots),
+		zap.String("boot", newest.ID), zap.Int64("born_ms", newest.Start.UnixMilli()), zap.Int("slots", newest.Slots),
 		zap.Bool("draining", newest.Draining), zap.Bool("unreachable", l.unreachable), zap.String("software", newest.Software))
 	l.updateServing()
 }
@@ -241,7 +243,7 @@
 	unverified := l.tracker.Unverified()
 	l.mu.Unlock()
 	for _, r := range unverified { // the health path was not known when they arrived
-		l.Guard.Go("prove boot", func() { l.verifyBoot(r.ID, r.StartedAt) })
+		l.Guard.Go("prove boot", func() { l.verifyBoot(r.ID, r.Start) })
 	}
 	l.updateLimits()
 }
@@ -253,7 +255,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	current := l.boot.Load()
-	if current == nil || current.ID != boot.ID || current.StartedAt != boot.StartedAt {
+	if current == nil || current.ID != boot.ID || current.Start != boot.Start {
 		return
 	}
 	l.unreachable = true
--- a/pkg/gateway/malformed_response_test.go
+++ b/pkg/gateway/malformed_response_test.go
@@ -79,7 +79,7 @@
 	c.Services[0].HealthPath = "/health"
 	l = newUnreportedLocal(t, address, shaping.NewLink(0), c, true)
 	before := runs.Load()
-	is.Equal(l.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: 1, Service: testService, Slots: 1}), upstream.Unverified)
+	is.Equal(l.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: 1, Service: testService, Slots: 1}), upstream.Unverified)
 	for end := time.Now().Add(5 * time.Second); runs.Load() == before && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
--- a/pkg/gateway/rollout_test.go
+++ b/pkg/gateway/rollout_test.go
@@ -35,7 +35,7 @@
 
 func (s *testNode) setSoftware(software string) {
 	s.sequence++
-	s.gateway.Local.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: s.sequence, Service: testService, Slots: s.slots, Software: software})
+	s.gateway.Local.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: s.sequence, Service: testService, Slots: s.slots, Software: software})
 }
 
 // enter makes the node know a phase of the rollout.
--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -73,7 +73,7 @@
 	if ok && (s.Limited || l.stated.limited.Load()) {
 		l.applyRateLimit(requestID, boot, s, sentAt)
 	}
-	return bootStatement{boot: upstream.Boot{ID: boot.ID, StartedAt: boot.StartedAt}, Statement: s}
+	return bootStatement{boot: upstream.Boot{ID: boot.ID, Start: boot.Start}, Statement: s}
 }
 
 // observeMalformed counts and logs a malformed response of the upstream. The line about the
@@ -142,13 +142,13 @@
 func (l *Local) markLeaving(requestID string, boot *upstream.Boot, source string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := l.tracker.Departure(boot.ID, boot.StartedAt)
-	if l.tracker.MarkLeaving(boot.ID, boot.StartedAt) != upstream.Changed {
+	d := l.tracker.Departure(boot.ID, boot.Start)
+	if l.tracker.MarkLeaving(boot.ID, boot.Start) != upstream.Changed {
 		return
 	}
 	l.OnDeparture(d)
 	l.Log.Info("upstream states that it leaves; it gets no further requests", zap.String("request", requestID),
-		zap.String("source", source), zap.String("boot", boot.ID), zap.Int64("born_ms", boot.StartedAt))
+		zap.String("source", source), zap.String("boot", boot.ID), zap.Int64("born_ms", boot.Start.UnixMilli()))
 	l.updateBoot("states that it leaves")
 }
 
@@ -202,7 +202,7 @@
 	if !c.boot.Same(boot) {
 		c.limit = upstream.RateLimit{}
 	}
-	if !c.boot.Same(boot) || c.boot.StartedAt == 0 {
+	if !c.boot.Same(boot) || !c.boot.Start.Known() {
 		c.boot = *boot
 	}
 	changed = c.limit.Observe(s, sentAt, now)
@@ -236,7 +236,7 @@
 		return
 	}
 	f := []zap.Field{
-		zap.String("request", requestID), zap.String("boot", boot.ID), zap.Int64("born_ms", boot.StartedAt),
+		zap.String("request", requestID), zap.String("boot", boot.ID), zap.Int64("born_ms", boot.Start.UnixMilli()),
 		zap.Bool("limited", limited), zap.Float64("requests_per_second", rate), zap.Int64("lines_left_out", dropped),
 	}
 	if !first {
--- a/pkg/gateway/statement_test.go
+++ b/pkg/gateway/statement_test.go
@@ -199,8 +199,8 @@
 	p := newTestCluster(injectedFault{})
 	defer p.close()
 	local := p.nodes[0].gateway.Local
-	s := bootStatement{boot: upstream.Boot{ID: "boot", StartedAt: 1}, Statement: upstream.Statement{Limited: true, RateLimit: 7}}
-	other := bootStatement{boot: upstream.Boot{ID: "other", StartedAt: 1}, Statement: s.Statement}
+	s := bootStatement{boot: upstream.Boot{ID: "boot", Start: upstream.StartedAt(1)}, Statement: upstream.Statement{Limited: true, RateLimit: 7}}
+	other := bootStatement{boot: upstream.Boot{ID: "other", Start: upstream.StartedAt(1)}, Statement: s.Statement}
 	local.adoptStatement("r", other.String())
 	is.Equal(local.RateLimit(), -1.0) // about another boot
 	local.adoptStatement("r", s.String())
@@ -215,7 +215,7 @@
 func TestBootStatementRoundTrip(t *testing.T) {
 	is := is.New(t)
 	for _, s := range []bootStatement{
-		{boot: upstream.Boot{ID: "i 1", StartedAt: 1790463239453}, Statement: upstream.Statement{Limited: true, RateLimit: 28.8}},
+		{boot: upstream.Boot{ID: "i 1", Start: upstream.StartedAt(1790463239453)}, Statement: upstream.Statement{Limited: true, RateLimit: 28.8}},
 		{boot: upstream.Boot{ID: "i"}, Statement: upstream.Statement{Leaving: true}},
 		{boot: upstream.Boot{ID: "i"}, Statement: upstream.Statement{Limited: true, Leaving: true}},
 	} {
@@ -237,7 +237,7 @@
 	cfg := testConfiguration(injectedFault{})
 	cfg.Services[0].HealthPath = "/health"
 	l := newUnreportedLocal(t, address, shaping.NewLink(0), cfg, true)
-	l.Report(upstream.Report{ID: "boot", StartedAt: 1, Sequence: 1, Service: testService, Slots: 1})
+	l.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(1), Sequence: 1, Service: testService, Slots: 1})
 	waitFor(t, "the upstream serves", l.Serving)
 	l.observeResponse("r", l.boot.Load(), http.Header{testNames.RateLimit: {"0"}}, time.Now())
 	is.Equal(l.RateLimit(), 0.0)
@@ -288,7 +288,7 @@
 		choice := balance.Choice{Index: i, Stats: g.Picker.Stats(candidates[i].Node, now), Distance: model.OtherRegion}
 		g.backOff(c, &candidates[i], &choice, time.Second, now)
 	}
-	limited := bootStatement{boot: upstream.Boot{ID: "b", StartedAt: 1}, Statement: upstream.Statement{Limited: true, RateLimit: 5}}
+	limited := bootStatement{boot: upstream.Boot{ID: "b", Start: upstream.StartedAt(1)}, Statement: upstream.Statement{Limited: true, RateLimit: 5}}
 	g.Remote.statements.observe("a:1", limited.String(), time.Now())
 	is.Equal(pick(), balance.Picked)
 	refuse(0)
@@ -301,7 +301,7 @@
 // of a node that stops, one start after the other, only to be refused then.
 func TestCallsDoNotWaitForTheLimitOfALeavingUpstream(t *testing.T) {
 	for name, leave := range map[string]func(*Local){
-		"leaves": func(l *Local) { l.Leave("boot", 1) },
+		"leaves": func(l *Local) { l.Leave("boot", upstream.StartedAt(1)) },
 		"stops":  (*Local).Stop,
 		"states": func(l *Local) {
 			l.observeResponse("r", l.boot.Load(), http.Header{testNames.Leaving: {"1"}}, time.Now())
--- a/pkg/gossip/recovery.go
+++ b/pkg/gossip/recovery.go
@@ -138,7 +138,7 @@
 	}
 	n.Departures.Add(departures, time.Now())
 	for _, d := range departures {
-		n.Log.Info("departure of an upstream is held for another node", zap.String("other", string(d.Node)), zap.String("boot", d.ID), zap.Int64("born_ms", d.StartedAt))
+		n.Log.Info("departure of an upstream is held for another node", zap.String("other", string(d.Node)), zap.String("boot", d.ID), zap.Int64("born_ms", d.Start.UnixMilli()))
 	}
 	return c.NoContent(http.StatusNoContent)
 }
--- a/pkg/gossip/recovery_test.go
+++ b/pkg/gossip/recovery_test.go
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	peers := []*peer{newPeer(t, "a"), newPeer(t, "b"), newPeer(t, "c"), newPeer(t, "d")}
 	knowEachOther(peers...)
-	d := recovery.Departure{Node: "a", Departure: upstream.Departure{ID: "boot", StartedAt: 7}}
+	d := recovery.Departure{Node: "a", Departure: upstream.Departure{ID: "boot", Start: upstream.StartedAt(7)}}
 	var confirmed atomic.Int64
 	peers[0].Replicate(t.Context(), d, func() { confirmed.Add(1) })
 	is.Equal(confirmed.Load(), int64(keepersPerDeparture))
@@ -141,7 +141,7 @@
 		is.Equal(post(pathRecover, odd), http.StatusBadRequest)
 	}
 	is.Equal(post(pathDepartures, `[{"node":"n","boot":"b","started_ms":7},{"node":9},{"node":"m","boot":"b\u0000"}]`), http.StatusNoContent)
-	is.Equal(p.Departures.All(time.Now()), []recovery.Departure{{Node: "n", Departure: upstream.Departure{ID: "b", StartedAt: 7}}})
+	is.Equal(p.Departures.All(time.Now()), []recovery.Departure{{Node: "n", Departure: upstream.Departure{ID: "b", Start: upstream.StartedAt(7)}}})
 	r, err := p.decodeRecoverResponse([]byte(`{"settled":true,"departures":[{"node":"x"},{"node":"x","boot":"y"}],"crash_records":[7,{"fingerprint":"00"},
 		{"fingerprint":"01000000000000000000000000000000","service":"s","crashes":[{"at":"2999-01-01T00:00:00Z"}]}]}`), "b")
 	is.NoErr(err)
@@ -220,7 +220,7 @@
 	knowEachOther(peers...)
 	a := peers[0]
 	is.Equal(a.Recover(t.Context()).CompleteHolders, 0)
-	d := recovery.Departure{Node: "a", Departure: upstream.Departure{ID: "boot", StartedAt: 7}}
+	d := recovery.Departure{Node: "a", Departure: upstream.Departure{ID: "boot", Start: upstream.StartedAt(7)}}
 	a.Departures.Add([]recovery.Departure{d}, time.Now()) // from the store
 	a.SetSettled()
 	is.True(!a.Recovered())
--- a/pkg/recovery/departures_test.go
+++ b/pkg/recovery/departures_test.go
@@ -15,7 +15,7 @@
 )
 
 func departureOf(id model.NodeID, i int) Departure {
-	return Departure{Node: id, Departure: upstream.Departure{ID: fmt.Sprint("boot", i), StartedAt: int64(i)}}
+	return Departure{Node: id, Departure: upstream.Departure{ID: fmt.Sprint("boot", i), Start: upstream.StartedAt(int64(i))}}
 }
 
 // departuresOf returns the departures from to to-1 of a node.
--- a/pkg/recovery/model_test.go
+++ b/pkg/recovery/model_test.go
@@ -97,7 +97,7 @@
 
 func (w *world) startBoot(vm *modelVM) {
 	w.boots++
-	b := &modelBoot{Departure: upstream.Departure{ID: fmt.Sprint("boot", w.boots), StartedAt: time.Now().UnixMilli()}}
+	b := &modelBoot{Departure: upstream.Departure{ID: fmt.Sprint("boot", w.boots), Start: upstream.StartedAt(time.Now().UnixMilli())}}
 	if w.oneIn(4) {
 		b.ID = "boot-" + string(vm.id)
 	}
@@ -263,20 +263,26 @@
 	r.ReceivedAt = time.Now()
 	switch v := p.tracker.Report(r); v {
 	case upstream.Unverified, upstream.Disputed:
-		if id, ok := p.health(); ok && id == r.ID {
-			p.tracker.Verify(r.ID, r.StartedAt)
-		}
+		departures := p.tracker.Departures()
+		id, ok := p.health()
+		time.AfterFunc(modelLatency, func() {
+			p.vm.w.mu.Lock()
+			defer p.vm.w.mu.Unlock()
+			if ok && id == r.ID {
+				p.tracker.Verify(r.ID, r.Start, departures)
+			}
+		})
 	}
 	if r.Draining {
-		p.acknowledge(b)
+		p.acknowledge(b, b.Departure)
 	}
 }
 
 // acknowledge hands on a departure; its acknowledgement must arrive within a second.
-func (p *modelProcess) acknowledge(b *modelBoot) {
+func (p *modelProcess) acknowledge(b *modelBoot, d upstream.Departure) {
 	go func() {
 		begun := time.Now()
-		err := p.saver.Save(b.Departure)
+		err := p.saver.Save(d)
 		p.vm.w.mu.Lock()
 		defer p.vm.w.mu.Unlock()
 		b.acked = b.acked || err == nil && p.alive && time.Since(begun) < time.Second
@@ -287,7 +293,7 @@
 func (w *world) sendReport(vm *modelVM) {
 	b := vm.boot
 	b.sequence++
-	r := upstream.Report{ID: b.ID, StartedAt: b.StartedAt, Sequence: b.sequence, Slots: 1, Draining: b.leaving}
+	r := upstream.Report{ID: b.ID, Start: b.Start, Sequence: b.sequence, Slots: 1, Draining: b.leaving}
 	delay := modelLatency
 	if vm.late && !b.leaving {
 		delay = time.Second + time.Duration(w.rand.Int64N(int64(upstream.MaxReportDelay-time.Second)))
@@ -308,10 +314,19 @@
 	}
 	b.leaving, b.announces = true, w.oneIn(2)
 	b.endsAt = time.Now().Add(modelServesOn)
-	if p := vm.process; !b.announces && p != nil && p.alive {
-		p.tracker.Leave(b.ID, b.StartedAt)
-		p.acknowledge(b)
+	if !b.announces {
+		w.sendLeave(vm)
+	}
+}
+
+// sendLeave sends the departure of a boot, without its start as the platform does.
+func (w *world) sendLeave(vm *modelVM) {
+	b, p := vm.boot, vm.process
+	if p == nil || !p.alive {
+		return
 	}
+	_, d := p.tracker.Leave(b.ID, upstream.Start{}, time.Now())
+	p.acknowledge(b, d)
 }
 
 func (w *world) kill(vms ...*modelVM) {
@@ -362,9 +377,10 @@
 			w.sendReport(vm)
 		}
 		if b := vm.boot; b != nil && b.leaving && time.Now().After(b.endsAt) {
+			w.sendLeave(vm) // once more, before it ends
 			w.startBoot(vm)
 			if w.oneIn(5) {
-				vm.boot.StartedAt -= modelClockStep + w.boots // two boots have different starts
+				vm.boot.Start = upstream.StartedAt(vm.boot.Start.UnixMilli() - modelClockStep - w.boots) // two boots have different starts
 			}
 		}
 		if vm.process == nil && time.Now().After(vm.starts) {
--- a/pkg/recovery/saver.go
+++ b/pkg/recovery/saver.go
@@ -145,7 +145,7 @@
 	}
 	held, _, _ := current.state()
 	fields := []zap.Field{
-		zap.String("boot", d.ID), zap.Int64("born_ms", d.StartedAt), zap.Bool("store", held.store), zap.Int("nodes", held.nodes), zap.Duration("took", time.Since(begun)),
+		zap.String("boot", d.ID), zap.Int64("born_ms", d.Start.UnixMilli()), zap.Bool("store", held.store), zap.Int("nodes", held.nodes), zap.Duration("took", time.Since(begun)),
 	}
 	if held.count() == 0 {
 		s.Log.Warn("departure of the upstream is held by no other process; it is not acknowledged", fields...)
--- a/pkg/standin/upstream/report.go
+++ b/pkg/standin/upstream/report.go
@@ -75,24 +75,30 @@
 	return u.Report()
 }
 
-// Leave notifies the node that the upstream leaves, and returns whether the node
-// acknowledged that within a second. The upstream sends no further reports, but
-// continues to serve requests until Crash.
-func (u *Upstream) Leave() bool {
+// StopReports ends the periodic reports.
+func (u *Upstream) StopReports() {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.reportsStopped = true
-	u.mu.Unlock()
-	return u.post("Leave", struct {
-		Born int64 `json:"born"`
-	}{u.born})
+}
+
+// Leave notifies the node that the upstream leaves, and returns whether the node
+// acknowledged that within a second. The message has no body, as on the platform. The
+// upstream sends no further reports, but continues to serve requests until Crash.
+func (u *Upstream) Leave() bool {
+	u.StopReports()
+	return u.post("Leave", nil)
 }
 
 // post sends a message to the node and returns whether the node acknowledged it
-// within a second.
+// within a second. A nil body is empty.
 func (u *Upstream) post(operation string, body any) bool {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return false
+	var text []byte
+	if body != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
+			return false
+		}
 	}
 	client := http.Client{Timeout: time.Second, Transport: u.client.Transport}
 	resp, err := client.Post("http://"+u.cfg.ReportAddress+"/-/Instances."+operation+"/"+u.ID, "application/json", strings.NewReader(string(text)))
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -9,7 +9,13 @@
 )
 
 func readyReport(id string, startedAt int64, sequence uint64) Report {
-	return Report{ID: id, StartedAt: startedAt, Sequence: sequence, Slots: 3}
+	return Report{ID: id, Start: StartedAt(startedAt), Sequence: sequence, Slots: 3}
+}
+
+// leave sends a departure to a tracker, which arrives at a Unix time of 1000 s.
+func leave(tr *Tracker, id string, start Start) Verdict {
+	v, _ := tr.Leave(id, start, time.Unix(1000, 0))
+	return v
 }
 
 // Guards the order of reports: late reports and reports of an older boot are
@@ -23,10 +29,10 @@
 	is.Equal(tr.Report(readyReport("old", 90, 99)), Stale) // delayed by a network partition
 	is.Equal(tr.Report(readyReport("a", 200, 1)), Changed) // restart with the same id
 	is.Equal(tr.Report(readyReport("a", 100, 7)), Stale)
-	is.Equal(tr.Leave("a", 100), Stale) // the older boot of that id
+	is.Equal(leave(&tr, "a", StartedAt(100)), Stale) // the older boot of that id
 	_, ok := tr.Current()
 	is.True(ok)
-	is.Equal(tr.Leave("a", 200), Changed)
+	is.Equal(leave(&tr, "a", StartedAt(200)), Changed)
 	_, ok = tr.Current()
 	is.True(!ok)
 	is.Equal(tr.Report(readyReport("a", 200, 9)), Stale) // a late report of a boot that left
@@ -72,8 +78,8 @@
 // tracker is the interface under test; broken variants implement it too.
 type tracker interface {
 	Report(Report) Verdict
-	Leave(string, int64) Verdict
-	MarkLeaving(string, int64) Verdict
+	Leave(string, Start, time.Time) (Verdict, Departure)
+	MarkLeaving(string, Start) Verdict
 	Current() (Boot, bool)
 }
 
@@ -81,23 +87,23 @@
 // returns the first property that does not hold, or "".
 func checkTracker(t *rapid.T, tr tracker) string {
 	type boot struct {
-		id        string
-		startedAt int64
+		id    string
+		start Start
 	}
 	left := map[boot]bool{}
-	newest := int64(0)
+	newest := Start{}
 	reports := map[boot]int{}
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
-		b := boot{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 4).Draw(t, "born")}
+		b := boot{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), StartedAt(rapid.Int64Range(1, 4).Draw(t, "born"))}
 		switch rapid.IntRange(0, 5).Draw(t, "event") {
 		case 0:
-			tr.Leave(b.id, b.startedAt)
+			tr.Leave(b.id, b.start, time.Time{})
 			left[b] = true
 		case 1:
-			tr.MarkLeaving(b.id, b.startedAt)
+			tr.MarkLeaving(b.id, b.start)
 			left[b] = true
 		default:
-			r := readyReport(b.id, b.startedAt, rapid.Uint64Range(1, 9).Draw(t, "sequence"))
+			r := readyReport(b.id, b.start.UnixMilli(), rapid.Uint64Range(1, 9).Draw(t, "sequence"))
 			if r.Draining = rapid.IntRange(0, 5).Draw(t, "draining") == 0; r.Draining {
 				left[b] = true
 			}
@@ -105,7 +111,7 @@
 			switch tr.Report(r) {
 			case Stale:
 			case Disputed:
-				if current, _ := tr.Current(); current.ID == b.id && current.StartedAt == b.startedAt {
+				if current, _ := tr.Current(); current.ID == b.id && current.Start == b.start {
 					return "a boot gets requests although its report is disputed"
 				}
 			case Unverified:
@@ -113,14 +119,14 @@
 					return "a boot gets requests although the report is unverified"
 				}
 			default:
-				if b.startedAt < newest && reports[b] < minOlderStartReports {
+				if b.start.Before(newest) && reports[b] < minOlderStartReports {
 					return "an older boot gets requests"
 				}
-				newest = b.startedAt
+				newest = b.start
 			}
 		}
 		current, ok := tr.Current()
-		if ok && left[boot{current.ID, current.StartedAt}] {
+		if ok && left[boot{current.ID, current.Start}] {
 			return "a boot that is draining or has left gets requests"
 		}
 	}
@@ -141,7 +147,7 @@
 type acceptAll struct{ Tracker }
 
 func (l *acceptAll) Report(r Report) Verdict {
-	l.boot, l.hasBoot = Boot{ID: r.ID, StartedAt: r.StartedAt, Draining: r.Draining}, true
+	l.boot, l.hasBoot = Boot{ID: r.ID, Start: r.Start, Draining: r.Draining}, true
 	return Changed
 }
 
@@ -166,14 +172,14 @@
 			return r
 		}
 		tr.Report(readyReport("a", 2000, 7))
-		tr.Leave("a", 2000)
+		leave(&tr, "a", StartedAt(2000))
 		is.Equal(tr.Report(at(1, 0)), Stale)
 		is.Equal(tr.Report(at(1, 0)), Stale) // the same report again
 		is.Equal(tr.Report(at(2, time.Second)), Stale)
-		is.Equal(tr.Verify("b", 1000), Stale)
+		is.Equal(tr.Verify("b", StartedAt(1000), tr.Departures()), Stale)
 		is.Equal(tr.Report(at(3, 2*time.Second)), Disputed)
 		if healthCheck {
-			is.Equal(tr.Verify("b", 1000), Changed)
+			is.Equal(tr.Verify("b", StartedAt(1000), tr.Departures()), Changed)
 		} else {
 			is.Equal(tr.Report(at(4, MaxReportDelay-1)), Disputed)
 			is.Equal(tr.Report(at(5, MaxReportDelay)), Changed)
@@ -203,7 +209,7 @@
 	is.True(ok)
 	is.Equal(boot.ID, "live")
 	is.Equal(tr.Report(readyReport("live", 2000, 2)), Confirmed)
-	is.Equal(tr.Verify("gone", 1000), Stale) // a health check that was answered before
+	is.Equal(tr.Verify("gone", StartedAt(1000), tr.Departures()), Stale) // a health check that was answered before
 }
 
 // Guards against a boot that has left and is used again because several of its
@@ -215,7 +221,7 @@
 			is := is.New(t)
 			tr := Tracker{VerifyFirstBoot: true}
 			if known {
-				tr.Recover([]Departure{{ID: "gone", StartedAt: 100}})
+				tr.Recover([]Departure{{ID: "gone", Start: StartedAt(100)}})
 				tr.TrustReports()
 			}
 			start := time.Now()
@@ -228,7 +234,7 @@
 				is.True(!ok)
 			}
 			is.Equal(tr.Report(readyReport("next", 200, 1)), Unverified)
-			is.Equal(tr.Verify("next", 200), Changed)
+			is.Equal(tr.Verify("next", StartedAt(200), tr.Departures()), Changed)
 		})
 	}
 }
@@ -252,23 +258,23 @@
 func TestRecoveredDepartureIsFinal(t *testing.T) {
 	is := is.New(t)
 	tr := Tracker{VerifyFirstBoot: true}
-	tr.Recover([]Departure{{ID: "a", StartedAt: 100}})
+	tr.Recover([]Departure{{ID: "a", Start: StartedAt(100)}})
 	is.Equal(tr.Discover("a", 8), Stale)
 	is.Equal(tr.Report(readyReport("a", 100, 9)), Stale)
-	is.Equal(tr.Verify("a", 100), Stale)
+	is.Equal(tr.Verify("a", StartedAt(100), tr.Departures()), Stale)
 	is.Equal(tr.Report(readyReport("a", 300, 1)), Unverified)
-	is.Equal(tr.Verify("a", 300), Changed)
+	is.Equal(tr.Verify("a", StartedAt(300), tr.Departures()), Changed)
 
 	tr = Tracker{VerifyFirstBoot: true}
 	tr.Discover("a", 8)
-	is.Equal(tr.Recover([]Departure{{ID: "a", StartedAt: 100}}), Changed) // known later than the health check
+	is.Equal(tr.Recover([]Departure{{ID: "a", Start: StartedAt(100)}}), Changed) // known later than the health check
 	_, ok := tr.Current()
 	is.True(!ok)
 
 	tr = Tracker{VerifyFirstBoot: true}
 	tr.Report(readyReport("a", 100, 9))
-	is.Equal(tr.Verify("a", 100), Changed)
-	is.Equal(tr.Recover([]Departure{{ID: "a", StartedAt: 100}}), Changed)
+	is.Equal(tr.Verify("a", StartedAt(100), tr.Departures()), Changed)
+	is.Equal(tr.Recover([]Departure{{ID: "a", Start: StartedAt(100)}}), Changed)
 	_, ok = tr.Current()
 	is.True(!ok)
 }
@@ -277,7 +283,7 @@
 func TestDepartedBootsAreBounded(t *testing.T) {
 	var tr Tracker
 	for i := range 10 * maxDeparted {
-		tr.Leave(string(rune('a'+i%26))+string(rune('0'+i/26)), int64(i+1))
+		tr.Leave(string(rune('a'+i%26))+string(rune('0'+i/26)), StartedAt(int64(i+1)), time.Time{})
 	}
 	is.New(t).True(len(tr.departed) <= maxDeparted)
 }
@@ -295,7 +301,7 @@
 	is.True(!ok)
 	is.Equal(tr.Report(readyReport("a", 200, 1)), Unverified)
 	is.Equal(tr.Report(readyReport("gone", 100, 6)), Unverified) // older start
-	is.Equal(tr.Verify("gone", 100), Stale)
+	is.Equal(tr.Verify("gone", StartedAt(100), tr.Departures()), Stale)
 	is.Equal(tr.Report(readyReport("a", 200, 2)), Changed)
 	boot, ok := tr.Current()
 	is.True(ok)
@@ -309,15 +315,15 @@
 	is := is.New(t)
 	tr := Tracker{VerifyFirstBoot: true}
 	is.Equal(tr.Report(readyReport("a", 200, 5)), Unverified)
-	is.Equal(tr.Verify("b", 200), Stale)
-	is.Equal(tr.Verify("a", 200), Changed)
+	is.Equal(tr.Verify("b", StartedAt(200), tr.Departures()), Stale)
+	is.Equal(tr.Verify("a", StartedAt(200), tr.Departures()), Changed)
 	_, ok := tr.Current()
 	is.True(ok)
 
 	tr = Tracker{VerifyFirstBoot: true}
 	is.Equal(tr.Report(readyReport("a", 200, 5)), Unverified)
-	tr.Leave("a", 200)
-	tr.Verify("a", 200)
+	leave(&tr, "a", StartedAt(200))
+	tr.Verify("a", StartedAt(200), tr.Departures())
 	_, ok = tr.Current()
 	is.True(!ok)
 }
@@ -346,13 +352,13 @@
 	is.Equal(b.ID, "a")
 	is.Equal(tr.Report(readyReport("a", 200, 5)), Changed) // states its start and slots
 	b, _ = tr.Current()
-	is.Equal(b, Boot{ID: "a", StartedAt: 200, Slots: 3})
+	is.Equal(b, Boot{ID: "a", Start: StartedAt(200), Slots: 3})
 	is.Equal(tr.Report(readyReport("gone", 100, 8)), Stale)
 	is.Equal(tr.Discover("b", 8), Stale) // only reports count from now on
 
 	tr = Tracker{VerifyFirstBoot: true}
 	is.Equal(tr.Discover("a", 8), Changed)
-	is.Equal(tr.Leave("a", 0), Changed)
+	is.Equal(leave(&tr, "a", StartedAt(0)), Changed)
 	_, ok = tr.Current()
 	is.True(!ok)
 	is.Equal(tr.Discover("a", 8), Stale) // the response may be older than the departure
@@ -368,11 +374,11 @@
 	is := is.New(t)
 	var tr Tracker
 	tr.Report(readyReport("a", 100, 5))
-	is.Equal(tr.MarkLeaving("a", 90), Stale) // an earlier boot with the same id
+	is.Equal(tr.MarkLeaving("a", StartedAt(90)), Stale) // an earlier boot with the same id
 	_, ok := tr.Current()
 	is.True(ok)
-	is.Equal(tr.MarkLeaving("a", 100), Changed)
-	is.Equal(tr.MarkLeaving("a", 100), Confirmed)
+	is.Equal(tr.MarkLeaving("a", StartedAt(100)), Changed)
+	is.Equal(tr.MarkLeaving("a", StartedAt(100)), Confirmed)
 	tr.Report(readyReport("a", 100, 6))
 	_, ok = tr.Current()
 	is.True(!ok)
@@ -391,20 +397,20 @@
 	is := is.New(t)
 	tr := Tracker{VerifyFirstBoot: true}
 	is.Equal(tr.Discover("a", 8), Changed)
-	is.Equal(tr.MarkLeaving("a", 0), Changed)
+	is.Equal(tr.MarkLeaving("a", StartedAt(0)), Changed)
 	is.Equal(tr.Report(readyReport("a", 100, 5)), Unverified)
 	is.Equal(tr.Report(readyReport("a", 100, 6)), Unverified)
 	_, ok := tr.Current()
 	is.True(!ok)
 	is.Equal(tr.Report(readyReport("a", 200, 1)), Unverified)
-	is.Equal(tr.Verify("a", 200), Changed) // a health check found it
+	is.Equal(tr.Verify("a", StartedAt(200), tr.Departures()), Changed) // a health check found it
 	_, ok = tr.Current()
 	is.True(ok)
 
 	tr = Tracker{VerifyFirstBoot: true}
 	tr.TrustReports()
 	tr.Discover("a", 8)
-	is.Equal(tr.MarkLeaving("a", 100), Changed) // a remote node knows the start
+	is.Equal(tr.MarkLeaving("a", StartedAt(100)), Changed) // a remote node knows the start
 	is.Equal(tr.Report(readyReport("a", 100, 5)), Stale)
 	is.Equal(tr.Report(readyReport("a", 150, 1)), Unverified) // a later boot, perhaps without a health path
 	is.Equal(tr.Report(readyReport("a", 150, 2)), Changed)
--- a/test/departure_test.go
+++ b/test/departure_test.go
@@ -94,6 +94,57 @@
 	}
 }
 
+// Guards against requests to an upstream that has left, if its departure arrived before
+// the first report at a process that was restarted and had found the upstream by a health
+// check, and reports that it sent before arrive late. The departure does not state when
+// the upstream started. Found by the review of 2026-12-07 (review/7).
+func TestUpstreamThatLeftBeforeItsFirstReportGetsNoRequests(t *testing.T) {
+	t.Parallel()
+	nothing := func(*cluster, *node) {}
+	for name, disturb := range map[string]func(c *cluster, leaving *node){
+		"late reports": nothing,
+		"restart":      func(_ *cluster, leaving *node) { leaving.restartProcess(syscall.SIGTERM) },
+		"restart without store": func(c *cluster, leaving *node) {
+			c.setStoreAway(true)
+			leaving.restartProcess(syscall.SIGKILL)
+		},
+		"departure sent twice": func(_ *cluster, leaving *node) { leaving.upstream.Leave() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := startCluster(t, 3)
+			c.putHealthPath()
+			c.await(startTimeout, "nodes have recovered", func() bool { return c.recovered(c.nodes) })
+			leaving := c.nodesOf(services[0])[0]
+			others := slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return n == leaving })
+			leaving.upstream.StopReports()
+			leaving.restartProcess(syscall.SIGTERM)
+			c.await(startTimeout, "upstream found by a health check", func() bool {
+				s, err := leaving.state()
+				return err == nil && s.Serving
+			})
+			stop := c.startLoad(http.MethodGet, "/status/1", others, 5*time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
+			is.True(leaving.upstream.Leave())
+			from := time.Now().Add(100 * time.Millisecond)
+			disturb(c, leaving)
+			for range lateReports {
+				leaving.upstream.Report()
+				time.Sleep(lateReportInterval)
+			}
+			stop()
+			is.Equal(runsSince(c, leaving.upstream.ID, from), 0)
+			leaving.upstream.Crash()
+			leaving.startUpstream()
+			c.await(awaitTimeout, "next upstream in use", func() bool {
+				s, err := leaving.state()
+				return err == nil && s.Serving
+			})
+		})
+	}
+}
+
 // Guards against an acknowledged departure that the store and all other nodes lack,
 // and against a departure that is not acknowledged although others could hold it.
 func TestDepartureIsAcknowledgedOnceHeld(t *testing.T) {
--- a/test/soak_upstreams_test.go
+++ b/test/soak_upstreams_test.go
@@ -48,6 +48,7 @@
 		n.upstream.Report()
 	}
 	time.Sleep(soakDrainLimit + pause)
+	n.upstream.Leave() // once more, as upstreams do that leave without draining
 	n.upstream.Crash()
 	n.startUpstream()
 }
