--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -506,7 +506,9 @@
 }
 
 // hasLeft reports whether a boot with a known start has left.
-func (t *Tracker) hasLeft(id string, start Start) bool { return start.Known() && t.find(id, start) >= 0 }
+func (t *Tracker) hasLeft(id string, start Start) bool {
+	return start.Known() && t.find(id, start) >= 0
+}
 
 // mayHaveLeft reports whether a boot may be one that has left: the start of one of the
 // two is not known.
