Count one crash of an upstream once when its start becomes known meanwhile

What callers saw: nothing was reported. After a restart of its node, one crash of an upstream could count as two for a request, which was then refused. Cause: attempts are compared with the boot by id and start, and those that were sent before the first report have no start. Change: boots are compared as far as is known, and the name of a crash has the start that is known when it is recorded.

--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -51,7 +51,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for e := range f.attempts {
-		if e.boot.ID == boot.ID && e.boot.Start == boot.Start {
+		if e.boot.Same(boot) {
 			n++
 		}
 	}
@@ -81,9 +81,12 @@
 		return
 	}
 	l.markUnreachable(e.boot, "crashed")
+	l.mu.Lock()
+	boot := l.tracker.Departure(e.boot.ID, e.boot.Start) // its first report may have arrived since
+	l.mu.Unlock()
 	f := e.attempt.fingerprint(&l.Names)
 	c := crashguard.Crash{
-		ID: fmt.Sprintf("%s/%s/%s", l.Node, e.boot.ID, e.boot.Start), Upstream: l.Node, At: lostAt, RanFor: lostAt.Sub(e.started), Alone: alone,
+		ID: fmt.Sprintf("%s/%s/%s", l.Node, boot.ID, boot.Start), Upstream: l.Node, At: lostAt, RanFor: lostAt.Sub(e.started), Alone: alone,
 	}
 	l.Log.Warn("upstream crashed while it ran a request", zap.String("request", e.attempt.RequestID), zap.String("boot", e.boot.ID),
 		zap.Stringer("fingerprint", f), zap.Duration("ran", c.RanFor), zap.Bool("alone", alone))
--- a/pkg/gateway/local_boot.go
+++ b/pkg/gateway/local_boot.go
@@ -255,7 +255,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	current := l.boot.Load()
-	if current == nil || current.ID != boot.ID || current.Start != boot.Start {
+	if current == nil || !current.Same(boot) {
 		return
 	}
 	l.unreachable = true
