Use a later boot although a remote node repeats what an earlier one has stated

What callers saw: nothing was reported. An upstream that has the id of one before could stay out of use for good. Cause: a remote node sends the last statement of leaving with each attempt. If that has no start, it was taken for one of the boot that is in use. Change: such a statement counts once, until a later boot with the id is verified.

--- a/pkg/gateway/statement.go
+++ b/pkg/gateway/statement.go
@@ -62,7 +62,7 @@
 	}
 	if s.Leaving {
 		l.Metrics.countStatement(statementLeaving)
-		l.markLeaving(requestID, boot, "response")
+		l.markLeaving(requestID, boot, responseSource)
 	}
 	if l.stated.seen.Load() != boot {
 		l.stated.seen.Store(boot)
@@ -124,7 +124,7 @@
 		return
 	}
 	if s.Leaving {
-		l.markLeaving(requestID, &s.boot, "remote node")
+		l.markLeaving(requestID, &s.boot, remoteStatementSource)
 		return
 	}
 	b := l.boot.Load()
@@ -137,13 +137,27 @@
 	l.applyRateLimit(requestID, b, s.Statement, time.Now())
 }
 
-// markLeaving ends the use of a boot that has stated that it leaves. source is
-// where the statement came from, for the log.
+// Sources of a statement that a boot leaves.
+const (
+	responseSource        = "response"
+	remoteStatementSource = "remote node"
+)
+
+// markLeaving ends the use of a boot that has stated that it leaves.
 func (l *Local) markLeaving(requestID string, boot *upstream.Boot, source string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d := l.tracker.Departure(boot.ID, boot.Start)
-	if l.tracker.MarkLeaving(boot.ID, boot.Start) != upstream.Changed {
+	v := upstream.Stale
+	if source == remoteStatementSource && !boot.Start.Known() {
+		// The remote node repeats it until it gets another response, and the boot may have
+		// been replaced by one with the same id.
+		d = upstream.Departure{ID: boot.ID}
+		v = l.tracker.Recover([]upstream.Departure{d})
+	} else {
+		v = l.tracker.MarkLeaving(boot.ID, boot.Start)
+	}
+	if v != upstream.Changed {
 		return
 	}
 	l.OnDeparture(d)
--- a/pkg/gateway/unknown_start_test.go
+++ b/pkg/gateway/unknown_start_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -29,3 +30,22 @@
 	l.inspect(after, false)
 	is.Equal((<-crashes).ID, (<-crashes).ID)
 }
+
+// Guards against a boot that stays out of use because a remote node keeps sending what an
+// earlier boot with the same id has stated before its start was known.
+func TestRemoteStatementWithoutStartDoesNotEndLaterBoot(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawUpstream(t, fmt.Sprintf("HTTP/1.1 200 X\r\n%s: boot\r\nContent-Length: 0\r\n\r\n", testNames.Boot), true)
+	cfg := testConfiguration(injectedFault{})
+	cfg.Services[0].HealthPath = "/health"
+	l := newUnreportedLocal(t, address, shaping.NewLink(0), cfg, true)
+	leaving := bootStatement{boot: upstream.Boot{ID: "boot"}, Statement: upstream.Statement{Leaving: true}}
+	l.adoptStatement("r", leaving.String())
+	l.Report(upstream.Report{ID: "boot", Start: upstream.StartedAt(7), Sequence: 1, Service: testService, Slots: 1})
+	for end := time.Now().Add(5 * time.Second); !l.Serving() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(l.Serving())
+	l.adoptStatement("r", leaving.String())
+	is.True(l.Serving())
+}
