Listen again in tests while processes that start hold a copy of the listener

Cause: TestEndlessResponsesDoNotExhaustMemory failed once, 2.6 s after its start, in a run of all integration tests: it replaces an upstream at the same address, and a process that another test starts at that moment holds a copy of the listener until it executes its program. Nothing else in the test fails before its load begins, 8 s before its end. No check changes.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -194,19 +195,30 @@
 	return true
 }
 
-// startUpstream starts an upstream at the address of the last one. No process is
-// started meanwhile, for the reason given at isFree.
+// startUpstream starts an upstream at the address of the last one.
 func (n *node) startUpstream() {
 	n.c.t.Helper()
-	syscall.ForkLock.RLock()
-	defer syscall.ForkLock.RUnlock()
-	u, err := upstream.Start(upstream.Config{
-		Service: n.service, Zone: n.zone, Slots: slots, ReportAddress: n.reports, CallAddress: n.calls, AdvertisedAddress: n.upstreamAddress, ServiceTime: 10 * time.Millisecond, Software: n.software,
-	}, n.upstreamListen, &n.c.ledger)
-	if err != nil {
-		n.c.t.Fatal(err)
+	n.upstream = listenAgain(n.c.t, func() (*upstream.Upstream, error) {
+		return upstream.Start(upstream.Config{
+			Service: n.service, Zone: n.zone, Slots: slots, ReportAddress: n.reports, CallAddress: n.calls, AdvertisedAddress: n.upstreamAddress, ServiceTime: 10 * time.Millisecond, Software: n.software,
+		}, n.upstreamListen, &n.c.ledger)
+	})
+}
+
+// listenAgain calls listen, which listens on an address whose listener was closed, again
+// for a while if the address is in use: processes that are starting may hold copies of the
+// listener, for the reason given at isFree.
+func listenAgain[T any](t *testing.T, listen func() (T, error)) T {
+	t.Helper()
+	for end := time.Now().Add(startTimeout); ; time.Sleep(5 * time.Millisecond) {
+		listener, err := listen()
+		switch {
+		case err == nil:
+			return listener
+		case !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end):
+			t.Fatal(err)
+		}
 	}
-	n.upstream = u
 }
 
 // writeSettings writes the settings file with a value of retries.ratio.
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -91,12 +91,10 @@
 func (n *node) startEndlessUpstream() {
 	n.c.t.Helper()
 	n.upstream.Crash()
-	l, err := net.Listen("tcp", n.upstreamListen)
-	if err != nil {
-		n.c.t.Fatal(err)
-	}
+	l := listenAgain(n.c.t, func() (net.Listener, error) { return net.Listen("tcp", n.upstreamListen) })
 	n.c.t.Cleanup(func() { _ = l.Close() })
 	go serveEndless(l)
+	var err error
 	n.upstream, err = upstream.Start(upstream.Config{
 		Service: n.service, Zone: n.zone, Slots: 16, ReportAddress: n.reports, CallAddress: n.calls, AdvertisedAddress: n.upstreamAddress,
 	}, "127.0.0.1:0", &n.c.ledger)
