Bound the time without a response of the store without a schedule over the nodes

Cause: the watches of the nodes ended in turn, counted from the moment at which the version in force came into force. A process that starts with that version takes its own start, so that all watches may end at about the same time. In zones with relays the ends were random. A follower that has neither received a response nor heard of one for its timeout asks the store itself on a new connection. A response that is overdue closes idle connections, and the notices make the others renew their watches.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -266,6 +266,7 @@
 		Namespace: "lentilflow", Name: "config_lag_seconds", Help: "How late versions came into force, after the first node known to have them.", Buckets: lagBuckets,
 	})
 	r.MustRegister(a.configLag)
+	gauge("store_contact_age_seconds", "Time since the last response of the store to any node, as far as this one has heard.", func() float64 { return a.gossip.ContactAge().Seconds() })
 	gauge("fleet_revision", "Revision of the known fleet.", func() float64 { return float64(a.fleetView.Current().Position.Revision) })
 	gauge("fleet_era", "Era of the store to which the revision of the known fleet belongs.", func() float64 { return float64(a.fleetView.Current().Position.Era) })
 	gauge("fleet_unconfirmed_nodes", "Known nodes whose rows a restored store has lost and that have not written them again.", func() float64 { return float64(a.fleetView.Current().Unconfirmed()) })
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -73,11 +73,21 @@
 		}
 	}
 	fleetFollower.OnAvailability = func(ok bool) { a.fleetUnavailable.Store(!ok); a.updateStoreAvailability() }
+	configFollower.OnResponse, configFollower.OnSilence = a.gossip.RecordStoreResponse, a.gossip.RecordSilence
 	a.gossip.OnStoreSuspected = configFollower.Verify
+	a.gossip.OnContactDue = configFollower.Renew
+	a.gossip.OnConnectionsSilent = func(at time.Time) {
+		renewed, fleetRenewed := configFollower.Renew(at), fleetFollower.Renew(at)
+		if renewed || fleetRenewed {
+			a.log.Info("open connections to the store may have fallen silent; watches are renewed", zap.Bool("configuration", renewed),
+				zap.Bool("fleet", fleetRenewed), zap.Duration("silence_noticed_for", time.Since(at)))
+		}
+	}
 	a.addLoop(&g, "follow configuration", configFollower.Run)
 	a.addLoop(&g, "follow fleet", fleetFollower.Run)
 	a.addLoop(&g, "exchange digests", a.gossip.Run)
 	a.addLoop(&g, "catch up", a.gossip.RunCatchUp)
+	a.addLoop(&g, "keep contact with the store", a.gossip.RunContact)
 	a.addLoop(&g, "probe nodes", a.gossip.Probe)
 	a.addLoop(&g, "send beacons", a.gossip.RunBeacons)
 	a.addLoop(&g, "read datagrams", a.gossip.ReadDatagrams)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -16,6 +16,9 @@
 // requested position.
 var ErrHistoryLost = errors.New("the store no longer has the requested changes")
 
+// errRenewed is the cause with which Renew ends a wait.
+var errRenewed = errors.New("the source is to be asked again")
+
 // errUndelivered is the cause with which Verify ends a wait.
 var errUndelivered = errors.New("another node has a change that the store has not delivered")
 
@@ -77,6 +80,12 @@
 	// first of consecutive errors, and true for the first response after the start,
 	// after errors, or after the history of the store was lost.
 	OnAvailability func(available bool)
+	// OnResponse is called by Run after each response, when it was applied. Nil means that
+	// nothing is to be done.
+	OnResponse func()
+	// OnSilence is called by Run with the time at which a response to a wait was overdue,
+	// once the source responds again. Nil means that nothing is to be done.
+	OnSilence func(at time.Time)
 
 	waiting atomic.Pointer[wait] // nil if the source is not waiting for changes
 }
@@ -97,13 +106,25 @@
 	}
 }
 
+// Renew ends a wait for changes that began before a time, and waits again. It reports
+// whether there was one. It is safe for concurrent use.
+func (f *Follower) Renew(before time.Time) (renewed bool) {
+	w := f.waiting.Load()
+	if w == nil || !w.began.Before(before) {
+		return false
+	}
+	w.end(errRenewed)
+	return true
+}
+
 // Run follows the source until ctx ends, then returns nil. It must not be
 // called concurrently.
 func (f *Follower) Run(ctx context.Context) error {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = initialBackoff, maxBackoff
 	var at Position
-	var lastRead time.Time // time of the last response
+	var lastRead time.Time    // time of the last response
+	var silentSince time.Time // when a response to a wait was overdue
 	loaded, failing, reported, wasFollowing, lostBefore, verifying := false, false, false, true, false, false
 	for ctx.Err() == nil {
 		follows := f.Schedule == nil || f.Schedule.Next(ctx)
@@ -121,6 +142,13 @@
 		verifying = false
 		switch {
 		case err == nil:
+			if !silentSince.IsZero() && f.OnSilence != nil {
+				f.OnSilence(silentSince)
+			}
+			silentSince = time.Time{}
+			if f.OnResponse != nil {
+				f.OnResponse()
+			}
 			if failing || !reported {
 				f.Log.Info("store is available", zap.String("follows", f.Name), zap.Inline(next))
 				f.OnAvailability(true)
@@ -133,7 +161,7 @@
 			}
 			at, lastRead, loaded, failing, reported = next, time.Now(), true, false, true
 			sleep.For(ctx, f.pause())
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, errors.Is(err, errRenewed):
 		case errors.Is(err, errUndelivered):
 			f.Log.Info("store has not delivered a change that another node has; the whole state is read", zap.String("follows", f.Name),
 				zap.Inline(at), zap.Duration("waited", time.Since(lastRead)))
@@ -150,6 +178,9 @@
 				f.Log.Warn("store is not available", zap.String("follows", f.Name), zap.Inline(at), zap.Error(err))
 				f.OnAvailability(false)
 			}
+			if !failing && loaded && errors.Is(err, context.DeadlineExceeded) {
+				silentSince = time.Now()
+			}
 			failing = true
 			sleep.For(ctx, delays.NextBackOff())
 		}
@@ -165,7 +196,8 @@
 	return f.Pause
 }
 
-// loadOrWait calls the source. A wait that Verify ends returns errUndelivered.
+// loadOrWait calls the source. A wait that Verify or Renew ends returns errUndelivered or
+// errRenewed.
 func (f *Follower) loadOrWait(ctx context.Context, loaded, verifying bool, at Position) (Position, error) {
 	if !loaded && verifying {
 		ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
@@ -180,8 +212,8 @@
 	f.waiting.Store(&wait{began: time.Now(), end: end})
 	defer f.waiting.Store(nil)
 	next, err := f.Source.Wait(ctx, at)
-	if err != nil && errors.Is(context.Cause(ctx), errUndelivered) {
-		err = errUndelivered
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errUndelivered) || errors.Is(cause, errRenewed)) {
+		err = cause
 	}
 	return next, err
 }
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -124,3 +124,60 @@
 	is.NoErr(f.Run(ctx))
 	is.True(s.calls.Load() <= 2*int64(time.Second/(initialBackoff/2)))
 }
+
+// watchedSource waits until each of its waits ends, with an overdue response if a step says
+// so.
+type watchedSource struct {
+	overdue []bool
+	waits   chan int // numbers of the waits, as they begin
+	count   int
+}
+
+func (s *watchedSource) Load(context.Context) (Position, error) { return At(1), nil }
+
+func (s *watchedSource) Wait(ctx context.Context, after Position) (Position, error) {
+	number := s.count
+	s.count++
+	s.waits <- number
+	if number < len(s.overdue) && s.overdue[number] {
+		return Position{}, context.DeadlineExceeded
+	}
+	if number < len(s.overdue) {
+		return after, nil
+	}
+	<-ctx.Done()
+	return Position{}, ctx.Err()
+}
+
+// Guards against a node that does not tell when a response was overdue, that tells of an
+// error of another kind, or that does not ask the store again when it should.
+func TestSilenceIsReportedAndWaitIsRenewed(t *testing.T) {
+	is := is.New(t)
+	s := &watchedSource{overdue: []bool{false, true, true, false}, waits: make(chan int, 100)}
+	responses, silences := 0, 0
+	var silentAt time.Time
+	f := Follower{
+		Name: "test", Source: s, Log: zap.NewNop(), OnAvailability: func(bool) {},
+		OnResponse: func() { responses++ }, OnSilence: func(at time.Time) { silences, silentAt = silences+1, at },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	began := time.Now()
+	go func() { ended <- f.Run(ctx) }()
+	for number := range s.waits {
+		if number == len(s.overdue) {
+			break
+		}
+	}
+	last := time.Now()
+	is.True(!f.Renew(began)) // it has begun later
+	for end := time.Now().Add(5 * time.Second); !f.Renew(time.Now()) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(<-s.waits, len(s.overdue)+1)
+	cancel()
+	is.NoErr(<-ended)
+	is.Equal(responses, 3) // the load and two waits
+	is.Equal(silences, 1)
+	is.True(silentAt.After(began) && silentAt.Before(last))
+}
--- a/pkg/gossip/beacon.go
+++ b/pkg/gossip/beacon.go
@@ -45,6 +45,12 @@
 	// StoreSilent says that the store has ceased to respond to the sender, a relay of
 	// another zone.
 	StoreSilent bool `json:"store_silent,omitempty"`
+	// Contact says that the store has just responded to the sender, so that ConfigVersion
+	// was the newest version then.
+	Contact bool `json:"contact,omitempty"`
+	// SilenceAge is how long ago the sender has found that an open connection to the
+	// store had fallen silent, 0 if it has not recently.
+	SilenceAge milliseconds `json:"silence_age_ms,omitempty"`
 	// States are states of any nodes that the receiver is to apply.
 	States []State `json:"states,omitempty"`
 	// RolloutDigest is that of the sender, as in a Digest. It is set by relays only.
@@ -218,6 +224,9 @@
 	if d.StoreSilent {
 		n.suspectStore(d.From)
 	}
+	if d.Contact {
+		n.handleContact(d, now)
+	}
 	if !d.IsRelay {
 		return
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"github.com/lentilflow/lentilflow/pkg/catchup"
 	"github.com/lentilflow/lentilflow/pkg/config"
+	"github.com/lentilflow/lentilflow/pkg/contact"
 	"github.com/lentilflow/lentilflow/pkg/contain"
 	"github.com/lentilflow/lentilflow/pkg/crashguard"
 	"github.com/lentilflow/lentilflow/pkg/fleet"
@@ -92,6 +93,13 @@
 	// silent: another node has had a newer configuration since a time, or the store does
 	// not respond to another node. Nil means that nothing is to be done.
 	OnStoreSuspected func(since time.Time)
+	// OnConnectionsSilent is called when the open connections to the store may have fallen
+	// silent at a time or before.
+	OnConnectionsSilent func(at time.Time)
+	// OnContactDue is called when this node has neither received a response of the store
+	// nor heard of one for too long. It reports whether this node follows the
+	// configuration and asks the store now.
+	OnContactDue func(now time.Time) (asks bool)
 	// OnEra is called when another node has a fleet of a later era of the store than
 	// this node.
 	OnEra func(follow.Era)
@@ -130,7 +138,10 @@
 	announcer         catchup.Announcer // of the version of the configuration
 	forwarder         catchup.Announcer // of a version that this node knows of and does not have
 	silence           silence
-	forwardsKnown     atomic.Bool // the next datagram states a version that this node does not have
+	contact           *contact.Tracker // mu must be held
+	followers         followers        // mu must be held
+	noticedVersion    config.Version   // in the last notice; mu must be held
+	forwardsKnown     atomic.Bool      // the next datagram states a version that this node does not have
 	mu                sync.Mutex
 	lastStates        map[model.NodeID]stateOrder
 	rolloutLag        rolloutLag
@@ -175,6 +186,7 @@
 	n.syncTrigger, n.beaconTrigger, n.catchUpTrigger = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	n.zoneVersions = make(map[model.NodeID]config.Version)
 	n.zone = relay.NewZone(n.Self.Node, 0)
+	n.contact = contact.NewTracker(0)
 	n.zone.AllFollow = n.ApplyTime < relay.MinApplyTime
 	n.lastStates = make(map[model.NodeID]stateOrder)
 }
--- a/pkg/gossip/silence.go
+++ b/pkg/gossip/silence.go
@@ -1,42 +1,20 @@
 package gossip
 
 import (
-	"maps"
-	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/lentilflow/lentilflow/pkg/model"
-	"github.com/lentilflow/lentilflow/pkg/relay"
 )
 
-// Where every node follows the store, their watches end in turn, so that the next one
-// that ends shows a silence to all of them.
-//
-// In zones with relays, a node does not notice a version if the store is silent to
-// its relays, although it may respond to the node itself. The watches of the relays
-// therefore end at different times, so that one of them soon shows the silence, and
-// that relay warns the others. Then the nodes of its zone read the store once, and
-// those to which it responds follow it until their relays have it again.
+// A silence of the store to a node that follows it is noticed there (see package contact).
+// In zones with relays, the other nodes do not notice a version then, although the store
+// may respond to them: the relay warns the relays of other zones, and in its own zone the
+// first nodes read the store once, and those to which it responds follow it until their
+// relays have it again.
 const (
-	// watchEndInterval is the mean time between the ends of two watches of relays in
-	// the whole fleet, if nothing changes. It bounds the time until a silence is
-	// noticed, and with it the number of requests: one a second.
-	watchEndInterval = time.Second
-	// minWatchTime bounds the time of a watch in fleets with few zones.
-	minWatchTime = 4 * time.Second
-	// spreadInterval is the time between the ends of two watches in a fleet whose nodes
-	// all follow the store, up to maxSpreadPeriod between two ends at one node. It bounds
-	// the time until a silence to all nodes is noticed: the next watch that ends gets no
-	// response, and its node reads the store on another connection and has the next
-	// version for the others.
-	spreadInterval  = 1600 * time.Millisecond
-	maxSpreadPeriod = 29 * time.Second
-	// minSpreadWatch is the shortest watch at a node whose turn is next.
-	minSpreadWatch = 300 * time.Millisecond
 	// minZonesForOneFollower is the number of zones from which one relay of each
 	// follows the configuration. If it fails unnoticed, another zone announces the
 	// version.
@@ -75,38 +53,6 @@
 	return len(zones)
 }
 
-// WatchTime returns how long the next watch of the configuration is to wait for a
-// change.
-func (n *Node) WatchTime() time.Duration {
-	if !n.hasRelays() {
-		return n.spreadWatchTime(time.Now())
-	}
-	mean := max(time.Duration(n.zoneCount())*watchEndInterval, minWatchTime)
-	return mean/10 + rand.N(mean*18/10)
-}
-
-// spreadWatchTime returns the time until the next turn of this node. The turns of all
-// nodes follow each other, in the order of relays, from the time on at which the version
-// in force came into force: a change ends the watches of all nodes at once.
-func (n *Node) spreadWatchTime(now time.Time) time.Duration {
-	ids := relay.Order(slices.Collect(maps.Keys(n.View.Current().Members)))
-	count := max(len(ids), 1)
-	period := min(time.Duration(count)*spreadInterval, maxSpreadPeriod)
-	turn := period * time.Duration(max(slices.Index(ids, n.Self.Node), 0)) / time.Duration(count)
-	since := n.startTime
-	if t := n.configSince.Load(); t != nil {
-		since = *t
-	}
-	wait := (turn - now.Sub(since)) % period
-	if wait < 0 {
-		wait += period
-	}
-	if wait < minSpreadWatch {
-		wait += period
-	}
-	return wait
-}
-
 // warnOfSilentStore tells the first nodes of the other zones that the store has
 // ceased to respond to this node, if it is a relay.
 func (n *Node) warnOfSilentStore() {
--- a/pkg/h1/transport.go
+++ b/pkg/h1/transport.go
@@ -72,6 +72,14 @@
 	}, nil
 }
 
+// CloseIdleConnections closes the idle connections. http.Client calls it.
+func (t *Transport) CloseIdleConnections() {
+	t.pools.Range(func(_, p any) bool {
+		p.(*Pool).Close()
+		return true
+	})
+}
+
 // pool returns the connections to the host of a URL.
 func (t *Transport) pool(host string) *Pool {
 	p := &Pool{Address: host, IdleTimeout: t.IdleTimeout, MaxIdleConns: t.MaxIdleConns, Dial: t.Dial}
--- a/test/silent_store_test.go
+++ b/test/silent_store_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -130,6 +132,58 @@
 	c.awaitVersions(3, 1)
 }
 
+// awaitBurst waits until several watches have ended one after the other, for a while at
+// most, and returns at the end of the burst.
+func (c *cluster) awaitBurst() {
+	const (
+		burst    = 2500 * time.Millisecond
+		calm     = 600 * time.Millisecond
+		longest  = 12 * time.Second
+		interval = 20 * time.Millisecond
+	)
+	var requests []time.Time // to watch
+	count := c.store.RequestCount("rows-feed")
+	for end := time.Now().Add(longest); time.Now().Before(end); time.Sleep(interval) {
+		now := time.Now()
+		for ; count < c.store.RequestCount("rows-feed"); count++ {
+			requests = append(requests, now)
+		}
+		recent := slices.DeleteFunc(slices.Clone(requests), func(at time.Time) bool { return now.Sub(at) > burst })
+		if len(recent) >= len(c.nodes)-1 && now.Sub(recent[len(recent)-1]) > calm {
+			return
+		}
+	}
+}
+
+// Guards against a version that no node sees in time, because all open connections to the
+// store have fallen silent after the nodes were restarted in turn: the ends of their
+// watches were spread from their starts, and followed each other closely after the reverse
+// order. Found by the review of 2026-12-07 (review/9).
+func TestSilenceOfAllConnectionsIsNoticedAfterRestarts(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3)
+	c.awaitVersions(2, 1)
+	var ids []model.NodeID
+	for _, n := range c.nodes {
+		ids = append(ids, model.NodeID(n.name))
+	}
+	ordered := relay.Order(ids)
+	slices.Reverse(ordered)
+	for _, id := range ordered {
+		began := time.Now()
+		c.nodeByName(string(id)).restartProcess(syscall.SIGTERM)
+		time.Sleep(time.Until(began.Add(1600 * time.Millisecond)))
+	}
+	c.await(startTimeout, "all nodes ready", func() bool { return c.ready(len(c.nodes)) })
+	time.Sleep(stableWindow)
+	c.awaitBurst()
+	for _, n := range c.nodes {
+		n.endpoint.Set(store.Fault{SilentConnections: true})
+	}
+	time.Sleep(stableWindow)
+	c.awaitVersions(3, 3)
+}
+
 // Guards against a process that starts with an older configuration, because the store
 // returns an old state to it, and serves with that although its neighbours have a
 // newer one.
