Play planned work in series in the soak

Cause: the soak sent one signal to each process that it stopped, and upstreams left only after they had reported. Change: in two thirds of the seeds nodes get several signals while they stop, upstreams leave around a restart of their node and before its first report, and all open connections to the store fall silent. Processes must end with status 0 after SIGTERM. The random numbers are a stream of their own, so the other actions of each seed are as before.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -42,7 +42,9 @@
 
 // TestSoak runs real processes and injects faults that a seed determines, one
 // after the other and overlapping:
-//   - Processes are stopped, paused, killed and restarted.
+//   - Processes are stopped, paused, killed and restarted. In two thirds of the seeds some
+//     get several signals while they stop, upstreams leave around a restart of their node,
+//     and all open connections to the store fall silent.
 //   - The store is unavailable, slow, loses responses, serves only some nodes, or
 //     loses its history. In a third of the seeds it is restored from older copies, in
 //     half of them it falls silent to all nodes but a few again and again.
@@ -172,7 +174,7 @@
 		s.disturbances = append(s.disturbances, disturbance{node: n.name, to: time.Now()})
 	}
 	stop, stopKeys, stopLimited := s.startCallers(), s.startKeyCallers(seed), s.sendAtRate(keyMark+limitedTeam, limitedSent)
-	endRestores, endSilences := s.startRestores(seed), s.startSilences(seed)
+	endRestores, endSilences, endPlanned := s.startRestores(seed), s.startSilences(seed), s.startPlannedWork(seed)
 	duration := soakDuration
 	if text := os.Getenv("LENTILFLOW_SOAK_TIME"); text != "" {
 		var err error
@@ -186,6 +188,7 @@
 	}
 	endRestores()
 	endSilences()
+	endPlanned()
 	s.tasks.Wait()
 	s.putNewestAgain()
 	s.clearFaults()
@@ -350,7 +353,9 @@
 	if !n.process.endsWithin(8 * time.Second) {
 		s.t.Errorf("%s has not ended 8 s after signal %s", n.name, sig)
 		n.kill()
+		return
 	}
+	s.checkExit(n, sig)
 }
 
 func (s *soak) startProcessAgain(n *node) {
