--- a/pkg/upstream/tracker.go
+++ b/pkg/upstream/tracker.go
@@ -5,64 +5,6 @@
 	"time"
 )
 
-// Report is one status report that an upstream sends about itself.
-type Report struct {
-	ID    string // name of the boot; a later boot may have the same one
-	Start Start  // of this boot of the upstream
-	// Sequence increases with each report of one boot.
-	Sequence uint64
-	Service  string
-	Address  string // host:port
-	Zone     string // availability zone
-	Software string // version of the upstream's software
-	Slots    int    // requests that it processes concurrently
-	// Draining says that the upstream is about to leave and must get no further
-	// requests.
-	Draining bool
-	// WarmupRemaining is how much longer the upstream will be slow after its
-	// start.
-	WarmupRemaining time.Duration
-	// ReceivedAt is when the report arrived at this node, on its monotonic clock.
-	ReceivedAt time.Time
-}
-
-// departure returns the departure of the boot of a report that is draining.
-func (r *Report) departure() Departure {
-	d := Departure{ID: r.ID, Start: r.Start}
-	if !r.Start.Known() {
-		d.Until = StartedAt(r.ReceivedAt.UnixMilli())
-	}
-	return d
-}
-
-// Departure identifies a boot that has announced or stated that it leaves, so that
-// it gets no further requests.
-//
-// The message of a departure has no start, and a later boot may have the same id. If the
-// start is not known here either, the departure stands for all boots with the id that
-// started until its message arrived.
-type Departure struct {
-	ID    string `json:"boot"`
-	Start Start  `json:"started_ms,omitzero"`
-	// Until is when the message arrived if Start is not known, by the clock of the VM,
-	// which may be set back.
-	Until Start `json:"until_ms,omitzero"`
-}
-
-// Boot is one run of the upstream, from its start to its end. ID and Start identify it;
-// Start is unknown until a report states it.
-type Boot struct {
-	ID       string
-	Start    Start
-	Slots    int  // requests that it processes concurrently
-	Draining bool // it gets no further requests
-	// Software is the version of its software, "" until a report states it.
-	Software string
-}
-
-// Same reports whether b and o are the same boot, as far as is known.
-func (b *Boot) Same(o *Boot) bool { return b.ID == o.ID && b.Start.MayBe(o.Start) }
-
 // Verdict is the result of processing a report or another event.
 type Verdict string
 
@@ -88,11 +30,6 @@
 	Disputed Verdict = "disputed"
 )
 
-// maxDeparted is the number of departed boots that are kept to reject late reports. A
-// VM has a new boot every few seconds at most, and late reports are seconds old, so
-// they cover more time than reports can be late.
-const maxDeparted = 64
-
 // MaxReportDelay is how late a report may arrive. The users' protocol says "seconds".
 // Any number of reports may be late together, so only one that arrives this long
 // after another was certainly sent after that one had arrived.
@@ -129,26 +66,13 @@
 	discovered  bool // the boot comes from Discover only; its start is unknown
 	sequence    uint64
 	newestStart Start // of the boots seen
-	departed    []departed
-	// departures is the number of departures so far.
-	departures int
+	departed    departures
 
 	olderStart        Report // last report of a boot whose start is older than newestStart
 	olderStartReports int
 	olderStartSince   time.Time // arrival of the first of these reports
 }
 
-// departed is a departure that a tracker knows.
-type departed struct {
-	Departure
-	number int // of the last message about it, see Tracker.departures
-	// acknowledged says that this process has acknowledged the departure.
-	acknowledged bool
-	// followed says that a later boot with this id has been verified. A departure
-	// without a start does not matter any more then.
-	followed bool
-}
-
 // Current returns the boot that gets requests. It returns false if there is no
 // boot, or if the boot is draining.
 func (t *Tracker) Current() (Boot, bool) { return t.boot, t.hasBoot && !t.boot.Draining }
@@ -163,7 +87,7 @@
 // boot is recorded or the upstream has sent any report or departure. It also returns
 // Stale if a boot with this id has left: the report of a later one states its start.
 func (t *Tracker) Discover(id string, slots int) Verdict {
-	if t.hasBoot || t.reported || t.hasDeparted(id) { // the response may be older than the report
+	if t.hasBoot || t.reported || t.departed.anyOf(id) { // the response may be older than the report
 		return Stale
 	}
 	t.boot, t.hasBoot, t.discovered = Boot{ID: id, Slots: slots}, true, true
@@ -179,10 +103,10 @@
 		t.discovered, t.verified = false, true
 		t.recordStart(r.Start)
 	}
-	doubtful := !r.Draining && t.mayHaveLeft(r.ID, r.Start)
+	doubtful := !r.Draining && t.departed.mayContain(r.ID, r.Start)
 	same := t.hasBoot && t.boot.ID == r.ID && t.boot.Start == r.Start && !doubtful
 	switch {
-	case !same && t.hasLeft(r.ID, r.Start):
+	case !same && t.departed.contains(r.ID, r.Start):
 		return Stale
 	case !same && !r.Draining && t.isOlder(r):
 		if v := t.reportOfOlderStart(r); v != Changed {
@@ -191,7 +115,7 @@
 		t.verified = true
 	case doubtful, t.VerifyFirstBoot && !t.verified && !r.Draining:
 		if !t.verifyByReport(r, t.trustsReports && !doubtful) {
-			if t.needsReports(r.ID, r.Start) {
+			if t.departed.needsReports(r.ID, r.Start) {
 				return Doubtful
 			}
 			return Unverified
@@ -211,7 +135,7 @@
 // isOlder reports whether the start of a boot that is not the recorded one is older
 // than that of the newest boot, or cannot be compared with it.
 func (t *Tracker) isOlder(r Report) bool {
-	newest := t.newestStart.later(t.newestDeparture(r.ID))
+	newest := t.newestStart.later(t.departed.newestStart(r.ID))
 	return r.Start.Before(newest) || newest.Known() && !r.Start.Known()
 }
 
@@ -246,7 +170,7 @@
 		if t.hasBoot && !t.boot.Same(&Boot{ID: r.ID, Start: r.Start}) {
 			t.recordDeparture(Departure{ID: t.boot.ID, Start: t.boot.Start}) // only one process at a time can have the address
 		}
-		t.recordFollowed(r.ID)
+		t.departed.recordFollowed(r.ID)
 	}
 	t.olderStartReports, t.unverified, t.candidate = 0, nil, Report{}
 	t.recordStart(r.Start)
@@ -337,7 +261,7 @@
 // Departures returns the number of departures that were recorded so far. A health
 // check may have been answered before the departures that are recorded after it was
 // sent.
-func (t *Tracker) Departures() int { return t.departures }
+func (t *Tracker) Departures() int { return t.departed.count }
 
 // Verify records that the boot with this id and start responded at the upstream's
 // address and is not leaving, to a health check that was sent after the given number of
@@ -345,7 +269,7 @@
 // in the meantime, and otherwise the verdict on its last report.
 func (t *Tracker) Verify(id string, start Start, departures int) Verdict {
 	i := slices.IndexFunc(t.unverified, func(r Report) bool { return r.ID == id && r.Start == start })
-	if i < 0 || t.hasLeft(id, start) || t.departedSince(id, start, departures) || t.needsReports(id, start) {
+	if i < 0 || t.departed.contains(id, start) || t.departed.addedSince(id, start, departures) || t.departed.needsReports(id, start) {
 		return Stale
 	}
 	t.verified = true
@@ -375,10 +299,8 @@
 // recoverUnknown records the departure of a boot whose start is not known, unless that or
 // a later one is recorded already: a later boot may have been verified since.
 func (t *Tracker) recoverUnknown(d Departure) Verdict {
-	if i := t.find(d.ID, d.Start); i >= 0 {
-		if known := t.departed[i].Until; !d.Until.Known() || d.Until == known || d.Until.Before(known) {
-			return Stale
-		}
+	if t.departed.covers(d) {
+		return Stale
 	}
 	t.recordDeparture(d)
 	if !t.hasBoot || t.boot.ID != d.ID || d.Until.Before(t.boot.Start) {
@@ -412,7 +334,7 @@
 	saved := d
 	if !d.Start.Known() {
 		d.Until = StartedAt(at.UnixMilli())
-		saved = t.repeated(d)
+		saved = t.departed.repeatedBy(d)
 	}
 	t.acknowledge(d)
 	if !t.hasBoot || t.boot.ID != id || d.Start.Before(t.boot.Start) {
@@ -422,17 +344,6 @@
 	return Changed, saved
 }
 
-// repeated returns the departure that d repeats most likely, or d: a boot that leaves may
-// send its departure again before it ends.
-func (t *Tracker) repeated(d Departure) Departure {
-	for _, o := range t.departed {
-		if o.ID == d.ID && o.Start.Known() && o.acknowledged && !o.followed {
-			d = o.Departure
-		}
-	}
-	return d
-}
-
 // MarkLeaving records that the boot with this id and start has stated in a response that
 // it leaves. The boot gets no further requests, whatever its later reports say. An
 // unknown start means that it was not known when the request was sent. MarkLeaving
@@ -461,18 +372,13 @@
 // acknowledge records a departure that is acknowledged.
 func (t *Tracker) acknowledge(d Departure) {
 	t.recordDeparture(d)
-	t.departed[len(t.departed)-1].acknowledged = true
+	t.departed.recordAcknowledged(d)
 }
 
-// recordDeparture records that a boot has left, and removes the oldest records above
-// maxDeparted. What was received of the boot before does not verify it any more.
+// recordDeparture records that a boot has left. What was received of the boot before does
+// not verify it any more.
 func (t *Tracker) recordDeparture(d Departure) {
-	t.departures++
-	if i := t.find(d.ID, d.Start); i >= 0 {
-		t.departed = slices.Delete(t.departed, i, i+1)
-	}
-	t.departed = append(t.departed, departed{Departure: d, number: t.departures})
-	t.departed = t.departed[max(len(t.departed)-maxDeparted, 0):]
+	t.departed.add(d)
 	isIts := func(r Report) bool { return r.ID == d.ID && r.Start.MayBe(d.Start) }
 	t.unverified = slices.DeleteFunc(t.unverified, isIts)
 	if isIts(t.candidate) {
@@ -482,60 +388,3 @@
 		t.olderStartReports = 0
 	}
 }
-
-// recordFollowed records that a later boot with an id has been verified.
-func (t *Tracker) recordFollowed(id string) {
-	for i := range t.departed {
-		if t.departed[i].ID == id {
-			t.departed[i].followed = true
-		}
-	}
-}
-
-// needsReports reports whether only its reports verify a boot, because it has left unless
-// the clock was set back.
-func (t *Tracker) needsReports(id string, start Start) bool {
-	return slices.ContainsFunc(t.departed, func(d departed) bool {
-		return d.ID == id && !d.Start.Known() && d.Until.Known() && !d.followed && !d.Until.Before(start)
-	})
-}
-
-// find returns the index of a departure, -1 if it is not known.
-func (t *Tracker) find(id string, start Start) int {
-	return slices.IndexFunc(t.departed, func(d departed) bool { return d.ID == id && d.Start == start })
-}
-
-// hasLeft reports whether a boot with a known start has left.
-func (t *Tracker) hasLeft(id string, start Start) bool {
-	return start.Known() && t.find(id, start) >= 0
-}
-
-// mayHaveLeft reports whether a boot may be one that has left: the start of one of the
-// two is not known.
-func (t *Tracker) mayHaveLeft(id string, start Start) bool {
-	return slices.ContainsFunc(t.departed, func(d departed) bool {
-		return d.ID == id && !d.followed && !(d.Start.Known() && start.Known())
-	})
-}
-
-// hasDeparted reports whether any boot with an id has left.
-func (t *Tracker) hasDeparted(id string) bool {
-	return slices.ContainsFunc(t.departed, func(d departed) bool { return d.ID == id })
-}
-
-// departedSince reports whether a boot may have left after a number of departures.
-func (t *Tracker) departedSince(id string, start Start, departures int) bool {
-	return slices.ContainsFunc(t.departed, func(d departed) bool {
-		return d.ID == id && d.Start.MayBe(start) && d.number > departures
-	})
-}
-
-// newestDeparture returns the newest start of the boots with an id that have left.
-func (t *Tracker) newestDeparture(id string) (newest Start) {
-	for _, d := range t.departed {
-		if d.ID == id {
-			newest = newest.later(d.Start)
-		}
-	}
-	return newest
-}
--- a/pkg/upstream/tracker_test.go
+++ b/pkg/upstream/tracker_test.go
@@ -285,7 +285,7 @@
 	for i := range 10 * maxDeparted {
 		tr.Leave(string(rune('a'+i%26))+string(rune('0'+i/26)), StartedAt(int64(i+1)), time.Time{})
 	}
-	is.New(t).True(len(tr.departed) <= maxDeparted)
+	is.New(t).True(len(tr.departed.list) <= maxDeparted)
 }
 
 // Guards against a departed boot, or an earlier boot of the same id, that gets
