Wake the contact loop only when a response of the store may be due

Cause: the loop checked five times a second on every node, although the moment is known. Change: it sleeps until then; a notice moves the moment, and costs one more wake-up. Result: go test ./pkg/gossip ./pkg/contact, and the tests of a silent store: ok.

--- a/pkg/gossip/contact.go
+++ b/pkg/gossip/contact.go
@@ -21,9 +21,6 @@
 	// noticedPerZone is the number of nodes of a zone with relays that get the notices:
 	// the first ones are its relays.
 	noticedPerZone = relay.PerZone
-	// contactPollInterval bounds the time between two checks whether a response of the
-	// store is due, because the fleet may change.
-	contactPollInterval = 200 * time.Millisecond
 )
 
 // followers are the nodes that follow the configuration in the store, as far as the fleet
@@ -165,7 +162,7 @@
 			}
 			continue
 		}
-		sleep.For(ctx, min(wait, contactPollInterval))
+		sleep.For(ctx, wait)
 	}
 	return nil
 }
