--- a/test/process_test.go
+++ b/test/process_test.go
@@ -21,6 +21,8 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error // of Wait, valid after done is closed
+	// launched is when the process was started.
+	launched time.Time
 }
 
 // launch starts a program and appends its output to logFile. The variables in
@@ -39,6 +41,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
+	p.launched = time.Now()
 	go func() {
 		p.err = p.cmd.Wait()
 		close(p.done)
