Reset the connection of a caller of HTTP/1.0 whose response is cut off

What callers saw: nothing was reported. A response that ends with its connection looked complete to a caller of HTTP/1.0 although the upstream had cut it off. Cause: the connection was closed in an orderly way, which ends such a response. Change: it is reset. Result: TestCutResponseToOldCallerIsReset failed before and passes.

--- a/pkg/h1/exchange.go
+++ b/pkg/h1/exchange.go
@@ -187,6 +187,9 @@
 	err := c.write(x, r, last, http10)
 	if err != nil {
 		c.beginClosing()
+		if t, ok := c.nc.(*net.TCPConn); ok && http10 {
+			_ = t.SetLinger(0) // an orderly end may be that of the response
+		}
 		c.closeNow()
 		return errors.Join(errResponseAborted, err)
 	}
--- a/pkg/h1/undelimited_test.go
+++ b/pkg/h1/undelimited_test.go
@@ -129,3 +129,35 @@
 	clear(p)
 	return len(p), nil
 }
+
+// cutReader returns its text and then an error.
+type cutReader struct{ io.Reader }
+
+func (r cutReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		time.Sleep(20 * time.Millisecond) // the text has arrived
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Guards against a response that looks complete to a caller of HTTP/1.0, to which it ends
+// with the connection, although the upstream has cut it off.
+func TestCutResponseToOldCallerIsReset(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		is := is.New(t)
+		s := &Server{Handle: func(x *Exchange) {
+			rest := io.Reader(strings.NewReader("the rest"))
+			if cut {
+				rest = cutReader{rest}
+			}
+			_ = x.Reply(&Reply{Status: http.StatusOK, Header: http.Header{}, Body: []byte("start, "), Rest: rest, Length: Chunked})
+		}}
+		nc, br := dial(t, startServer(t, s))
+		send(t, nc, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+		text, err := io.ReadAll(br)
+		is.True(strings.HasSuffix(string(text), "start, the rest"))
+		is.Equal(err != nil, cut)
+	}
+}
